--- /dev/null
+++ b/otterrudder/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire, on standard input and output."""
--- /dev/null
+++ b/otterrudder/drill/host.py
@@ -0,0 +1,111 @@
+"""Hosts many instances of the decision module, each knowing its own events only."""
+
+import json
+
+from otterrudder.drill import frames
+from otterrudder.interface import Effect, Outcome, Product, Step, Tenant
+from otterrudder.logic import Rudder
+
+_EFFECTS = {"safe": Effect.INQUIRY, "keyed": Effect.REFERENCED, "unsafe": Effect.ONCE}
+_SAY = {"min_rank": "rank", "tokens": "credit", "bias": "weight"}
+_BELOW = {"common": "shared", "next_hop": "tier"}
+FATAL = 77
+
+
+def _ms(table: dict, name: str, default_us: float = 0) -> float:
+    value = table.get(name)
+    return (default_us if value is None else value) / 1000
+
+
+def boot(now: float, instance: int, seed: int, text: bytes) -> tuple[Rudder, list[Step]]:
+    env = json.loads(text)
+    info, rules, limits = env.get("familyInfo") or {}, env.get("rules") or {}, env.get("limits") or {}
+    calls, omits = info.get("classCalls") or [], info.get("classSkipWorth") or []
+    products = [
+        Product(
+            name=c.get("name") or str(n),
+            effect=_EFFECTS.get(c.get("effect"), Effect.ONCE),
+            value=c.get("worth") or 0.0,
+            sla_ms=_ms(c, "promiseUs", c.get("hardLimitUs") or 1e6),
+            expiry_ms=_ms(c, "hardLimitUs", 1e6),
+            window_ms=_ms(c, "windowUs"),
+            late_value=c.get("lateWorth") or 0.0,
+            calls=bool(calls[n]) if n < len(calls) else False,
+            omit_value=(omits[n] or 0.0) if n < len(omits) else 0.0,
+        )
+        for n, c in enumerate(env.get("classes") or [])
+    ]
+    rudder = Rudder(
+        now,
+        instance=instance,
+        seed=seed,
+        products=products,
+        tenants=[Tenant(r.get("name") or "", r.get("share") or 0.0) for r in env.get("realms") or []],
+        cores=info.get("cores") or 1,
+        callers=info.get("callers") or 1,
+        memory_kb=info.get("memoryKb") or 0.0,
+        run_factor=info.get("runFactor") or 1.0,
+        ref_kb=info.get("keyKb") or 0.0,
+        crowd_per_core=rules.get("fallMultiple") or 1.0,
+        fresh=bool(info.get("freshStart")),
+        cold_from=rules.get("coldFrom") or 0.0,
+        cold_ms=_ms(rules, "coldUs"),
+        drain_grace_ms=_ms(rules, "drainGraceUs"),
+        tick_ms=_ms(env, "tickUs", 1000),
+        say=_SAY.get(info.get("say"), ""),
+        stay_away_max_ms=_ms(limits, "maxRetryAfterUs") if limits.get("retryAfter") else 0.0,
+        may_stop=info.get("stopMode") == "drop",
+        below=_BELOW.get(info.get("below"), ""),
+        calls_share=info.get("callsOut") or 0.0,
+        calls_span_ms=_ms(info, "depWindowUs"),
+        linger_ms=_ms(info, "lingerUs"),
+        gauges=tuple(info.get("gauges") or ()),
+    )
+    return rudder, rudder.begin()
+
+
+class Host:
+    def __init__(self) -> None:
+        self._rudders: dict[int, Rudder] = {}
+
+    def play(self, body: bytes) -> bytes:
+        now, events = frames.decode(body)
+        records: list[bytes] = []
+        for code, instance, *fields in events:
+            try:
+                steps = self._handle(now, code, instance, fields)
+                records += [frames.encode_step(instance, step) for step in steps]
+            except Exception as trouble:  # the wire wants a failure of the module in words
+                text = f"{type(trouble).__name__}: {trouble}"
+                records.append(frames.encode_text(FATAL, instance, text))
+                break
+        return frames.frame(records)
+
+    def _handle(self, now: float, code: int, instance: int, f: list) -> list[Step]:
+        if code == frames.BOOT:
+            self._rudders[instance], steps = boot(now, instance, f[0], f[1])
+            return steps
+        if code == frames.KILL:
+            self._rudders.pop(instance, None)
+            return []
+        rudder = self._rudders.get(instance)
+        if rudder is None:
+            return []
+        if code == frames.INBOUND:
+            ident, hint, earlier, kb, key, age, _rank, product, left, flags, source, tenant = f
+            return rudder.arrive(
+                now, ident, product, tenant=tenant, key=key, kb=kb, age_ms=age / 1000,
+                left_ms=left / 1000, earlier=earlier, hint_ms=hint / 1000 if flags & 1 else 0.0,
+                retry=bool(flags & 2), source=source,
+            )
+        if code == frames.FINISHED:
+            return rudder.finished(now, f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
+        if code == frames.RING:
+            return rudder.ring(now, f[1])
+        if code == frames.NEEDS:
+            return rudder.needs_call(now, f[0])
+        if code == frames.CALLED:
+            return rudder.call_ended(now, f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
+        if code == frames.LEFT:
+            return rudder.left(now, f[0])
+        return rudder.retire(now, f[0] / 1000)
--- /dev/null
+++ b/otterrudder/interface.py
@@ -0,0 +1,62 @@
+"""Plain types shared by the decision module and whatever calls it (the drill now, a server later).
+
+All times are milliseconds with fractions on the caller's clock. Ids are handed back exactly as given.
+The module answers every call with a list of steps, plain tuples that start with a word:
+
+    ("run", id)  ("reuse", id)  ("stop", id)           start it; answer it from its earlier try; halt it
+    ("decline", id, terminal, stay_away_ms)            final: turned away, never ran
+    ("void", id)                                       final: failed, no promise
+    ("keep", id, span_ms)  ("forget", id)              the entry by which a repeat is known
+    ("call", id, wait_ms)  ("omit", id)                make the call it waits for; go on without
+    ("wake", delay_ms)                                 ring once after this long
+    ("advertise", value)  ("health", good)  ("idle", ms)  ("log", text)
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+Step = tuple[str, *tuple[object, ...]]
+
+
+class Effect(Enum):
+    INQUIRY = "inquiry-like"  # may run again
+    REFERENCED = "referenced"  # a repeat is known by its mark; runs once
+    ONCE = "once-only"  # must never run twice
+
+
+class Outcome(Enum):
+    """How a run or a call ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHED = "unreached"
+    RESET = "reset"
+    STOPPED = "stopped"
+    MOOT = "moot"
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
+
+
+@dataclass(frozen=True, slots=True)
+class Product:
+    """A kind of txn, as the operator states it."""
+
+    name: str
+    effect: Effect
+    value: float
+    sla_ms: float
+    expiry_ms: float
+    window_ms: float = 0.0  # how long a referenced txn may come again
+    late_value: float = 0.0  # the share of the value left after the SLA time
+    calls: bool = False  # may call what lies below
+    omit_value: float = 0.0  # the share of the value left when the call is omitted
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    share: float
--- /dev/null
+++ b/otterrudder/logic.py
@@ -0,0 +1,751 @@
+"""All decisions of otterrudder: SBOC, session-based overload control, and the guards around it.
+
+An adapter (today otterrudder/drill, later a server's front) makes one Rudder for each server process and
+calls begin, arrive, finished, needs_call, call_ended, left, retire and ring; each returns steps to carry out,
+in order. The plain types and the words of the steps stand in otterrudder/interface.py.
+
+A txn passes a chain of stages: Expiry, Repeats, Memory, Sessions, Holds, Slots, Calls. Each may pass it on,
+keep it or end it; what becomes of it runs back through the chain in reverse. docs/design.md says why.
+"""
+
+import heapq
+import math
+import zlib
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from enum import Enum
+
+from otterrudder.interface import Effect, Outcome, Product, Step, Tenant
+
+# Constants: unit and reason. None is a site's figure.
+TICK_MS = 40.0  # ms; the periodic timer: half of the tightest slack after expiry that we know, 25 rings/s
+ANSWER_EARLY_MS = 45.0  # ms ahead of expiry for a final answer: a tick and the way to the caller
+STOP_EARLY_MS = 250.0  # ms ahead of the stop at which all is answered: a freeze of that length does no harm
+SESSION_SLA_TIMES = 10.0  # SLA times an unseen session lives (the design's figure)
+SESSION_ROOM = 50_000  # entries; about 100 bytes each, so some 5 MB at most
+MEMORY_READ = 0.85  # share of the memory up to which txns are held: what is being read needs room unasked
+MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
+CROWD = 0.75  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
+OLD_WAIT = 0.8  # share of the SLA time left that the old hold may use up: the rest covers a wrong estimate
+NEW_WAIT = 0.35  # the same for newcomers, who wait behind every established txn that comes later
+GROUP_ROOM = 0.25  # share of the hold one key may take before it counts as a newcomer
+GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
+GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
+WINDOW = 8  # runs in a window of the latency loop: small, so that its lowest mean lies under the typical one
+LOW_LEAK = 1.01  # growth of the lowest latency a window: forgets a lucky window within minutes
+NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
+FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
+LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
+RISE = 0.25  # runs the limit grows by for each finished one while it may
+CORES_BUSY = 0.9  # share of the cores in use that counts as busy
+GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
+CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
+CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again; doubled each time
+CALL_PAUSE_MAX_MS = 500.0  # ms; longest such pause
+BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
+BREAK_MS = 500.0  # ms between single trials while it is open
+PRESSURE_UP = 0.08  # pressure gained in a ring with declines: from none to full within a second
+PRESSURE_DOWN = 0.03  # pressure lost in a ring without
+STAY_AWAY_MS = 100.0  # ms a caller is asked to keep off after a decline for want of room
+
+
+class Place(Enum):
+    HELD = "held"
+    FOLLOWS = "follows"  # held behind an earlier try that is held itself
+    RUNS = "runs"
+    CALLS = "calls"  # off the cores, at or before a call
+    WAITS = "waits"  # to be answered from an earlier try
+    OVER = "over"
+
+
+class Verdict(Enum):
+    PASS = "pass on"
+    KEEP = "keep"
+    END = "ended"
+
+
+class Txn:
+    """One txn with what this server knows of it."""
+
+    def __init__(self, ident: int, product: int, spec: Product, now: float, age: float) -> None:
+        self.ident, self.product, self.spec = ident, product, spec
+        self.arrived, self.read = now - age, now
+        self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
+        self.tenant = self.key = self.earlier = self.source = 0
+        self.kb = self.unit = 1.0  # memory while held; the hint, or 1
+        self.cost = 0.0  # expected ms on the cores, fixed when held
+        self.retry = self.old = self.queued = self.ran = self.answered = self.settled = self.calling = False
+        self.place = Place.HELD
+        self.started = self.off_cores = self.away = 0.0  # when it began, last left the cores; ms off them
+        self.tries = 0  # calls made at the present stop
+        self.followers: list[Txn] = []
+
+    @property
+    def effectful(self) -> bool:
+        return self.spec.effect is not Effect.INQUIRY
+
+
+class Agenda:
+    """Every due time but the periodic timer's, in one order."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+
+    def at(self, due: float, act: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._heap, (due, self._count, act))
+
+    def play(self, now: float) -> None:
+        while self._heap and self._heap[0][0] <= now:
+            heapq.heappop(self._heap)[2]()
+
+
+class Stage:
+    """A link of the chain. `back` hears of the final answer, `freed` of the end of its work and memory."""
+
+    def arrive(self, txn: Txn) -> Verdict:
+        return Verdict.PASS
+
+    def back(self, txn: Txn) -> None: ...
+
+    def freed(self, txn: Txn) -> None: ...
+
+
+class Expiry(Stage):
+    """Due times and the drain. Guards: no txn lost, safe drains."""
+
+    def __init__(self, rudder: "Rudder", products: list[Product], drain_grace_ms: float) -> None:
+        self.rudder, self.grace = rudder, drain_grace_ms
+        self.most_left = [0.0] * len(products)  # longest wait seen passed on: a first try's
+        self.last_arrival = self.stop = math.inf
+
+    def arrive(self, txn: Txn) -> Verdict:
+        now = self.rudder.now
+        if txn.due <= now or now >= self.stop or txn.arrived > self.last_arrival - TICK_MS:
+            return self.rudder.refuse(txn)
+        txn.due = min(txn.due, self.stop)
+        self.rudder.agenda.at(txn.due, lambda: self.rudder.give_up(txn))
+        return Verdict.PASS
+
+    def times(self, txn: Txn, left_ms: float) -> None:
+        """A later try has used up time; what its wait lacks of the longest one seen tells how much."""
+        spent = self.rudder.now - txn.arrived
+        wait = left_ms + spent if left_ms else txn.spec.expiry_ms
+        most = self.most_left[txn.product] = max(self.most_left[txn.product], wait)
+        txn.due = txn.arrived + wait - ANSWER_EARLY_MS
+        txn.in_time = min(txn.arrived + txn.spec.sla_ms - (most - wait), txn.due)
+
+    def retire(self, left_ms: float) -> None:
+        now = self.rudder.now
+        self.last_arrival, self.stop = now + self.grace, now + max(left_ms - STOP_EARLY_MS, 0.0)
+        for txn in list(self.rudder.txns.values()):
+            if txn.due > self.stop:
+                self.rudder.agenda.at(self.stop, lambda txn=txn: self.rudder.give_up(txn))
+        self.rudder.agenda.play(now)
+
+
+class Repeats(Stage):
+    """The ref table: no effect twice. A referenced txn is kept on arrival, or its repeat looks new."""
+
+    def __init__(self, rudder: "Rudder", ref_kb: float, tick_ms: float) -> None:
+        self.rudder, self.ref_kb, self.tick = rudder, ref_kb, tick_ms
+        self.refs: dict[int, Txn] = {}
+        self.unrun: tuple[set[int], set[int]] = (set(), set())  # ended before they ran, this ring and last
+
+    def arrive(self, txn: Txn) -> Verdict:
+        if txn.spec.effect is not Effect.REFERENCED:
+            return Verdict.PASS
+        if not txn.earlier or any(txn.earlier in ids for ids in self.unrun):
+            return Verdict.PASS
+        first = self.refs.get(txn.earlier)
+        txn.ran = first is None or first.ran  # some try has run: this one is never declined
+        if first is not None and not first.ran:
+            txn.place = Place.FOLLOWS
+            first.followers.append(txn)
+        elif first is not None and first.place is Place.OVER and not first.settled:
+            self.rudder.void(txn)
+            return Verdict.END
+        else:
+            self.rudder.reuse(txn)
+        return Verdict.KEEP
+
+    def keep(self, txn: Txn) -> None:
+        span = max(txn.arrived + txn.spec.window_ms - self.rudder.now + self.tick, self.tick)
+        self.refs[txn.ident] = txn
+        self.rudder.steps.append(("keep", txn.ident, span))
+        self.rudder.agenda.at(self.rudder.now + span + self.tick, lambda: self._lapse(txn))
+
+    def _lapse(self, txn: Txn) -> None:
+        if txn.place in (Place.HELD, Place.RUNS, Place.CALLS):  # its record may not go before it
+            self.rudder.agenda.at(self.rudder.now + TICK_MS, lambda: self._lapse(txn))
+        else:
+            self.refs.pop(txn.ident, None)
+
+    def started(self, txn: Txn) -> None:
+        for follower in txn.followers:
+            if not follower.answered:
+                follower.ran = True
+                self.rudder.reuse(follower)
+        txn.followers = []
+
+    def back(self, txn: Txn) -> None:
+        if txn.ran or txn.spec.effect is not Effect.REFERENCED:
+            return
+        self.unrun[0].add(txn.ident)
+        heirs = [f for f in txn.followers if not f.answered]
+        txn.followers = []
+        held = self.refs.pop(txn.ident, None)
+        if heirs:  # the earlier try went before it ran: the next takes its place and its entry
+            heir = heirs[0]
+            heir.followers, heir.place = heirs[1:], Place.HELD
+            self.rudder.forward(heir, after=self)
+        elif held:
+            self.rudder.steps.append(("forget", txn.ident))
+
+    def turn(self) -> None:
+        self.unrun = (set(), self.unrun[0])
+
+
+class Memory(Stage):
+    """Held + run factor x in hand + kept refs, by our own count. Guards: no death for want of memory."""
+
+    def __init__(self, rudder: "Rudder", memory_kb: float, run_factor: float, repeats: Repeats) -> None:
+        self.rudder, self.factor, self.repeats = rudder, run_factor, repeats
+        self.read_room, self.run_room = memory_kb * MEMORY_READ, memory_kb * MEMORY_RUN
+        self.txns_kb = 0.0
+
+    @property
+    def used(self) -> float:
+        return self.txns_kb + len(self.repeats.refs) * self.repeats.ref_kb
+
+    def arrive(self, txn: Txn) -> Verdict:
+        keeps = txn.spec.effect is Effect.REFERENCED
+        if self.used + (self.repeats.ref_kb if keeps else 0.0) > self.read_room:
+            return self.rudder.refuse(txn, room=False)
+        if keeps:
+            self.repeats.keep(txn)
+        return Verdict.PASS
+
+    def fits(self, txn: Txn) -> bool:
+        return self.used + txn.kb * (self.factor - 1) <= self.run_room
+
+    def hold(self, txn: Txn) -> None:
+        self.txns_kb += txn.kb
+
+    def run(self, txn: Txn) -> None:
+        self.txns_kb += txn.kb * (self.factor - 1)
+
+    def freed(self, txn: Txn) -> None:
+        self.txns_kb -= txn.kb * (1 if txn.place in (Place.HELD, Place.FOLLOWS) else self.factor)
+
+
+class Sessions(Stage):
+    """SBOC's table of established keys, entered when a txn settles."""
+
+    def __init__(self, rudder: "Rudder", tenants: list[Tenant]) -> None:
+        self.rudder = rudder
+        self.table: OrderedDict[int, float] = OrderedDict()
+        whole = sum(t.share for t in tenants) or 1.0
+        self.shares = [t.share / whole * GROUP_SLACK for t in tenants]
+        self.groups: dict[tuple[str, int], int] = {}  # txns held of each key and tenant
+        self.held = 0
+
+    def arrive(self, txn: Txn) -> Verdict:
+        now = self.rudder.now
+        if txn.key:
+            txn.old = self.table.get(txn.key, 0.0) > now
+        else:
+            # A referenced txn names no user. One with an effect stands for the paper's paying step, which an
+            # established session must not lose; anything else without a key is a newcomer.
+            txn.old = txn.effectful
+        return Verdict.PASS
+
+    def over_share(self, txn: Txn) -> bool:
+        """One rule for heavy keys and tenants: beyond its share of the holds a group's txns are newcomers."""
+        for group, share in self._groups(txn):
+            if self.groups.get(group, 0) >= max(GROUP_FREE, share * self.held):
+                return True
+        return False
+
+    def _groups(self, txn: Txn) -> list[tuple[tuple[str, int], float]]:
+        groups = [(("key", txn.key), GROUP_ROOM)] if txn.key else []
+        if txn.tenant < len(self.shares):
+            groups.append((("tenant", txn.tenant), self.shares[txn.tenant]))
+        return groups
+
+    def count(self, txn: Txn, by: int) -> None:
+        self.held += by
+        for group, _ in self._groups(txn):
+            left = self.groups.get(group, 0) + by
+            if left:
+                self.groups[group] = left
+            else:
+                del self.groups[group]
+
+    def back(self, txn: Txn) -> None:
+        if txn.settled and txn.key:
+            self.table[txn.key] = self.rudder.now + SESSION_SLA_TIMES * txn.spec.sla_ms
+            self.table.move_to_end(txn.key)
+            while len(self.table) > SESSION_ROOM:
+                self.table.popitem(last=False)
+
+    def lapse(self) -> None:
+        while self.table and next(iter(self.table.values())) <= self.rudder.now:
+            self.table.popitem(last=False)
+
+
+class Holds(Stage):
+    """The two bounded FIFO holds: old first, newcomers once it is empty; they bind while the limit is full.
+
+    Their bound is time, not count: a txn is held if the work ahead of it leaves it its SLA time.
+    """
+
+    def __init__(self, rudder: "Rudder", sessions: Sessions, may_start: Callable[[Txn], bool],
+                 wait_ms: Callable[[float], float], expect: Callable[[Txn], tuple[float, float]]) -> None:
+        self.rudder, self.sessions = rudder, sessions
+        self.may_start, self.wait_ms, self.expect = may_start, wait_ms, expect
+        self.old: deque[Txn] = deque()
+        self.new: deque[Txn] = deque()
+        self.work = {True: 0.0, False: 0.0}  # expected ms on the cores of what is held, by old
+        self.declines = 0
+
+    def arrive(self, txn: Txn) -> Verdict:
+        self.refill()
+        if not self.old and not self.new and self.may_start(txn):
+            return Verdict.PASS
+        if txn.old and self.sessions.over_share(txn):
+            txn.old = False
+        txn.cost, whole = self.expect(txn)
+        ahead = self.work[True] + (0.0 if txn.old else self.work[False])
+        left = txn.in_time - self.rudder.now - whole
+        over = not txn.old and self.sessions.over_share(txn)
+        if over or self.wait_ms(ahead) > left * (OLD_WAIT if txn.old else NEW_WAIT):
+            self.declines += 1
+            return self.rudder.refuse(txn)
+        (self.old if txn.old else self.new).append(txn)
+        self.work[txn.old] += txn.cost
+        txn.queued = True
+        self.sessions.count(txn, 1)
+        # Held past the point where it can be in time, it is given up at once: later it is worth little.
+        self.rudder.agenda.at(txn.in_time - whole / 2, lambda: self._too_late(txn))
+        return Verdict.KEEP
+
+    def _too_late(self, txn: Txn) -> None:
+        if txn.queued:
+            self.declines += 1
+            self.rudder.refuse(txn)
+
+    def _leave(self, txn: Txn) -> None:
+        txn.queued = False
+        self.work[txn.old] -= txn.cost
+        self.sessions.count(txn, -1)
+
+    def back(self, txn: Txn) -> None:
+        if txn.queued:
+            self._leave(txn)
+            (self.old if txn.old else self.new).remove(txn)
+
+    def refill(self) -> None:
+        while hold := self.old or self.new:
+            if not self.may_start(hold[0]):
+                return
+            txn = hold.popleft()
+            self._leave(txn)
+            self.rudder.forward(txn, after=self)
+
+
+class Slots(Stage):
+    """The latency loop sets how many txns run on the cores; the crowd guard counts all that may come back.
+
+    Guards: nothing falls over by crowding, whatever is out on calls or still runs for nobody.
+    """
+
+    def __init__(self, rudder: "Rudder", memory: Memory, repeats: Repeats, products: list[Product],
+                 cores: int, crowd_per_core: float, cold_ms: float, cold_from: float) -> None:
+        self.rudder, self.memory, self.repeats, self.cores = rudder, memory, repeats, cores
+        self.crowd_per_core, self.cold_ms, self.cold_from = crowd_per_core, cold_ms, cold_from
+        self.born = rudder.now
+        self.limit = float(cores)
+        self.running = self.in_hand = 0  # on the cores; those and all out on calls
+        self.busy = 0.0  # share of the cores in use, as the server last told
+        self.low: list[float] = [math.inf] * len(products)
+        self.mean: list[float] = [0.0] * len(products)  # ms on the cores for one unit
+        self.away: list[float] = [0.0] * len(products)  # ms off the cores
+        self.windows: list[list[float]] = [[] for _ in products]
+        self.stretch = 1.0  # recent latency over the lowest
+
+    def warmth(self) -> float:
+        if not self.cold_ms:
+            return 1.0
+        return min(self.cold_from + (1 - self.cold_from) * (self.rudder.now - self.born) / self.cold_ms, 1.0)
+
+    def crowd(self) -> float:
+        """The most that may be in hand: everything that may be on the cores together."""
+        return max(self.cores * (1 + (self.crowd_per_core - 1) * self.warmth()) * CROWD, 1.0)
+
+    def may_start(self, txn: Txn) -> bool:
+        return self.running < int(self.limit) and self.in_hand + 1 <= self.crowd() and self.memory.fits(txn)
+
+    def expect(self, txn: Txn) -> tuple[float, float]:
+        """Expected ms on the cores, and in all."""
+        cost = self.mean[txn.product] * txn.unit or 1.0
+        return cost, cost + self.away[txn.product]
+
+    def wait_ms(self, work: float) -> float:
+        return work / self.limit
+
+    def arrive(self, txn: Txn) -> Verdict:
+        txn.place, txn.ran, txn.started = Place.RUNS, True, self.rudder.now
+        self.running += 1
+        self.in_hand += 1
+        self.memory.run(txn)
+        self.rudder.steps.append(("run", txn.ident))
+        self.repeats.started(txn)
+        return Verdict.PASS
+
+    def off_cores(self, txn: Txn) -> None:
+        txn.place, txn.off_cores = Place.CALLS, self.rudder.now
+        self.running -= 1
+
+    def on_cores(self, txn: Txn) -> None:
+        txn.place = Place.RUNS
+        txn.away += self.rudder.now - txn.off_cores
+        self.running += 1
+
+    def freed(self, txn: Txn) -> None:
+        if txn.place not in (Place.RUNS, Place.CALLS):
+            return
+        self.in_hand -= 1
+        if txn.place is Place.RUNS:
+            self.running -= 1
+            if txn.settled:
+                self._learn(txn)
+
+    def _learn(self, txn: Txn) -> None:
+        n, spent = txn.product, self.rudder.now - txn.started - txn.away
+        took = max(spent, LEAST_MS) / txn.unit
+        self.mean[n] = self.mean[n] + GAIN * (took - self.mean[n]) if self.mean[n] else took
+        self.away[n] += GAIN * (txn.away - self.away[n])
+        window = self.windows[n]
+        window.append(took)
+        if len(window) >= WINDOW:
+            self.low[n] = min(self.low[n] * LOW_LEAK, sum(window) / WINDOW)
+            window.clear()
+            if self.busy >= CORES_BUSY and self.stretch > NEAR_LOW:
+                self.limit *= max(1 / self.stretch, FALL_LEAST)
+        if self.low[n] < math.inf:
+            self.stretch += GAIN * (took / self.low[n] - self.stretch)
+        if self.running + 1 >= int(self.limit) and self.stretch <= NEAR_LOW:
+            self.limit += RISE
+        self._bound()
+
+    def _bound(self) -> None:
+        self.limit = max(min(self.limit, self.crowd()), float(self.cores))
+
+    def turn(self, busy: float, held: int) -> None:
+        self.busy = busy
+        if held and busy < CORES_BUSY and self.running >= int(self.limit):
+            self.limit += 1
+            self._bound()
+
+
+class Calls(Stage):
+    """Calls below: how long to wait, whether to repeat, and when to stop calling.
+
+    A call of a txn with an effect is repeated only if the one before is known not to have run.
+    """
+
+    def __init__(self, rudder: "Rudder", below: str, share: float, span_ms: float, linger_ms: float) -> None:
+        self.rudder, self.shared, self.linger = rudder, below == "shared", linger_ms
+        self.share, self.room = share, share * span_ms * CALLS_ROOM
+        self.debt, self.counted, self.out = 0.0, rudder.now, 0  # ms beyond the share, as of; calls out
+        self.failed = 0
+        self.next_trial = 0.0
+        self.queue: deque[Txn] = deque()
+
+    @property
+    def open(self) -> bool:
+        return self.failed >= BREAK_AFTER
+
+    def may_start(self, txn: Txn) -> bool:
+        """What needs a call that can't be made now is not run to be thrown away."""
+        return not (txn.spec.calls and not txn.spec.omit_value and self.queue and (self.open or self.shared))
+
+    def _count(self, by: int) -> None:
+        now = self.rudder.now
+        self.debt = max(self.debt + (self.out - self.share) * (now - self.counted), 0.0)
+        self.counted, self.out = now, self.out + by
+
+    def _allowed(self) -> bool:
+        if self.open and self.rudder.now < self.next_trial:
+            return False
+        if not self.shared:
+            return True
+        self._count(0)
+        return self.out + 1 <= max(self.share, 1.0) and self.debt <= self.room
+
+    def want(self, txn: Txn) -> None:
+        if txn.place is Place.CALLS and not txn.answered:
+            self.queue.append(txn)
+            self.pump()
+
+    def pump(self) -> None:
+        while self.queue:
+            txn = self.queue[0]
+            if txn.answered or txn.place is not Place.CALLS:
+                self.queue.popleft()
+                continue
+            if not self._allowed():
+                if not txn.spec.omit_value:
+                    return
+                self.rudder.steps.append(("omit", self.queue.popleft().ident))
+                self.rudder.slots.on_cores(txn)
+                continue
+            self.queue.popleft()
+            if self.open:
+                self.next_trial = self.rudder.now + BREAK_MS
+            txn.tries, txn.calling = txn.tries + 1, True
+            self._count(1)
+            self.rudder.steps.append(("call", txn.ident, max(txn.due - self.rudder.now, 1.0)))
+
+    def _hang_up(self, txn: Txn, linger_ms: float) -> None:
+        if txn.calling:
+            txn.calling = False
+            self.rudder.agenda.at(self.rudder.now + linger_ms, lambda: self._count(-1))
+
+    def freed(self, txn: Txn) -> None:
+        self._hang_up(txn, self.linger)  # its end beat the call's: what lies below may still be at it
+
+    def ended(self, txn: Txn, outcome: Outcome) -> None:
+        over = outcome in (Outcome.OK, Outcome.ERROR) or outcome.never_ran
+        self._hang_up(txn, 0.0 if over else self.linger)
+        if outcome is Outcome.OK:
+            if self.open:
+                self.rudder.say(f"calls below work again after {self.failed} failures in a row")
+            self.failed, txn.tries = 0, 0
+            self.rudder.slots.on_cores(txn)
+        else:
+            if outcome is not Outcome.FULL:  # a tier that is merely full answers: it is not broken
+                self.failed += 1
+                if self.failed == BREAK_AFTER:
+                    self.next_trial = self.rudder.now + BREAK_MS
+                    self.rudder.say("calls below stop: too many failures in a row")
+            if txn.answered:
+                return
+            if txn.effectful and not outcome.never_ran:
+                self.rudder.void(txn)
+            else:
+                pause = min(CALL_PAUSE_MS * 2 ** (txn.tries - 1), CALL_PAUSE_MAX_MS)
+                pause *= 0.5 + self.rudder.chance(txn.ident)
+                self.rudder.agenda.at(self.rudder.now + pause, lambda: self.want(txn))
+        self.pump()
+
+
+class Signals:
+    """What callers are told: health, the free value, when to stay away. One timer an instance renews it."""
+
+    def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
+        self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
+        self.pressure, self.told, self.draining = 0.0, -1.0, False
+
+    def advice(self, room: bool) -> tuple[bool, float]:
+        """Whether the caller should not try elsewhere, and how long it should keep away.
+
+        If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
+        the others are full as well, for callers spread their load: a further try would only cost a read.
+        """
+        if self.draining:
+            return False, self.away_max
+        slots = self.rudder.slots
+        alone = slots.warmth() < 1.0 or slots.stretch > 2 * NEAR_LOW or not room
+        return not alone, min(STAY_AWAY_MS, self.away_max)
+
+    def renew(self, declines: int) -> None:
+        change = PRESSURE_UP if declines else -PRESSURE_DOWN
+        self.pressure = min(max(self.pressure + change, 0.0), 1.0)
+        slots = self.rudder.slots
+        if self.kind == "credit":
+            most = 2 * slots.crowd()
+            value = round(most * (1 - self.pressure) + slots.limit / self.callers * self.pressure, 1)
+        elif self.kind == "weight":
+            value = round(1 - 0.8 * self.pressure, 2)
+        elif self.kind == "rank":
+            value = 0.0
+        else:
+            return
+        if value != self.told:
+            self.told = value
+            self.rudder.steps.append(("advertise", value))
+
+
+class Rudder:
+    """One server's decisions: the chain, and what its stages share."""
+
+    def __init__(self, now: float, *, instance: int, seed: int, products: list[Product],
+                 tenants: list[Tenant], cores: int, callers: int, memory_kb: float, run_factor: float,
+                 ref_kb: float, crowd_per_core: float, fresh: bool, cold_from: float, cold_ms: float,
+                 drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float, may_stop: bool,
+                 below: str, calls_share: float, calls_span_ms: float, linger_ms: float,
+                 gauges: tuple[str, ...]) -> None:
+        self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
+        self.counter = seed
+        self.gauges = {name: n for n, name in enumerate(gauges)}
+        self.steps: list[Step] = []
+        self.txns: dict[int, Txn] = {}  # everything in the hold, on the cores or at a call
+        self.agenda = Agenda()
+        self.expiry = Expiry(self, products, drain_grace_ms)
+        self.repeats = Repeats(self, ref_kb, tick_ms)
+        self.memory = Memory(self, memory_kb, run_factor, self.repeats)
+        self.sessions = Sessions(self, tenants)
+        self.slots = Slots(self, self.memory, self.repeats, products, cores, crowd_per_core,
+                           cold_ms if fresh else 0.0, cold_from)
+        self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
+        self.holds = Holds(self, self.sessions, self._may_start, self.slots.wait_ms, self.slots.expect)
+        self.chain: list[Stage] = [
+            self.expiry, self.repeats, self.memory, self.sessions, self.holds, self.slots, self.calls]
+        self.signals = Signals(self, say, callers, stay_away_max_ms)
+
+    # Called by the adapter. Each call answers with the steps to take.
+
+    def begin(self) -> list[Step]:
+        self.steps.append(("health", True))
+        self.signals.renew(0)
+        # Spread over the tick, or all servers ring in step.
+        self.steps.append(("wake", TICK_MS * (0.5 + self.chance(self.instance) / 2)))
+        return self._done()
+
+    def arrive(self, now: float, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
+               age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, hint_ms: float = 0.0,
+               retry: bool = False, source: int = 0) -> list[Step]:
+        self._at(now)
+        txn = Txn(ident, product, self.products[product], now, age_ms)
+        txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
+        txn.retry, txn.source, txn.unit = retry, source, hint_ms or 1.0
+        self.txns[ident] = txn
+        self.memory.hold(txn)
+        self.expiry.times(txn, left_ms)
+        self.forward(txn)
+        return self._done()
+
+    def finished(self, now: float, ident: int, outcome: Outcome) -> list[Step]:
+        self._at(now)
+        if txn := self.txns.get(ident):
+            txn.settled = outcome is Outcome.OK
+            if outcome in (Outcome.OK, Outcome.ERROR) and not txn.answered:
+                txn.answered = True
+                self._back(txn)
+            self.void(txn)  # stopped for a reason of its own, and still owed an answer
+            self._free(txn)
+        return self._done()
+
+    def needs_call(self, now: float, ident: int) -> list[Step]:
+        self._at(now)
+        if (txn := self.txns.get(ident)) and txn.place is Place.RUNS:
+            self.slots.off_cores(txn)
+            self.calls.want(txn)
+            self.holds.refill()
+        return self._done()
+
+    def call_ended(self, now: float, ident: int, outcome: Outcome) -> list[Step]:
+        self._at(now)
+        if (txn := self.txns.get(ident)) and txn.place is Place.CALLS:
+            self.calls.ended(txn, outcome)
+        return self._done()
+
+    def left(self, now: float, ident: int) -> list[Step]:
+        self._at(now)
+        if (txn := self.txns.get(ident)) and not txn.answered:
+            self._end(txn)
+        return self._done()
+
+    def retire(self, now: float, left_ms: float) -> list[Step]:
+        self._at(now)
+        self.signals.draining = True
+        self.steps.append(("health", False))
+        self.say(f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop")
+        self.expiry.retire(left_ms)
+        return self._done()
+
+    def ring(self, now: float, gauges: tuple[float, ...]) -> list[Step]:
+        self._at(now)
+        at = self.gauges.get("core_use")
+        busy = gauges[at] if at is not None and at < len(gauges) else 1.0
+        self.slots.turn(busy, self.sessions.held)
+        self.holds.refill()
+        self.calls.pump()
+        self.sessions.lapse()
+        self.repeats.turn()
+        self.signals.renew(self.holds.declines)
+        self.holds.declines = 0
+        self.steps.append(("wake", TICK_MS))
+        return self._done()
+
+    # Shared by the stages.
+
+    def _at(self, now: float) -> None:
+        self.now = now
+        self.agenda.play(now)
+
+    def _done(self) -> list[Step]:
+        steps, self.steps = self.steps, []
+        return steps
+
+    def chance(self, ident: int) -> float:
+        self.counter += 1
+        return zlib.crc32(f"{self.instance}/{ident}/{self.counter}".encode()) / 2**32
+
+    def say(self, text: str) -> None:
+        self.steps.append(("log", text))
+
+    def _may_start(self, txn: Txn) -> bool:
+        return self.slots.may_start(txn) and self.calls.may_start(txn)
+
+    def forward(self, txn: Txn, after: Stage | None = None) -> None:
+        for stage in self.chain[self.chain.index(after) + 1 if after else 0 :]:
+            if stage.arrive(txn) is not Verdict.PASS:
+                return
+
+    def _back(self, txn: Txn) -> None:
+        for stage in reversed(self.chain):
+            stage.back(txn)
+
+    def _free(self, txn: Txn) -> None:
+        if self.txns.pop(txn.ident, None):
+            for stage in reversed(self.chain):
+                stage.freed(txn)
+            txn.place = Place.OVER
+            self.holds.refill()
+
+    def _end(self, txn: Txn) -> None:
+        """Its answer is given or its caller gone; what runs stays in every count until it is finished."""
+        txn.answered = True
+        self._back(txn)
+        if txn.place not in (Place.RUNS, Place.CALLS):
+            self._free(txn)
+        elif self.may_stop and txn.place is Place.RUNS:
+            self.steps.append(("stop", txn.ident))
+
+    def refuse(self, txn: Txn, room: bool = True) -> Verdict:
+        """Declined if no try of it has run, else voided: rule two."""
+        if txn.ran:
+            self.void(txn)
+        elif not txn.answered:
+            terminal, away = self.signals.advice(room)
+            self.steps.append(("decline", txn.ident, terminal, away))
+            self._end(txn)
+        return Verdict.END
+
+    def void(self, txn: Txn) -> None:
+        if not txn.answered:
+            self.steps.append(("void", txn.ident))
+            self._end(txn)
+
+    def give_up(self, txn: Txn) -> None:
+        if not txn.answered and txn.place is not Place.OVER:
+            self.refuse(txn)
+
+    def reuse(self, txn: Txn) -> None:
+        txn.place = Place.WAITS
+        self.memory.run(txn)
+        self.steps.append(("reuse", txn.ident))
--- /dev/null
+++ b/tests/test_otterrudder.py
@@ -0,0 +1,74 @@
+import struct
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from helpers import play
+
+from otterrudder.drill import frames
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+# The frames printed in the wire's description.
+EMPTY = bytes.fromhex("0000000c0000000000805c5a00000000")
+BATCH = bytes.fromhex(
+    "0000006b0000000000805c5a00000003"
+    "00010003000c5df65d3a91c400002ee00002964f0e6f2b1941c4000091f03b7c55d20a640000073a3f2000000000"
+    "0003a980000100000011"
+    "0000"
+    "000900030000004d043f1eb852404000003ed1eb8542f00000"
+    "000200050002964f0e6f2b19"
+)
+REPLY = bytes.fromhex(
+    "0000003300000003004c0003000c5df65d3a91c4004100030007a1200000004d"
+    "004f0005001174776f2073657276657273206b6e6f776e"
+)
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    play(path)
+
+
+def test_batch_decodes() -> None:
+    clock, events = frames.decode(BATCH[4:])
+    assert clock == 8412.25
+    txn, ring, gone = events
+    assert txn[:5] == (1, 3, 0xC5DF65D3A91C4, 12000, 0x2964F0E6F2B19)
+    assert txn[5:] == (24.5, 0x91F03B7C55D20A64, 1850, 0.625, 0, 240000, 1, 17, 0)
+    assert ring[:3] == (9, 3, 77) and ring[3] == pytest.approx((0.62, 3.0, 0.41, 120.0))
+    assert gone == (2, 5, 0x2964F0E6F2B19)
+
+
+def test_reply_encodes() -> None:
+    run = frames.encode_step(3, ("run", 0xC5DF65D3A91C4))
+    log = frames.encode_step(5, ("log", "two servers known"))
+    wake = struct.pack(">HHII", 65, 3, 500000, 77)
+    assert frames.encode_step(3, ("wake", 500.0)) == wake[:-4] + bytes(4)
+    assert frames.frame([run, wake, log]) == REPLY
+
+
+def drill(data: bytes) -> subprocess.CompletedProcess[bytes]:
+    command = [sys.executable, "-m", "otterrudder.drill"]
+    return subprocess.run(command, input=data, capture_output=True, timeout=30)
+
+
+def test_empty_batch_is_answered() -> None:
+    done = drill(EMPTY + EMPTY)
+    assert (done.returncode, done.stdout) == (0, bytes.fromhex("0000000400000000") * 2)
+
+
+@pytest.mark.parametrize(
+    "data", [EMPTY[:9], EMPTY[:4], BATCH[:40], b"\0\0\0\x0d" + EMPTY[4:] + b"\0",
+             EMPTY[:12] + b"\0\0\0\1" , b"\0\0\0\x0e" + EMPTY[4:15] + b"\x01\0\x63"]
+)  # fmt: skip
+def test_malformed_input_is_named(data: bytes) -> None:
+    done = drill(data)
+    assert done.returncode != 0 and done.stderr.startswith(b"drill: malformed input: ")
+    assert done.stderr.count(b"\n") == 1
+
+
+def test_failure_of_the_module_is_fatal_in_words() -> None:
+    body = struct.pack(">QI", 0, 1) + struct.pack(">HHQI", 6, 2, 1, 2) + b"[]"
+    done = drill(struct.pack(">I", len(body)) + body)
+    assert done.stdout[8:10] == b"\x00\x4d" and b"AttributeError" in done.stdout
