Ask callers for less by the time txns wait, unread time included

Pressure now follows what part of its SLA time a txn waits, read or unread; credit is scaled geometrically. Should also guard against slow machines, freezes and neighbours: whatever makes reading late raises the age. Could harm when few callers carry most of the traffic and a short burst holds their credit down for a second.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -44,8 +44,8 @@
 CALL_PAUSE_MAX_MS = 500.0  # ms; longest such pause
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
 BREAK_MS = 500.0  # ms between single trials while it is open
-PRESSURE_UP = 0.08  # pressure gained in a ring with declines: from none to full within a second
-PRESSURE_DOWN = 0.03  # pressure lost in a ring without
+WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
+PRESSURE_STEP = 0.02  # pressure gained or lost a ring for each WAIT_AIM off: full in one or two seconds
 STAY_AWAY_MS = 100.0  # ms a caller is asked to keep off after a decline for want of room
 
 
@@ -308,20 +308,20 @@
         self.old: deque[Txn] = deque()
         self.new: deque[Txn] = deque()
         self.work = {True: 0.0, False: 0.0}  # expected ms on the cores of what is held, by old
-        self.declines = 0
 
     def arrive(self, txn: Txn) -> Verdict:
         self.refill()
         if not self.old and not self.new and self.may_start(txn):
+            self.rudder.signals.hear(txn, 0.0)
             return Verdict.PASS
         if txn.old and self.sessions.over_share(txn):
             txn.old = False
         txn.cost, whole = self.expect(txn)
         ahead = self.work[True] + (0.0 if txn.old else self.work[False])
-        left = txn.in_time - self.rudder.now - whole
+        left, wait = txn.in_time - self.rudder.now - whole, self.wait_ms(ahead)
+        self.rudder.signals.hear(txn, wait)
         over = not txn.old and self.sessions.over_share(txn)
-        if over or self.wait_ms(ahead) > left * (OLD_WAIT if txn.old else NEW_WAIT):
-            self.declines += 1
+        if over or wait > left * (OLD_WAIT if txn.old else NEW_WAIT):
             return self.rudder.refuse(txn)
         (self.old if txn.old else self.new).append(txn)
         self.work[txn.old] += txn.cost
@@ -333,7 +333,6 @@
 
     def _too_late(self, txn: Txn) -> None:
         if txn.queued:
-            self.declines += 1
             self.rudder.refuse(txn)
 
     def _leave(self, txn: Txn) -> None:
@@ -548,6 +547,7 @@
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
         self.pressure, self.told, self.draining = 0.0, -1.0, False
+        self.waits = 0.0  # recent mean of what part of its SLA time a txn has to wait here
 
     def advice(self, room: bool) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
@@ -561,13 +561,19 @@
         alone = slots.warmth() < 1.0 or slots.stretch > 2 * NEAR_LOW or not room
         return not alone, min(STAY_AWAY_MS, self.away_max)
 
-    def renew(self, declines: int) -> None:
-        change = PRESSURE_UP if declines else -PRESSURE_DOWN
+    def hear(self, txn: Txn, wait_ms: float) -> None:
+        """Time spent unread counts: a server that reads late is short of cores, whatever its holds say."""
+        part = min((self.rudder.now - txn.arrived + wait_ms) / txn.spec.sla_ms, 1.0)
+        self.waits += GAIN * (part - self.waits)
+
+    def renew(self) -> None:
+        change = PRESSURE_STEP * min(max(self.waits / WAIT_AIM - 1, -1.0), 2.0)
+        self.waits *= 1 - GAIN / 4  # forgets when nothing comes
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
         slots = self.rudder.slots
         if self.kind == "credit":
-            most = 2 * slots.crowd()
-            value = round(most * (1 - self.pressure) + slots.limit / self.callers * self.pressure, 1)
+            most, least = slots.crowd(), slots.limit / self.callers
+            value = round(most * (least / most) ** self.pressure, 2)
         elif self.kind == "weight":
             value = round(1 - 0.8 * self.pressure, 2)
         elif self.kind == "rank":
@@ -610,7 +616,7 @@
 
     def begin(self) -> list[Step]:
         self.steps.append(("health", True))
-        self.signals.renew(0)
+        self.signals.renew()
         # Spread over the tick, or all servers ring in step.
         self.steps.append(("wake", TICK_MS * (0.5 + self.chance(self.instance) / 2)))
         return self._done()
@@ -676,8 +682,7 @@
         self.calls.pump()
         self.sessions.lapse()
         self.repeats.turn()
-        self.signals.renew(self.holds.declines)
-        self.holds.declines = 0
+        self.signals.renew()
         self.steps.append(("wake", TICK_MS))
         return self._done()
 
