Let the limit fall with each finished run while slow and busy

Should guard against whatever slows all runs at once; overshooting to the floor of one run a core costs little where runs do not wait for a disk, and could cost some where they do.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -431,12 +431,12 @@
         if len(window) >= WINDOW:
             self.low[n] = min(self.low[n] * LOW_LEAK, sum(window) / WINDOW)
             window.clear()
-            if self.busy >= CORES_BUSY and self.stretch > NEAR_LOW:
-                self.limit *= max(1 / self.stretch, FALL_LEAST)
         if self.low[n] < math.inf:
             self.stretch += GAIN * (took / self.low[n] - self.stretch)
-        if self.running + 1 >= int(self.limit) and self.stretch <= NEAR_LOW:
-            self.limit += RISE
+        if self.stretch <= NEAR_LOW:
+            self.limit += RISE if self.running + 1 >= int(self.limit) else 0.0
+        elif self.busy >= CORES_BUSY:
+            self.limit *= max(1 / self.stretch, FALL_LEAST)
         self._bound()
 
     def _bound(self) -> None:
