--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -46,6 +46,7 @@
 BREAK_MS = 500.0  # ms between single trials while it is open
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
 PRESSURE_STEP = 0.02  # pressure gained or lost a ring for each WAIT_AIM off: full in one or two seconds
+RANK_MOST = 0.3  # highest rank callers are asked to hold back
 STAY_AWAY_MS = 100.0  # ms a caller is asked to keep off after a decline for want of room
 
 
@@ -577,7 +578,7 @@
         elif self.kind == "weight":
             value = round(1 - 0.8 * self.pressure, 2)
         elif self.kind == "rank":
-            value = 0.0
+            value = round(RANK_MOST * self.pressure, 2)
         else:
             return
         if value != self.told:
