Send on at once what can't be in time here; take hints by their square root

Should also guard against slow machines: a server whose runs outlast the SLA time sends txns on and keeps one as a trial. Could harm where every server is slow: declines then cost a read each.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -27,6 +27,7 @@
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
 CROWD = 0.75  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
 OLD_WAIT = 0.8  # share of the SLA time left that the old hold may use up: the rest covers a wrong estimate
+HOPELESS = 0.6  # share of the expected time that must still fit for a txn to have a chance: estimates are rough
 NEW_WAIT = 0.35  # the same for newcomers, who wait behind every established txn that comes later
 GROUP_ROOM = 0.25  # share of the hold one key may take before it counts as a newcomer
 GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
@@ -35,6 +36,7 @@
 LOW_LEAK = 1.01  # growth of the lowest latency a window: forgets a lucky window within minutes
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
+HINT_TRUST = 0.5  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
 RISE = 0.25  # runs the limit grows by for each finished one while it may
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
@@ -116,9 +118,9 @@
 class Expiry(Stage):
     """Due times and the drain. Guards: no txn lost, safe drains."""
 
-    def __init__(self, rudder: "Rudder", products: list[Product], drain_grace_ms: float) -> None:
+    def __init__(self, rudder: "Rudder", drain_grace_ms: float) -> None:
         self.rudder, self.grace = rudder, drain_grace_ms
-        self.most_left = [0.0] * len(products)  # longest wait seen passed on: a first try's
+        self.most_left: dict[tuple[int, int], float] = {}  # longest wait passed on by a caller: a first try's
         self.last_arrival = self.stop = math.inf
 
     def arrive(self, txn: Txn) -> Verdict:
@@ -130,12 +132,13 @@
         return Verdict.PASS
 
     def times(self, txn: Txn, left_ms: float) -> None:
-        """A later try has used up time; what its wait lacks of the longest one seen tells how much."""
+        """A marked later try has used up time: what its wait lacks of the longest its caller passed on."""
         spent = self.rudder.now - txn.arrived
         wait = left_ms + spent if left_ms else txn.spec.expiry_ms
-        most = self.most_left[txn.product] = max(self.most_left[txn.product], wait)
+        most = max(self.most_left.get((txn.source, txn.product), 0.0), wait)
+        self.most_left[txn.source, txn.product] = most
         txn.due = txn.arrived + wait - ANSWER_EARLY_MS
-        txn.in_time = min(txn.arrived + txn.spec.sla_ms - (most - wait), txn.due)
+        txn.in_time = min(txn.arrived + txn.spec.sla_ms - (most - wait if txn.retry else 0.0), txn.due)
 
     def retire(self, left_ms: float) -> None:
         now = self.rudder.now
@@ -312,14 +315,19 @@
 
     def arrive(self, txn: Txn) -> Verdict:
         self.refill()
+        txn.cost, whole = self.expect(txn)
+        left = txn.in_time - self.rudder.now - whole
+        if left + whole * (1 - HOPELESS) < 0 and self.rudder.slots.in_hand:
+            # Hopeless here even if started now: a quicker server may yet be in time. With nothing else in
+            # hand it runs all the same, or a server slow for a while would never learn that it no longer is.
+            return self.rudder.refuse(txn, room=False)
         if not self.old and not self.new and self.may_start(txn):
             self.rudder.signals.hear(txn, 0.0)
             return Verdict.PASS
         if txn.old and self.sessions.over_share(txn):
             txn.old = False
-        txn.cost, whole = self.expect(txn)
         ahead = self.work[True] + (0.0 if txn.old else self.work[False])
-        left, wait = txn.in_time - self.rudder.now - whole, self.wait_ms(ahead)
+        wait = self.wait_ms(ahead)
         self.rudder.signals.hear(txn, wait)
         over = not txn.old and self.sessions.over_share(txn)
         if over or wait > left * (OLD_WAIT if txn.old else NEW_WAIT):
@@ -601,7 +609,7 @@
         self.steps: list[Step] = []
         self.txns: dict[int, Txn] = {}  # everything in the hold, on the cores or at a call
         self.agenda = Agenda()
-        self.expiry = Expiry(self, products, drain_grace_ms)
+        self.expiry = Expiry(self, drain_grace_ms)
         self.repeats = Repeats(self, ref_kb, tick_ms)
         self.memory = Memory(self, memory_kb, run_factor, self.repeats)
         self.sessions = Sessions(self, tenants)
@@ -628,7 +636,7 @@
         self._at(now)
         txn = Txn(ident, product, self.products[product], now, age_ms)
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
-        txn.retry, txn.source, txn.unit = retry, source, hint_ms or 1.0
+        txn.retry, txn.source, txn.unit = retry, source, hint_ms**HINT_TRUST or 1.0
         self.txns[ident] = txn
         self.memory.hold(txn)
         self.expiry.times(txn, left_ms)
