Start nothing that needs a call while many wait to call again

Should guard against any slow or full dependency. Could harm where calls fail now and then without being full.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -27,7 +27,7 @@
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
 CROWD = 0.75  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
 OLD_WAIT = 0.8  # share of the SLA time left that the old hold may use up: the rest covers a wrong estimate
-HOPELESS = 0.6  # share of the expected time that must still fit, or a txn has no chance here: estimates are rough
+HOPELESS = 0.6  # share of the expected time that must still fit, or a txn has no chance here: estimates err
 NEW_WAIT = 0.35  # the same for newcomers, who wait behind every established txn that comes later
 GROUP_ROOM = 0.25  # share of the hold one key may take before it counts as a newcomer
 GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
@@ -42,6 +42,7 @@
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
+BLOCKED = 0.17  # txns a core that may wait to call before others that need a call stay unstarted
 CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again; doubled each time
 CALL_PAUSE_MAX_MS = 500.0  # ms; longest such pause
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
@@ -471,6 +472,7 @@
         self.failed = 0
         self.next_trial = 0.0
         self.queue: deque[Txn] = deque()
+        self.turned = 0  # txns waiting to call again
 
     @property
     def open(self) -> bool:
@@ -478,7 +480,8 @@
 
     def may_start(self, txn: Txn) -> bool:
         """What needs a call that can't be made now is not run to be thrown away."""
-        return not (txn.spec.calls and not txn.spec.omit_value and self.queue and (self.open or self.shared))
+        blocked = self.turned + len(self.queue)
+        return not txn.spec.calls or txn.spec.omit_value > 0 or blocked <= self.rudder.slots.cores * BLOCKED
 
     def _count(self, by: int) -> None:
         now = self.rudder.now
@@ -498,6 +501,10 @@
             self.queue.append(txn)
             self.pump()
 
+    def _again(self, txn: Txn) -> None:
+        self.turned -= 1
+        self.want(txn)
+
     def pump(self) -> None:
         while self.queue:
             txn = self.queue[0]
@@ -546,7 +553,8 @@
             else:
                 pause = min(CALL_PAUSE_MS * 2 ** (txn.tries - 1), CALL_PAUSE_MAX_MS)
                 pause *= 0.5 + self.rudder.chance(txn.ident)
-                self.rudder.agenda.at(self.rudder.now + pause, lambda: self.want(txn))
+                self.turned += 1
+                self.rudder.agenda.at(self.rudder.now + pause, lambda: self._again(txn))
         self.pump()
 
 
