Learn from runs cut short; take the lowest single run for the lowest latency

Should guard against any trouble that kills the long runs first. Could harm where runs wait for a disk and one run that found all in a cache is taken for the lowest: the limit then rises only while cores have room.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -32,8 +32,7 @@
 GROUP_ROOM = 0.25  # share of the hold one key may take before it counts as a newcomer
 GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
 GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
-WINDOW = 8  # runs in a window of the latency loop: small, so that its lowest mean lies under the typical one
-LOW_LEAK = 1.01  # growth of the lowest latency a window: forgets a lucky window within minutes
+LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
 HINT_TRUST = 0.5  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
@@ -378,10 +377,10 @@
         self.limit = float(cores)
         self.running = self.in_hand = 0  # on the cores; those and all out on calls
         self.busy = 0.0  # share of the cores in use, as the server last told
+        self.seen = [0] * len(products)
         self.low: list[float] = [math.inf] * len(products)
         self.mean: list[float] = [0.0] * len(products)  # ms on the cores for one unit
         self.away: list[float] = [0.0] * len(products)  # ms off the cores
-        self.windows: list[list[float]] = [[] for _ in products]
         self.stretch = 1.0  # recent latency over the lowest
 
     def warmth(self) -> float:
@@ -428,21 +427,19 @@
         self.in_hand -= 1
         if txn.place is Place.RUNS:
             self.running -= 1
-            if txn.settled:
-                self._learn(txn)
+        # One cut short tells the least it takes; without it only the quick ones would be counted.
+        if txn.settled or self.rudder.now - txn.started - txn.away > self.mean[txn.product] * txn.unit:
+            self._learn(txn)
 
     def _learn(self, txn: Txn) -> None:
         n, spent = txn.product, self.rudder.now - txn.started - txn.away
         took = max(spent, LEAST_MS) / txn.unit
-        self.mean[n] = self.mean[n] + GAIN * (took - self.mean[n]) if self.mean[n] else took
-        self.away[n] += GAIN * (txn.away - self.away[n])
-        window = self.windows[n]
-        window.append(took)
-        if len(window) >= WINDOW:
-            self.low[n] = min(self.low[n] * LOW_LEAK, sum(window) / WINDOW)
-            window.clear()
-        if self.low[n] < math.inf:
-            self.stretch += GAIN * (took / self.low[n] - self.stretch)
+        self.seen[n] += 1
+        gain = max(GAIN, 1 / self.seen[n])
+        self.mean[n] += gain * (took - self.mean[n])
+        self.away[n] += gain * (txn.away - self.away[n])
+        self.low[n] = min(self.low[n] * LOW_LEAK, took)
+        self.stretch += GAIN * (took / self.low[n] - self.stretch)
         if self.stretch <= NEAR_LOW:
             self.limit += RISE if self.running + 1 >= int(self.limit) else 0.0
         elif self.busy >= CORES_BUSY:
