--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -42,6 +42,7 @@
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
 BLOCKED = 0.17  # txns a core that may wait to call before others that need a call stay unstarted
+PACE_GAIN = 1 / 8  # weight of a new run in the pace: follows a slowdown within a second
 CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again; doubled each time
 CALL_PAUSE_MAX_MS = 500.0  # ms; longest such pause
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
@@ -317,7 +318,7 @@
         self.refill()
         txn.cost, whole = self.expect(txn)
         left = txn.in_time - self.rudder.now - whole
-        if left + whole * (1 - HOPELESS) < 0 and self.rudder.slots.in_hand:
+        if self._hopeless(txn):
             # Hopeless here even if started now: a quicker server may yet be in time. With nothing else in
             # hand it runs all the same, or a server slow for a while would never learn that it no longer is.
             return self.rudder.refuse(txn, room=False)
@@ -337,9 +338,13 @@
         txn.queued = True
         self.sessions.count(txn, 1)
         # Held past the point where it can be in time, it is given up at once: later it is worth little.
-        self.rudder.agenda.at(txn.in_time - whole / 2, lambda: self._too_late(txn))
+        self.rudder.agenda.at(txn.in_time - whole * HOPELESS, lambda: self._too_late(txn))
         return Verdict.KEEP
 
+    def _hopeless(self, txn: Txn) -> bool:
+        chance = txn.in_time - self.rudder.now - self.expect(txn)[1] * HOPELESS
+        return chance < 0 and self.rudder.slots.in_hand > 0
+
     def _too_late(self, txn: Txn) -> None:
         if txn.queued:
             self.rudder.refuse(txn)
@@ -358,6 +363,9 @@
         while hold := self.old or self.new:
             if not self.may_start(hold[0]):
                 return
+            if self._hopeless(hold[0]):  # slower than when it was held
+                self.rudder.refuse(hold[0])
+                continue
             txn = hold.popleft()
             self._leave(txn)
             self.rudder.forward(txn, after=self)
@@ -377,6 +385,7 @@
         self.limit = float(cores)
         self.running = self.in_hand = 0  # on the cores; those and all out on calls
         self.busy = 0.0  # share of the cores in use, as the server last told
+        self.pace = 1.0  # recent latency over that mean, all products together: a slowdown shows in it first
         self.seen = [0] * len(products)
         self.low: list[float] = [math.inf] * len(products)
         self.mean: list[float] = [0.0] * len(products)  # ms on the cores for one unit
@@ -397,7 +406,7 @@
 
     def expect(self, txn: Txn) -> tuple[float, float]:
         """Expected ms on the cores, and in all."""
-        cost = self.mean[txn.product] * txn.unit or 1.0
+        cost = self.mean[txn.product] * self.pace * txn.unit or 1.0
         return cost, cost + self.away[txn.product]
 
     def wait_ms(self, work: float) -> float:
@@ -435,7 +444,9 @@
         n, spent = txn.product, self.rudder.now - txn.started - txn.away
         took = max(spent, LEAST_MS) / txn.unit
         self.seen[n] += 1
-        gain = max(GAIN, 1 / self.seen[n])
+        gain = max(GAIN / 4, 1 / self.seen[n])
+        if self.seen[n] > 1:
+            self.pace += PACE_GAIN * (took / self.mean[n] - self.pace)
         self.mean[n] += gain * (took - self.mean[n])
         self.away[n] += gain * (txn.away - self.away[n])
         self.low[n] = min(self.low[n] * LOW_LEAK, took)
