Let the heard waits fade only without reads; judge being slow by the pace

The test for being slow alone used the stretch, which the lowest single run now makes large on any machine, so no decline was ever terminal.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -50,6 +50,8 @@
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
 PRESSURE_STEP = 0.02  # pressure gained or lost a ring for each WAIT_AIM off: full in one or two seconds
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
+SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
+QUIET_MS = 400.0  # ms without a read after which what was heard of waits fades
 STAY_AWAY_MS = 100.0  # ms a caller is asked to keep off after a decline for want of room
 
 
@@ -572,6 +574,7 @@
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
         self.pressure, self.told, self.draining = 0.0, -1.0, False
+        self.heard = 0.0
         self.waits = 0.0  # recent mean of what part of its SLA time a txn has to wait here
 
     def advice(self, room: bool) -> tuple[bool, float]:
@@ -583,17 +586,19 @@
         if self.draining:
             return False, self.away_max
         slots = self.rudder.slots
-        alone = slots.warmth() < 1.0 or slots.stretch > 2 * NEAR_LOW or not room
+        alone = slots.warmth() < 1.0 or slots.pace > SLOW_PACE or not room
         return not alone, min(STAY_AWAY_MS, self.away_max)
 
     def hear(self, txn: Txn, wait_ms: float) -> None:
         """Time spent unread counts: a server that reads late is short of cores, whatever its holds say."""
         part = min((self.rudder.now - txn.arrived + wait_ms) / txn.spec.sla_ms, 1.0)
+        self.heard = self.rudder.now
         self.waits += GAIN * (part - self.waits)
 
     def renew(self) -> None:
         change = PRESSURE_STEP * min(max(self.waits / WAIT_AIM - 1, -1.0), 2.0)
-        self.waits *= 1 - GAIN / 4  # forgets when nothing comes
+        if self.rudder.now - self.heard > QUIET_MS:
+            self.waits *= 1 - GAIN
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
         slots = self.rudder.slots
         if self.kind == "credit":
