--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -48,7 +48,8 @@
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
 BREAK_MS = 500.0  # ms between single trials while it is open
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
-PRESSURE_STEP = 0.02  # pressure gained or lost a ring for each WAIT_AIM off: full in one or two seconds
+PRESSURE_STEP = 0.01  # pressure gained a ring for each WAIT_AIM above it: full in two to four seconds
+PRESSURE_EASE = 0.5  # most such steps lost a ring: callers all let go at once, so slowly
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
 QUIET_MS = 400.0  # ms without a read after which what was heard of waits fades
@@ -596,7 +597,7 @@
         self.waits += GAIN * (part - self.waits)
 
     def renew(self) -> None:
-        change = PRESSURE_STEP * min(max(self.waits / WAIT_AIM - 1, -1.0), 2.0)
+        change = PRESSURE_STEP * min(max(self.waits / WAIT_AIM - 1, -PRESSURE_EASE), 2.0)
         if self.rudder.now - self.heard > QUIET_MS:
             self.waits *= 1 - GAIN
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
