Shorten the module: types to the interface, stages that lean on each other

No decision changed but three small ones: only inquiry-like work that nobody waits for is stopped (a referenced txn's repeat may still be answered from it), pauses between calls grow evenly, what was heard of waits fades when nothing is in hand.

--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -60,3 +60,33 @@
 class Tenant:
     name: str
     share: float
+
+
+class Place(Enum):
+    HELD = "held"
+    FOLLOWS = "follows"  # held behind an earlier try that is held itself
+    RUNS = "runs"
+    CALLS = "calls"  # off the cores, at or before a call
+    WAITS = "waits"  # to be answered from an earlier try
+    OVER = "over"
+
+
+class Txn:
+    """One txn with what this server knows of it."""
+
+    def __init__(self, ident: int, product: int, spec: Product, now: float, age: float) -> None:
+        self.ident, self.product, self.spec = ident, product, spec
+        self.arrived, self.read = now - age, now
+        self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
+        self.tenant = self.key = self.earlier = self.source = 0
+        self.kb = self.unit = 1.0  # memory while held; the hint, or 1
+        self.cost = 0.0  # expected ms on the cores, fixed when held
+        self.retry = self.old = self.queued = self.ran = self.answered = self.settled = self.calling = False
+        self.place = Place.HELD
+        self.started = self.off_cores = self.away = 0.0  # when it began, last left the cores; ms off them
+        self.tries = 0  # calls made at the present stop
+        self.followers: list[Txn] = []
+
+    @property
+    def effectful(self) -> bool:
+        return self.spec.effect is not Effect.INQUIRY
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -13,9 +13,8 @@
 import zlib
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from enum import Enum
 
-from otterrudder.interface import Effect, Outcome, Product, Step, Tenant
+from otterrudder.interface import Effect, Outcome, Place, Product, Step, Tenant, Txn
 
 # Constants: unit and reason. None is a site's figure.
 TICK_MS = 40.0  # ms; the periodic timer: half of the tightest slack after expiry that we know, 25 rings/s
@@ -43,8 +42,8 @@
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
 BLOCKED = 0.17  # txns a core that may wait to call before others that need a call stay unstarted
 PACE_GAIN = 1 / 8  # weight of a new run in the pace: follows a slowdown within a second
-CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again; doubled each time
-CALL_PAUSE_MAX_MS = 500.0  # ms; longest such pause
+CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again, longer with each try
+CALL_PAUSES = 8  # times that pause at the most: half a second still finds a tier that has recovered
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
 BREAK_MS = 500.0  # ms between single trials while it is open
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
@@ -52,54 +51,17 @@
 PRESSURE_EASE = 0.5  # most such steps lost a ring: callers all let go at once, so slowly
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
-QUIET_MS = 400.0  # ms without a read after which what was heard of waits fades
 STAY_AWAY_MS = 100.0  # ms a caller is asked to keep off after a decline for want of room
 
 
-class Place(Enum):
-    HELD = "held"
-    FOLLOWS = "follows"  # held behind an earlier try that is held itself
-    RUNS = "runs"
-    CALLS = "calls"  # off the cores, at or before a call
-    WAITS = "waits"  # to be answered from an earlier try
-    OVER = "over"
-
-
-class Verdict(Enum):
-    PASS = "pass on"
-    KEEP = "keep"
-    END = "ended"
-
-
-class Txn:
-    """One txn with what this server knows of it."""
-
-    def __init__(self, ident: int, product: int, spec: Product, now: float, age: float) -> None:
-        self.ident, self.product, self.spec = ident, product, spec
-        self.arrived, self.read = now - age, now
-        self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
-        self.tenant = self.key = self.earlier = self.source = 0
-        self.kb = self.unit = 1.0  # memory while held; the hint, or 1
-        self.cost = 0.0  # expected ms on the cores, fixed when held
-        self.retry = self.old = self.queued = self.ran = self.answered = self.settled = self.calling = False
-        self.place = Place.HELD
-        self.started = self.off_cores = self.away = 0.0  # when it began, last left the cores; ms off them
-        self.tries = 0  # calls made at the present stop
-        self.followers: list[Txn] = []
-
-    @property
-    def effectful(self) -> bool:
-        return self.spec.effect is not Effect.INQUIRY
-
-
 class Agenda:
     """Every due time but the periodic timer's, in one order."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._heap: list[tuple[float, int, Callable[[], object]]] = []
         self._count = 0
 
-    def at(self, due: float, act: Callable[[], None]) -> None:
+    def at(self, due: float, act: Callable[[], object]) -> None:
         self._count += 1
         heapq.heappush(self._heap, (due, self._count, act))
 
@@ -109,10 +71,11 @@
 
 
 class Stage:
-    """A link of the chain. `back` hears of the final answer, `freed` of the end of its work and memory."""
+    """A link of the chain. `arrive` says whether it passes a txn on; if not, it has kept or ended it.
+    `back` hears of the final answer, `freed` of the end of its work and memory."""
 
-    def arrive(self, txn: Txn) -> Verdict:
-        return Verdict.PASS
+    def arrive(self, txn: Txn) -> bool:
+        return True
 
     def back(self, txn: Txn) -> None: ...
 
@@ -127,13 +90,12 @@
         self.most_left: dict[tuple[int, int], float] = {}  # longest wait passed on by a caller: a first try's
         self.last_arrival = self.stop = math.inf
 
-    def arrive(self, txn: Txn) -> Verdict:
+    def arrive(self, txn: Txn) -> bool:
         now = self.rudder.now
         if txn.due <= now or now >= self.stop or txn.arrived > self.last_arrival - TICK_MS:
             return self.rudder.refuse(txn)
-        txn.due = min(txn.due, self.stop)
-        self.rudder.agenda.at(txn.due, lambda: self.rudder.give_up(txn))
-        return Verdict.PASS
+        self.rudder.agenda.at(txn.due, lambda: self.rudder.refuse(txn))
+        return True
 
     def times(self, txn: Txn, left_ms: float) -> None:
         """A marked later try has used up time: what its wait lacks of the longest its caller passed on."""
@@ -147,10 +109,11 @@
     def retire(self, left_ms: float) -> None:
         now = self.rudder.now
         self.last_arrival, self.stop = now + self.grace, now + max(left_ms - STOP_EARLY_MS, 0.0)
+        self.rudder.agenda.at(self.stop, self._close)
+
+    def _close(self) -> None:
         for txn in list(self.rudder.txns.values()):
-            if txn.due > self.stop:
-                self.rudder.agenda.at(self.stop, lambda txn=txn: self.rudder.give_up(txn))
-        self.rudder.agenda.play(now)
+            self.rudder.refuse(txn)
 
 
 class Repeats(Stage):
@@ -161,22 +124,21 @@
         self.refs: dict[int, Txn] = {}
         self.unrun: tuple[set[int], set[int]] = (set(), set())  # ended before they ran, this ring and last
 
-    def arrive(self, txn: Txn) -> Verdict:
+    def arrive(self, txn: Txn) -> bool:
         if txn.spec.effect is not Effect.REFERENCED:
-            return Verdict.PASS
+            return True
         if not txn.earlier or any(txn.earlier in ids for ids in self.unrun):
-            return Verdict.PASS
+            return True
         first = self.refs.get(txn.earlier)
         txn.ran = first is None or first.ran  # some try has run: this one is never declined
         if first is not None and not first.ran:
             txn.place = Place.FOLLOWS
             first.followers.append(txn)
         elif first is not None and first.place is Place.OVER and not first.settled:
-            self.rudder.void(txn)
-            return Verdict.END
+            return self.rudder.void(txn)
         else:
             self.rudder.reuse(txn)
-        return Verdict.KEEP
+        return False
 
     def keep(self, txn: Txn) -> None:
         span = max(txn.arrived + txn.spec.window_ms - self.rudder.now + self.tick, self.tick)
@@ -205,15 +167,11 @@
         txn.followers = []
         held = self.refs.pop(txn.ident, None)
         if heirs:  # the earlier try went before it ran: the next takes its place and its entry
-            heir = heirs[0]
-            heir.followers, heir.place = heirs[1:], Place.HELD
-            self.rudder.forward(heir, after=self)
+            heirs[0].followers, heirs[0].place = heirs[1:], Place.HELD
+            self.rudder.forward(heirs[0], after=self)
         elif held:
             self.rudder.steps.append(("forget", txn.ident))
 
-    def turn(self) -> None:
-        self.unrun = (set(), self.unrun[0])
-
 
 class Memory(Stage):
     """Held + run factor x in hand + kept refs, by our own count. Guards: no death for want of memory."""
@@ -227,20 +185,17 @@
     def used(self) -> float:
         return self.txns_kb + len(self.repeats.refs) * self.repeats.ref_kb
 
-    def arrive(self, txn: Txn) -> Verdict:
+    def arrive(self, txn: Txn) -> bool:
         keeps = txn.spec.effect is Effect.REFERENCED
         if self.used + (self.repeats.ref_kb if keeps else 0.0) > self.read_room:
             return self.rudder.refuse(txn, room=False)
         if keeps:
             self.repeats.keep(txn)
-        return Verdict.PASS
+        return True
 
     def fits(self, txn: Txn) -> bool:
         return self.used + txn.kb * (self.factor - 1) <= self.run_room
 
-    def hold(self, txn: Txn) -> None:
-        self.txns_kb += txn.kb
-
     def run(self, txn: Txn) -> None:
         self.txns_kb += txn.kb * (self.factor - 1)
 
@@ -259,79 +214,61 @@
         self.groups: dict[tuple[str, int], int] = {}  # txns held of each key and tenant
         self.held = 0
 
-    def arrive(self, txn: Txn) -> Verdict:
-        now = self.rudder.now
-        if txn.key:
-            txn.old = self.table.get(txn.key, 0.0) > now
-        else:
-            # A referenced txn names no user. One with an effect stands for the paper's paying step, which an
-            # established session must not lose; anything else without a key is a newcomer.
-            txn.old = txn.effectful
-        return Verdict.PASS
+    def arrive(self, txn: Txn) -> bool:
+        # A referenced txn names no user. One with an effect stands for the paper's paying step, which an
+        # established session must not lose; anything else without a key is a newcomer.
+        txn.old = self.table.get(txn.key, 0.0) > self.rudder.now if txn.key else txn.effectful
+        return True
 
     def over_share(self, txn: Txn) -> bool:
         """One rule for heavy keys and tenants: beyond its share of the holds a group's txns are newcomers."""
-        for group, share in self._groups(txn):
-            if self.groups.get(group, 0) >= max(GROUP_FREE, share * self.held):
-                return True
-        return False
+        return any(self.groups.get(group, 0) >= max(GROUP_FREE, share * self.held)
+                   for group, share in self._groups(txn))
 
     def _groups(self, txn: Txn) -> list[tuple[tuple[str, int], float]]:
-        groups = [(("key", txn.key), GROUP_ROOM)] if txn.key else []
-        if txn.tenant < len(self.shares):
-            groups.append((("tenant", txn.tenant), self.shares[txn.tenant]))
-        return groups
+        key = [(("key", txn.key), GROUP_ROOM)] if txn.key else []
+        return key + [(("tenant", txn.tenant), share) for share in self.shares[txn.tenant : txn.tenant + 1]]
 
     def count(self, txn: Txn, by: int) -> None:
         self.held += by
         for group, _ in self._groups(txn):
-            left = self.groups.get(group, 0) + by
-            if left:
-                self.groups[group] = left
-            else:
+            self.groups[group] = self.groups.get(group, 0) + by
+            if not self.groups[group]:
                 del self.groups[group]
 
     def back(self, txn: Txn) -> None:
         if txn.settled and txn.key:
             self.table[txn.key] = self.rudder.now + SESSION_SLA_TIMES * txn.spec.sla_ms
             self.table.move_to_end(txn.key)
-            while len(self.table) > SESSION_ROOM:
-                self.table.popitem(last=False)
-
-    def lapse(self) -> None:
-        while self.table and next(iter(self.table.values())) <= self.rudder.now:
+        while self.table and (len(self.table) > SESSION_ROOM
+                              or next(iter(self.table.values())) <= self.rudder.now):
             self.table.popitem(last=False)
 
 
 class Holds(Stage):
     """The two bounded FIFO holds: old first, newcomers once it is empty; they bind while the limit is full.
+    Their bound is time, not count: a txn is held if the work ahead of it leaves it its SLA time."""
 
-    Their bound is time, not count: a txn is held if the work ahead of it leaves it its SLA time.
-    """
-
-    def __init__(self, rudder: "Rudder", sessions: Sessions, may_start: Callable[[Txn], bool],
-                 wait_ms: Callable[[float], float], expect: Callable[[Txn], tuple[float, float]]) -> None:
-        self.rudder, self.sessions = rudder, sessions
-        self.may_start, self.wait_ms, self.expect = may_start, wait_ms, expect
+    def __init__(self, rudder: "Rudder", sessions: Sessions, slots: "Slots", calls: "Calls") -> None:
+        self.rudder, self.sessions, self.slots, self.calls = rudder, sessions, slots, calls
         self.old: deque[Txn] = deque()
         self.new: deque[Txn] = deque()
         self.work = {True: 0.0, False: 0.0}  # expected ms on the cores of what is held, by old
 
-    def arrive(self, txn: Txn) -> Verdict:
+    def arrive(self, txn: Txn) -> bool:
         self.refill()
-        txn.cost, whole = self.expect(txn)
+        txn.cost, whole = self.slots.expect(txn)
         left = txn.in_time - self.rudder.now - whole
         if self._hopeless(txn):
             # Hopeless here even if started now: a quicker server may yet be in time. With nothing else in
             # hand it runs all the same, or a server slow for a while would never learn that it no longer is.
             return self.rudder.refuse(txn, room=False)
-        if not self.old and not self.new and self.may_start(txn):
+        if not self.old and not self.new and self._may_start(txn):
             self.rudder.signals.hear(txn, 0.0)
-            return Verdict.PASS
+            return True
         if txn.old and self.sessions.over_share(txn):
             txn.old = False
-        ahead = self.work[True] + (0.0 if txn.old else self.work[False])
-        wait = self.wait_ms(ahead)
+        wait = (self.work[True] + (0.0 if txn.old else self.work[False])) / self.slots.limit
         self.rudder.signals.hear(txn, wait)
         over = not txn.old and self.sessions.over_share(txn)
         if over or wait > left * (OLD_WAIT if txn.old else NEW_WAIT):
@@ -341,44 +278,38 @@
         txn.queued = True
         self.sessions.count(txn, 1)
         # Held past the point where it can be in time, it is given up at once: later it is worth little.
-        self.rudder.agenda.at(txn.in_time - whole * HOPELESS, lambda: self._too_late(txn))
-        return Verdict.KEEP
-
-    def _hopeless(self, txn: Txn) -> bool:
-        chance = txn.in_time - self.rudder.now - self.expect(txn)[1] * HOPELESS
-        return chance < 0 and self.rudder.slots.in_hand > 0
+        self.rudder.agenda.at(txn.in_time - whole * HOPELESS, lambda: txn.queued and self.rudder.refuse(txn))
+        return False
 
-    def _too_late(self, txn: Txn) -> None:
-        if txn.queued:
-            self.rudder.refuse(txn)
+    def _may_start(self, txn: Txn) -> bool:
+        return self.slots.may_start(txn) and self.calls.may_start(txn)
 
-    def _leave(self, txn: Txn) -> None:
-        txn.queued = False
-        self.work[txn.old] -= txn.cost
-        self.sessions.count(txn, -1)
+    def _hopeless(self, txn: Txn) -> bool:
+        chance = txn.in_time - self.rudder.now - self.slots.expect(txn)[1] * HOPELESS
+        return chance < 0 and self.slots.in_hand > 0
 
     def back(self, txn: Txn) -> None:
         if txn.queued:
-            self._leave(txn)
+            txn.queued = False
             (self.old if txn.old else self.new).remove(txn)
+            self.work[txn.old] -= txn.cost
+            self.sessions.count(txn, -1)
 
     def refill(self) -> None:
         while hold := self.old or self.new:
-            if not self.may_start(hold[0]):
+            txn = hold[0]
+            if not self._may_start(txn):
                 return
-            if self._hopeless(hold[0]):  # slower than when it was held
-                self.rudder.refuse(hold[0])
-                continue
-            txn = hold.popleft()
-            self._leave(txn)
-            self.rudder.forward(txn, after=self)
+            if self._hopeless(txn):  # slower than when it was held
+                self.rudder.refuse(txn)
+            else:
+                self.back(txn)
+                self.rudder.forward(txn, after=self)
 
 
 class Slots(Stage):
     """The latency loop sets how many txns run on the cores; the crowd guard counts all that may come back.
-
-    Guards: nothing falls over by crowding, whatever is out on calls or still runs for nobody.
-    """
+    Guards: nothing falls over by crowding, whatever is out on calls or still runs for nobody."""
 
     def __init__(self, rudder: "Rudder", memory: Memory, repeats: Repeats, products: list[Product],
                  cores: int, crowd_per_core: float, cold_ms: float, cold_from: float) -> None:
@@ -396,9 +327,8 @@
         self.stretch = 1.0  # recent latency over the lowest
 
     def warmth(self) -> float:
-        if not self.cold_ms:
-            return 1.0
-        return min(self.cold_from + (1 - self.cold_from) * (self.rudder.now - self.born) / self.cold_ms, 1.0)
+        share = (self.rudder.now - self.born) / self.cold_ms if self.cold_ms else 1.0
+        return min(self.cold_from + (1 - self.cold_from) * share, 1.0)
 
     def crowd(self) -> float:
         """The most that may be in hand: everything that may be on the cores together."""
@@ -412,17 +342,14 @@
         cost = self.mean[txn.product] * self.pace * txn.unit or 1.0
         return cost, cost + self.away[txn.product]
 
-    def wait_ms(self, work: float) -> float:
-        return work / self.limit
-
-    def arrive(self, txn: Txn) -> Verdict:
+    def arrive(self, txn: Txn) -> bool:
         txn.place, txn.ran, txn.started = Place.RUNS, True, self.rudder.now
         self.running += 1
         self.in_hand += 1
         self.memory.run(txn)
         self.rudder.steps.append(("run", txn.ident))
         self.repeats.started(txn)
-        return Verdict.PASS
+        return True
 
     def off_cores(self, txn: Txn) -> None:
         txn.place, txn.off_cores = Place.CALLS, self.rudder.now
@@ -444,12 +371,10 @@
             self._learn(txn)
 
     def _learn(self, txn: Txn) -> None:
-        n, spent = txn.product, self.rudder.now - txn.started - txn.away
-        took = max(spent, LEAST_MS) / txn.unit
+        n, took = txn.product, max(self.rudder.now - txn.started - txn.away, LEAST_MS) / txn.unit
         self.seen[n] += 1
         gain = max(GAIN / 4, 1 / self.seen[n])
-        if self.seen[n] > 1:
-            self.pace += PACE_GAIN * (took / self.mean[n] - self.pace)
+        self.pace += PACE_GAIN * (took / (self.mean[n] or took) - self.pace)
         self.mean[n] += gain * (took - self.mean[n])
         self.away[n] += gain * (txn.away - self.away[n])
         self.low[n] = min(self.low[n] * LOW_LEAK, took)
@@ -460,29 +385,25 @@
             self.limit *= max(1 / self.stretch, FALL_LEAST)
         self._bound()
 
-    def _bound(self) -> None:
-        self.limit = max(min(self.limit, self.crowd()), float(self.cores))
-
     def turn(self, busy: float, held: int) -> None:
         self.busy = busy
-        if held and busy < CORES_BUSY and self.running >= int(self.limit):
-            self.limit += 1
-            self._bound()
+        self.limit += held > 0 and busy < CORES_BUSY and self.running >= int(self.limit)
+        self._bound()
+
+    def _bound(self) -> None:
+        self.limit = max(min(self.limit, self.crowd()), float(self.cores))
 
 
 class Calls(Stage):
     """Calls below: how long to wait, whether to repeat, and when to stop calling.
-
-    A call of a txn with an effect is repeated only if the one before is known not to have run.
-    """
+    A call of a txn with an effect is repeated only if the one before is known not to have run."""
 
     def __init__(self, rudder: "Rudder", below: str, share: float, span_ms: float, linger_ms: float) -> None:
         self.rudder, self.shared, self.linger = rudder, below == "shared", linger_ms
         self.share, self.room = share, share * span_ms * CALLS_ROOM
         self.debt, self.counted, self.out = 0.0, rudder.now, 0  # ms beyond the share, as of; calls out
-        self.failed = 0
-        self.next_trial = 0.0
-        self.queue: deque[Txn] = deque()
+        self.failed, self.next_trial = 0, 0.0  # failures in a row
+        self.queue: deque[Txn] = deque()  # waiting for leave to call
         self.turned = 0  # txns waiting to call again
 
     @property
@@ -495,45 +416,34 @@
         return not txn.spec.calls or txn.spec.omit_value > 0 or blocked <= self.rudder.slots.cores * BLOCKED
 
     def _count(self, by: int) -> None:
-        now = self.rudder.now
-        self.debt = max(self.debt + (self.out - self.share) * (now - self.counted), 0.0)
-        self.counted, self.out = now, self.out + by
+        self.debt = max(self.debt + (self.out - self.share) * (self.rudder.now - self.counted), 0.0)
+        self.counted, self.out = self.rudder.now, self.out + by
 
     def _allowed(self) -> bool:
-        if self.open and self.rudder.now < self.next_trial:
-            return False
-        if not self.shared:
-            return True
         self._count(0)
-        return self.out + 1 <= max(self.share, 1.0) and self.debt <= self.room
-
-    def want(self, txn: Txn) -> None:
-        if txn.place is Place.CALLS and not txn.answered:
-            self.queue.append(txn)
-            self.pump()
+        shut = self.open and self.rudder.now < self.next_trial
+        return not shut and not (self.shared and (self.out + 1 > max(self.share, 1) or self.debt > self.room))
 
-    def _again(self, txn: Txn) -> None:
-        self.turned -= 1
-        self.want(txn)
+    def want(self, txn: Txn, again: int = 0) -> None:
+        self.turned -= again
+        self.queue.append(txn)
+        self.pump()
 
     def pump(self) -> None:
         while self.queue:
             txn = self.queue[0]
-            if txn.answered or txn.place is not Place.CALLS:
-                self.queue.popleft()
-                continue
-            if not self._allowed():
-                if not txn.spec.omit_value:
-                    return
-                self.rudder.steps.append(("omit", self.queue.popleft().ident))
-                self.rudder.slots.on_cores(txn)
-                continue
+            allowed, needed = self._allowed(), txn.place is Place.CALLS and not txn.answered
+            if needed and not allowed and not txn.spec.omit_value:
+                return
             self.queue.popleft()
-            if self.open:
+            if needed and not allowed:
+                self.rudder.steps.append(("omit", txn.ident))
+                self.rudder.slots.on_cores(txn)
+            elif needed:
                 self.next_trial = self.rudder.now + BREAK_MS
-            txn.tries, txn.calling = txn.tries + 1, True
-            self._count(1)
-            self.rudder.steps.append(("call", txn.ident, max(txn.due - self.rudder.now, 1.0)))
+                txn.tries, txn.calling = txn.tries + 1, True
+                self._count(1)
+                self.rudder.steps.append(("call", txn.ident, max(txn.due - self.rudder.now, 1.0)))
 
     def _hang_up(self, txn: Txn, linger_ms: float) -> None:
         if txn.calling:
@@ -548,24 +458,20 @@
         self._hang_up(txn, 0.0 if over else self.linger)
         if outcome is Outcome.OK:
             if self.open:
-                self.rudder.say(f"calls below work again after {self.failed} failures in a row")
+                self.rudder.steps.append(("log", f"calls below work again after {self.failed} failures"))
             self.failed, txn.tries = 0, 0
             self.rudder.slots.on_cores(txn)
         else:
-            if outcome is not Outcome.FULL:  # a tier that is merely full answers: it is not broken
-                self.failed += 1
-                if self.failed == BREAK_AFTER:
-                    self.next_trial = self.rudder.now + BREAK_MS
-                    self.rudder.say("calls below stop: too many failures in a row")
-            if txn.answered:
-                return
+            self.failed += outcome is not Outcome.FULL  # a tier that is merely full is not broken
+            if self.failed == BREAK_AFTER and outcome is not Outcome.FULL:
+                self.next_trial = self.rudder.now + BREAK_MS
+                self.rudder.steps.append(("log", "calls below stop: too many failures in a row"))
             if txn.effectful and not outcome.never_ran:
                 self.rudder.void(txn)
-            else:
-                pause = min(CALL_PAUSE_MS * 2 ** (txn.tries - 1), CALL_PAUSE_MAX_MS)
-                pause *= 0.5 + self.rudder.chance(txn.ident)
+            elif not txn.answered:
+                pause = CALL_PAUSE_MS * min(txn.tries, CALL_PAUSES) * (0.5 + self.rudder.chance(txn.ident))
                 self.turned += 1
-                self.rudder.agenda.at(self.rudder.now + pause, lambda: self._again(txn))
+                self.rudder.agenda.at(self.rudder.now + pause, lambda: self.want(txn, again=1))
         self.pump()
 
 
@@ -575,33 +481,29 @@
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
         self.pressure, self.told, self.draining = 0.0, -1.0, False
-        self.heard = 0.0
         self.waits = 0.0  # recent mean of what part of its SLA time a txn has to wait here
 
     def advice(self, room: bool) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
-
         If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
         the others are full as well, for callers spread their load: a further try would only cost a read.
         """
         if self.draining:
             return False, self.away_max
-        slots = self.rudder.slots
-        alone = slots.warmth() < 1.0 or slots.pace > SLOW_PACE or not room
+        alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE or not room
         return not alone, min(STAY_AWAY_MS, self.away_max)
 
     def hear(self, txn: Txn, wait_ms: float) -> None:
         """Time spent unread counts: a server that reads late is short of cores, whatever its holds say."""
         part = min((self.rudder.now - txn.arrived + wait_ms) / txn.spec.sla_ms, 1.0)
-        self.heard = self.rudder.now
         self.waits += GAIN * (part - self.waits)
 
     def renew(self) -> None:
         change = PRESSURE_STEP * min(max(self.waits / WAIT_AIM - 1, -PRESSURE_EASE), 2.0)
-        if self.rudder.now - self.heard > QUIET_MS:
-            self.waits *= 1 - GAIN
+        if not self.rudder.slots.in_hand:
+            self.waits *= 1 - GAIN  # nothing to hear from
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
-        slots = self.rudder.slots
+        slots, value = self.rudder.slots, self.told
         if self.kind == "credit":
             most, least = slots.crowd(), slots.limit / self.callers
             value = round(most * (least / most) ** self.pressure, 2)
@@ -609,11 +511,9 @@
             value = round(1 - 0.8 * self.pressure, 2)
         elif self.kind == "rank":
             value = round(RANK_MOST * self.pressure, 2)
-        else:
-            return
         if value != self.told:
-            self.told = value
             self.rudder.steps.append(("advertise", value))
+        self.told = value
 
 
 class Rudder:
@@ -626,8 +526,7 @@
                  below: str, calls_share: float, calls_span_ms: float, linger_ms: float,
                  gauges: tuple[str, ...]) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
-        self.counter = seed
-        self.gauges = {name: n for n, name in enumerate(gauges)}
+        self.counter, self.gauges = seed, gauges
         self.steps: list[Step] = []
         self.txns: dict[int, Txn] = {}  # everything in the hold, on the cores or at a call
         self.agenda = Agenda()
@@ -638,7 +537,7 @@
         self.slots = Slots(self, self.memory, self.repeats, products, cores, crowd_per_core,
                            cold_ms if fresh else 0.0, cold_from)
         self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
-        self.holds = Holds(self, self.sessions, self._may_start, self.slots.wait_ms, self.slots.expect)
+        self.holds = Holds(self, self.sessions, self.slots, self.calls)
         self.chain: list[Stage] = [
             self.expiry, self.repeats, self.memory, self.sessions, self.holds, self.slots, self.calls]
         self.signals = Signals(self, say, callers, stay_away_max_ms)
@@ -648,19 +547,17 @@
     def begin(self) -> list[Step]:
         self.steps.append(("health", True))
         self.signals.renew()
-        # Spread over the tick, or all servers ring in step.
-        self.steps.append(("wake", TICK_MS * (0.5 + self.chance(self.instance) / 2)))
+        self.steps.append(("wake", TICK_MS * (0.5 + self.chance(self.instance) / 2)))  # not all in step
         return self._done()
 
     def arrive(self, now: float, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
                age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, hint_ms: float = 0.0,
                retry: bool = False, source: int = 0) -> list[Step]:
         self._at(now)
-        txn = Txn(ident, product, self.products[product], now, age_ms)
+        txn = self.txns[ident] = Txn(ident, product, self.products[product], now, age_ms)
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
         txn.retry, txn.source, txn.unit = retry, source, hint_ms**HINT_TRUST or 1.0
-        self.txns[ident] = txn
-        self.memory.hold(txn)
+        self.memory.txns_kb += txn.kb
         self.expiry.times(txn, left_ms)
         self.forward(txn)
         return self._done()
@@ -669,10 +566,9 @@
         self._at(now)
         if txn := self.txns.get(ident):
             txn.settled = outcome is Outcome.OK
-            if outcome in (Outcome.OK, Outcome.ERROR) and not txn.answered:
-                txn.answered = True
-                self._back(txn)
-            self.void(txn)  # stopped for a reason of its own, and still owed an answer
+            if outcome not in (Outcome.OK, Outcome.ERROR):  # not an answer: it may still be owed one
+                self.void(txn)
+            self._end(txn, finished=True)
             self._free(txn)
         return self._done()
 
@@ -692,7 +588,7 @@
 
     def left(self, now: float, ident: int) -> list[Step]:
         self._at(now)
-        if (txn := self.txns.get(ident)) and not txn.answered:
+        if txn := self.txns.get(ident):
             self._end(txn)
         return self._done()
 
@@ -700,19 +596,16 @@
         self._at(now)
         self.signals.draining = True
         self.steps.append(("health", False))
-        self.say(f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop")
+        self.steps.append(("log", f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop"))
         self.expiry.retire(left_ms)
         return self._done()
 
     def ring(self, now: float, gauges: tuple[float, ...]) -> list[Step]:
         self._at(now)
-        at = self.gauges.get("core_use")
-        busy = gauges[at] if at is not None and at < len(gauges) else 1.0
-        self.slots.turn(busy, self.sessions.held)
+        self.slots.turn(dict(zip(self.gauges, gauges, strict=False)).get("core_use", 1.0), self.sessions.held)
         self.holds.refill()
         self.calls.pump()
-        self.sessions.lapse()
-        self.repeats.turn()
+        self.repeats.unrun = (set(), self.repeats.unrun[0])
         self.signals.renew()
         self.steps.append(("wake", TICK_MS))
         return self._done()
@@ -731,21 +624,11 @@
         self.counter += 1
         return zlib.crc32(f"{self.instance}/{ident}/{self.counter}".encode()) / 2**32
 
-    def say(self, text: str) -> None:
-        self.steps.append(("log", text))
-
-    def _may_start(self, txn: Txn) -> bool:
-        return self.slots.may_start(txn) and self.calls.may_start(txn)
-
     def forward(self, txn: Txn, after: Stage | None = None) -> None:
         for stage in self.chain[self.chain.index(after) + 1 if after else 0 :]:
-            if stage.arrive(txn) is not Verdict.PASS:
+            if not stage.arrive(txn):
                 return
 
-    def _back(self, txn: Txn) -> None:
-        for stage in reversed(self.chain):
-            stage.back(txn)
-
     def _free(self, txn: Txn) -> None:
         if self.txns.pop(txn.ident, None):
             for stage in reversed(self.chain):
@@ -753,33 +636,34 @@
             txn.place = Place.OVER
             self.holds.refill()
 
-    def _end(self, txn: Txn) -> None:
+    def _end(self, txn: Txn, finished: bool = False) -> None:
         """Its answer is given or its caller gone; what runs stays in every count until it is finished."""
+        if txn.answered:
+            return
         txn.answered = True
-        self._back(txn)
+        for stage in reversed(self.chain):
+            stage.back(txn)
+        if finished:
+            return
         if txn.place not in (Place.RUNS, Place.CALLS):
             self._free(txn)
-        elif self.may_stop and txn.place is Place.RUNS:
+        elif self.may_stop and txn.place is Place.RUNS and not txn.effectful:
             self.steps.append(("stop", txn.ident))
 
-    def refuse(self, txn: Txn, room: bool = True) -> Verdict:
+    def refuse(self, txn: Txn, room: bool = True) -> bool:
         """Declined if no try of it has run, else voided: rule two."""
         if txn.ran:
-            self.void(txn)
-        elif not txn.answered:
-            terminal, away = self.signals.advice(room)
-            self.steps.append(("decline", txn.ident, terminal, away))
+            return self.void(txn)
+        if not txn.answered:
+            self.steps.append(("decline", txn.ident, *self.signals.advice(room)))
             self._end(txn)
-        return Verdict.END
+        return False
 
-    def void(self, txn: Txn) -> None:
+    def void(self, txn: Txn) -> bool:
         if not txn.answered:
             self.steps.append(("void", txn.ident))
             self._end(txn)
-
-    def give_up(self, txn: Txn) -> None:
-        if not txn.answered and txn.place is not Place.OVER:
-            self.refuse(txn)
+        return False
 
     def reuse(self, txn: Txn) -> None:
         txn.place = Place.WAITS
