Stretch a newcomer's expected wait by the established share of the starts

Should also guard newcomers against any flood of established keys. Could harm just after such a flood has ended.

--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -36,6 +36,11 @@
     STOPPED = "stopped"
     MOOT = "moot"
 
+    @property
+    def is_over(self) -> bool:
+        """Nothing of it can still be going on below."""
+        return self.never_ran or self in (Outcome.OK, Outcome.ERROR)
+
     @property
     def never_ran(self) -> bool:
         return self in (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -25,9 +25,9 @@
 MEMORY_READ = 0.85  # share of the memory up to which txns are held: what is being read needs room unasked
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
 CROWD = 0.75  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
-OLD_WAIT = 0.8  # share of the SLA time left that the old hold may use up: the rest covers a wrong estimate
+HOLD_WAIT = 0.6  # share of the SLA time left that waiting may use up: the rest covers a wrong estimate
 HOPELESS = 0.6  # share of the expected time that must still fit, or a txn has no chance here: estimates err
-NEW_WAIT = 0.35  # the same for newcomers, who wait behind every established txn that comes later
+OLD_LEAVE = 0.1  # least share of the starts taken to be left to newcomers: keeps the estimate finite
 GROUP_ROOM = 0.25  # share of the hold one key may take before it counts as a newcomer
 GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
 GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
@@ -125,9 +125,8 @@
         self.unrun: tuple[set[int], set[int]] = (set(), set())  # ended before they ran, this ring and last
 
     def arrive(self, txn: Txn) -> bool:
-        if txn.spec.effect is not Effect.REFERENCED:
-            return True
-        if not txn.earlier or any(txn.earlier in ids for ids in self.unrun):
+        fresh = txn.spec.effect is not Effect.REFERENCED or not txn.earlier
+        if fresh or txn.earlier in self.unrun[0] | self.unrun[1]:
             return True
         first = self.refs.get(txn.earlier)
         txn.ran = first is None or first.ran  # some try has run: this one is never declined
@@ -253,25 +252,26 @@
         self.rudder, self.sessions, self.slots, self.calls = rudder, sessions, slots, calls
         self.old: deque[Txn] = deque()
         self.new: deque[Txn] = deque()
-        self.work = {True: 0.0, False: 0.0}  # expected ms on the cores of what is held, by old
+        self.old_starts = 0.0  # share of recent starts from the holds that were established
+        self.work = [0.0, 0.0]  # expected ms on the cores of what is held: new, old
 
     def arrive(self, txn: Txn) -> bool:
         self.refill()
         txn.cost, whole = self.slots.expect(txn)
         left = txn.in_time - self.rudder.now - whole
         if self._hopeless(txn):
-            # Hopeless here even if started now: a quicker server may yet be in time. With nothing else in
-            # hand it runs all the same, or a server slow for a while would never learn that it no longer is.
             return self.rudder.refuse(txn, room=False)
         if not self.old and not self.new and self._may_start(txn):
             self.rudder.signals.hear(txn, 0.0)
             return True
         if txn.old and self.sessions.over_share(txn):
             txn.old = False
-        wait = (self.work[True] + (0.0 if txn.old else self.work[False])) / self.slots.limit
+        # Established txns still to come go ahead of a newcomer: their share of the starts stretches its wait.
+        wait = self.work[True] if txn.old else sum(self.work) / max(1 - self.old_starts, OLD_LEAVE)
+        wait /= self.slots.limit
         self.rudder.signals.hear(txn, wait)
         over = not txn.old and self.sessions.over_share(txn)
-        if over or wait > left * (OLD_WAIT if txn.old else NEW_WAIT):
+        if over or wait > left * HOLD_WAIT:
             return self.rudder.refuse(txn)
         (self.old if txn.old else self.new).append(txn)
         self.work[txn.old] += txn.cost
@@ -285,6 +285,8 @@
         return self.slots.may_start(txn) and self.calls.may_start(txn)
 
     def _hopeless(self, txn: Txn) -> bool:
+        """Too late here even if started now: a quicker server may yet be in time. With nothing in hand it
+        runs all the same, or a server that was slow for a while would never learn that it no longer is."""
         chance = txn.in_time - self.rudder.now - self.slots.expect(txn)[1] * HOPELESS
         return chance < 0 and self.slots.in_hand > 0
 
@@ -304,6 +306,7 @@
                 self.rudder.refuse(txn)
             else:
                 self.back(txn)
+                self.old_starts += GAIN * (txn.old - self.old_starts)
                 self.rudder.forward(txn, after=self)
 
 
@@ -406,10 +409,6 @@
         self.queue: deque[Txn] = deque()  # waiting for leave to call
         self.turned = 0  # txns waiting to call again
 
-    @property
-    def open(self) -> bool:
-        return self.failed >= BREAK_AFTER
-
     def may_start(self, txn: Txn) -> bool:
         """What needs a call that can't be made now is not run to be thrown away."""
         blocked = self.turned + len(self.queue)
@@ -421,7 +420,7 @@
 
     def _allowed(self) -> bool:
         self._count(0)
-        shut = self.open and self.rudder.now < self.next_trial
+        shut = self.failed >= BREAK_AFTER and self.rudder.now < self.next_trial
         return not shut and not (self.shared and (self.out + 1 > max(self.share, 1) or self.debt > self.room))
 
     def want(self, txn: Txn, again: int = 0) -> None:
@@ -454,17 +453,15 @@
         self._hang_up(txn, self.linger)  # its end beat the call's: what lies below may still be at it
 
     def ended(self, txn: Txn, outcome: Outcome) -> None:
-        over = outcome in (Outcome.OK, Outcome.ERROR) or outcome.never_ran
-        self._hang_up(txn, 0.0 if over else self.linger)
+        self._hang_up(txn, 0.0 if outcome.is_over else self.linger)
         if outcome is Outcome.OK:
-            if self.open:
+            if self.failed >= BREAK_AFTER:
                 self.rudder.steps.append(("log", f"calls below work again after {self.failed} failures"))
             self.failed, txn.tries = 0, 0
             self.rudder.slots.on_cores(txn)
         else:
             self.failed += outcome is not Outcome.FULL  # a tier that is merely full is not broken
             if self.failed == BREAK_AFTER and outcome is not Outcome.FULL:
-                self.next_trial = self.rudder.now + BREAK_MS
                 self.rudder.steps.append(("log", "calls below stop: too many failures in a row"))
             if txn.effectful and not outcome.never_ran:
                 self.rudder.void(txn)
@@ -490,7 +487,8 @@
         """
         if self.draining:
             return False, self.away_max
-        alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE or not room
+        slots = self.rudder.slots
+        alone = slots.warmth() < 1.0 or slots.pace > SLOW_PACE or not room
         return not alone, min(STAY_AWAY_MS, self.away_max)
 
     def hear(self, txn: Txn, wait_ms: float) -> None:
@@ -538,12 +536,10 @@
                            cold_ms if fresh else 0.0, cold_from)
         self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
         self.holds = Holds(self, self.sessions, self.slots, self.calls)
-        self.chain: list[Stage] = [
-            self.expiry, self.repeats, self.memory, self.sessions, self.holds, self.slots, self.calls]
+        self.chain: list[Stage] = [self.expiry, self.repeats, self.memory, self.sessions]
+        self.chain += [self.holds, self.slots, self.calls]
         self.signals = Signals(self, say, callers, stay_away_max_ms)
 
-    # Called by the adapter. Each call answers with the steps to take.
-
     def begin(self) -> list[Step]:
         self.steps.append(("health", True))
         self.signals.renew()
@@ -610,8 +606,6 @@
         self.steps.append(("wake", TICK_MS))
         return self._done()
 
-    # Shared by the stages.
-
     def _at(self, now: float) -> None:
         self.now = now
         self.agenda.play(now)
