Hear only the time at calls of hopeless txns; ease faster while cores idle

Should also guard against a pressure left over from any trouble. Could harm where cores idle because callers obey.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -47,7 +47,8 @@
 BREAK_MS = 500.0  # ms between single trials while it is open
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
 PRESSURE_STEP = 0.01  # pressure gained a ring for each WAIT_AIM above it: full in two to four seconds
-PRESSURE_EASE = 0.5  # most such steps lost a ring: callers all let go at once, so slowly
+PRESSURE_EASE = 0.5  # share of such a step lost while waits are short: callers all let go at once, so slowly
+IDLE_EASE = 4.0  # further steps for each share of the cores under half in use: then nobody is crowded
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
@@ -260,7 +261,7 @@
         txn.cost, whole = self.slots.expect(txn)
         left = txn.in_time - self.rudder.now - whole
         if self._hopeless(txn):
-            self.rudder.signals.hear(txn, whole)
+            self.rudder.signals.hear(txn, self.slots.away[txn.product])
             return self.rudder.refuse(txn, room=False)
         if not self.old and not self.new and self._may_start(txn):
             self.rudder.signals.hear(txn, 0.0)
@@ -477,8 +478,8 @@
 
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
-        self.pressure, self.told, self.draining = 0.0, -1.0, False
-        self.waits = 0.0  # recent mean of what part of its SLA time a txn has to wait here
+        self.told, self.draining = -1.0, False
+        self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
     def advice(self, room: bool) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
@@ -487,21 +488,20 @@
         """
         if self.draining:
             return False, self.away_max
-        slots = self.rudder.slots
-        alone = slots.warmth() < 1.0 or slots.pace > SLOW_PACE or not room
-        return not alone, min(STAY_AWAY_MS, self.away_max)
+        alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
+        return room and not alone, min(STAY_AWAY_MS, self.away_max)
 
     def hear(self, txn: Txn, wait_ms: float) -> None:
-        """Time spent unread counts: a server that reads late is short of cores, whatever its holds say."""
+        # Time spent unread counts: a server that reads late is short of cores, whatever its holds say.
         part = min((self.rudder.now - txn.arrived + wait_ms) / txn.spec.sla_ms, 1.0)
         self.waits += GAIN * (part - self.waits)
 
     def renew(self) -> None:
-        change = PRESSURE_STEP * min(max(self.waits / WAIT_AIM - 1, -PRESSURE_EASE), 2.0)
-        if not self.rudder.slots.in_hand:
-            self.waits *= 1 - GAIN  # nothing to hear from
-        self.pressure = min(max(self.pressure + change, 0.0), 1.0)
-        slots, value = self.rudder.slots, self.told
+        slots, value, beyond = self.rudder.slots, self.told, min(self.waits / WAIT_AIM - 1, 2.0)
+        ease = PRESSURE_EASE + IDLE_EASE * max(0.5 - slots.busy, 0.0)
+        self.pressure += PRESSURE_STEP * beyond * (1.0 if beyond > 0 else ease)
+        self.pressure = min(max(self.pressure, 0.0), 1.0)
+        self.waits *= 1.0 if slots.in_hand else 1 - GAIN  # fades with nothing to hear from
         if self.kind == "credit":
             most, least = slots.crowd(), slots.limit / self.callers
             value = round(most * (least / most) ** self.pressure, 2)
