--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -187,7 +187,7 @@
 
     def arrive(self, txn: Txn) -> bool:
         keeps = txn.spec.effect is Effect.REFERENCED
-        if self.used + (self.repeats.ref_kb if keeps else 0.0) > self.read_room:
+        if self.used + self.repeats.ref_kb * keeps > self.read_room:
             return self.rudder.refuse(txn, room=False)
         if keeps:
             self.repeats.keep(txn)
@@ -251,8 +251,7 @@
 
     def __init__(self, rudder: "Rudder", sessions: Sessions, slots: "Slots", calls: "Calls") -> None:
         self.rudder, self.sessions, self.slots, self.calls = rudder, sessions, slots, calls
-        self.old: deque[Txn] = deque()
-        self.new: deque[Txn] = deque()
+        self.old, self.new = deque[Txn](), deque[Txn]()
         self.old_starts = 0.0  # share of recent starts from the holds that were established
         self.work = [0.0, 0.0]  # expected ms on the cores of what is held: new, old
 
@@ -368,8 +367,9 @@
         if txn.place not in (Place.RUNS, Place.CALLS):
             return
         self.in_hand -= 1
-        if txn.place is Place.RUNS:
-            self.running -= 1
+        if txn.place is Place.CALLS:
+            self.on_cores(txn)  # what it spent at the call it ended at is no time on the cores
+        self.running -= 1
         # One cut short tells the least it takes; without it only the quick ones would be counted.
         if txn.settled or self.rudder.now - txn.started - txn.away > self.mean[txn.product] * txn.unit:
             self._learn(txn)
@@ -380,7 +380,7 @@
         gain = max(GAIN / 4, 1 / self.seen[n])
         self.pace += PACE_GAIN * (took / (self.mean[n] or took) - self.pace)
         self.mean[n] += gain * (took - self.mean[n])
-        self.away[n] += gain * (txn.away - self.away[n])
+        self.away[n] += gain * (txn.away - self.away[n]) * txn.settled
         self.low[n] = min(self.low[n] * LOW_LEAK, took)
         self.stretch += GAIN * (took / self.low[n] - self.stretch)
         if self.stretch <= NEAR_LOW:
@@ -458,7 +458,7 @@
         if outcome is Outcome.OK:
             if self.failed >= BREAK_AFTER:
                 self.rudder.steps.append(("log", f"calls below work again after {self.failed} failures"))
-            self.failed, txn.tries = 0, 0
+            self.failed = txn.tries = 0
             self.rudder.slots.on_cores(txn)
         else:
             self.failed += outcome is not Outcome.FULL  # a tier that is merely full is not broken
@@ -499,8 +499,8 @@
     def renew(self) -> None:
         slots, value, beyond = self.rudder.slots, self.told, min(self.waits / WAIT_AIM - 1, 2.0)
         ease = PRESSURE_EASE + IDLE_EASE * max(0.5 - slots.busy, 0.0)
-        self.pressure += PRESSURE_STEP * beyond * (1.0 if beyond > 0 else ease)
-        self.pressure = min(max(self.pressure, 0.0), 1.0)
+        change = PRESSURE_STEP * beyond * (1.0 if beyond > 0 else ease)
+        self.pressure = min(max(self.pressure + change, 0.0), 1.0)
         self.waits *= 1.0 if slots.in_hand else 1 - GAIN  # fades with nothing to hear from
         if self.kind == "credit":
             most, least = slots.crowd(), slots.limit / self.callers
@@ -541,9 +541,9 @@
         self.signals = Signals(self, say, callers, stay_away_max_ms)
 
     def begin(self) -> list[Step]:
-        self.steps.append(("health", True))
         self.signals.renew()
-        self.steps.append(("wake", TICK_MS * (0.5 + self.chance(self.instance) / 2)))  # not all in step
+        wake = TICK_MS * (0.5 + self.chance(self.instance) / 2)  # servers should not all ring in step
+        self.steps += [("health", True), ("wake", wake)]
         return self._done()
 
     def arrive(self, now: float, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
