Put keyless txns with an effect under the share rule, as one group

Beyond a quarter of the holds they now count as newcomers. Should also guard against a flood of referenced txns. Could harm where nearly all txns are keyless: then they share one hold, in order of arrival, which is the plain FIFO.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -28,7 +28,7 @@
 HOLD_WAIT = 0.6  # share of the SLA time left that waiting may use up: the rest covers a wrong estimate
 HOPELESS = 0.45  # share of the expected time that must still fit, or a txn has no chance here: estimates err
 OLD_LEAVE = 0.1  # least share of the starts taken to be left to newcomers: keeps the estimate finite
-GROUP_ROOM = 0.25  # share of the hold one key may take before it counts as a newcomer
+GROUP_ROOM = 0.25  # share of the holds one key, or all keyless txns, may take before they count as newcomers
 GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
 GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
 LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
@@ -226,7 +226,7 @@
                    for group, share in self._groups(txn))
 
     def _groups(self, txn: Txn) -> list[tuple[tuple[str, int], float]]:
-        key = [(("key", txn.key), GROUP_ROOM)] if txn.key else []
+        key = [(("key", txn.key), GROUP_ROOM)] if txn.key or txn.effectful else []
         return key + [(("tenant", txn.tenant), share) for share in self.shares[txn.tenant : txn.tenant + 1]]
 
     def count(self, txn: Txn, by: int) -> None:
