--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -24,7 +24,7 @@
 SESSION_ROOM = 50_000  # entries; about 100 bytes each, so some 5 MB at most
 MEMORY_READ = 0.85  # share of the memory up to which txns are held: what is being read needs room unasked
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
-CROWD = 0.75  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
+CROWD = 0.5  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
 HOLD_WAIT = 0.6  # share of the SLA time left that waiting may use up: the rest covers a wrong estimate
 HOPELESS = 0.45  # share of the expected time that must still fit, or a txn has no chance here: estimates err
 OLD_LEAVE = 0.1  # least share of the starts taken to be left to newcomers: keeps the estimate finite
@@ -52,7 +52,7 @@
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
-STAY_AWAY_MS = 100.0  # ms a caller is asked to keep off after a decline for want of room
+STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
 
 
 class Agenda:
