--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -81,7 +81,7 @@
 
     def __init__(self, ident: int, product: int, spec: Product, now: float, age: float) -> None:
         self.ident, self.product, self.spec = ident, product, spec
-        self.arrived, self.read = now - age, now
+        self.arrived = now - age
         self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
         self.tenant = self.key = self.earlier = self.source = 0
         self.kb = self.unit = 1.0  # memory while held; the hint, or 1
