--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -41,14 +41,17 @@
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
 BLOCKED = 0.17  # txns a core that may wait to call before others that need a call stay unstarted
+MEAN_GAIN = 1 / 64  # weight of a new run in the mean that the pace is held against: some ten seconds of work
 PACE_GAIN = 1 / 8  # weight of a new run in the pace: follows a slowdown within a second
-CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again, once more with each try
+CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again, as much longer with each try
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
 BREAK_MS = 500.0  # ms between single trials while it is open
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
 PRESSURE_STEP = 0.01  # pressure gained a ring for each WAIT_AIM above it: full in two to four seconds
+BEYOND_MOST = 2.0  # most WAIT_AIMs above it that count in a ring: a burst must not fill the pressure at once
 PRESSURE_EASE = 0.5  # share of such a step lost while waits are short: callers all let go at once, so slowly
-IDLE_EASE = 4.0  # further steps for each share of the cores under half in use: then nobody is crowded
+CORES_IDLE = 0.5  # share of the cores in use under which nobody is crowded
+IDLE_EASE = 4.0  # further such steps lost for each share of the cores in use under that
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
@@ -128,7 +131,7 @@
 
     def arrive(self, txn: Txn) -> bool:
         first = self.refs.get(txn.earlier)
-        txn.ran &= first.ran if first else txn.earlier not in self.unrun[0] | self.unrun[1]
+        txn.ran &= first.ran if first else not any(txn.earlier in ids for ids in self.unrun)
         if not txn.ran and not first:
             return True
         if not txn.ran:
@@ -216,7 +219,7 @@
 
     def arrive(self, txn: Txn) -> bool:
         # A referenced txn names no user. One with an effect stands for the paper's paying step, which an
-        # established session must not lose; anything else without a key is a newcomer.
+        # established session must not lose (up to a share, see below); any other without a key is a newcomer.
         txn.old = self.table.get(txn.key, 0.0) > self.rudder.now if txn.key else txn.effectful
         return True
 
@@ -258,8 +261,7 @@
     def arrive(self, txn: Txn) -> bool:
         self.refill()
         txn.cost, whole = self.slots.expect(txn)
-        left = txn.in_time - self.rudder.now - whole
-        if self._hopeless(txn):
+        if self._hopeless(txn, whole):
             self.rudder.signals.hear(txn, self.slots.away[txn.product])
             return self.rudder.refuse(txn, room=False)
         if not self.old and not self.new and self._may_start(txn):
@@ -271,7 +273,7 @@
         wait = self.work[True] if txn.old else sum(self.work) / max(1 - self.old_starts, OLD_LEAVE)
         wait /= self.slots.limit
         self.rudder.signals.hear(txn, wait)
-        if crowding or wait > left * HOLD_WAIT:
+        if crowding or wait > (txn.in_time - self.rudder.now - whole) * HOLD_WAIT:
             return self.rudder.refuse(txn)
         (self.old if txn.old else self.new).append(txn)
         self.work[txn.old] += txn.cost
@@ -284,11 +286,10 @@
     def _may_start(self, txn: Txn) -> bool:
         return self.slots.may_start(txn) and self.calls.may_start(txn)
 
-    def _hopeless(self, txn: Txn) -> bool:
+    def _hopeless(self, txn: Txn, whole: float) -> bool:
         """Too late here even if started now: a quicker server may yet be in time. With nothing in hand it
         runs all the same, or a server that was slow for a while would never learn that it no longer is."""
-        chance = txn.in_time - self.rudder.now - self.slots.expect(txn)[1] * HOPELESS
-        return chance < 0 and self.slots.in_hand > 0
+        return txn.in_time - self.rudder.now < whole * HOPELESS and self.slots.in_hand > 0
 
     def back(self, txn: Txn) -> None:
         if txn.queued:
@@ -302,7 +303,7 @@
             txn = hold[0]
             if not self._may_start(txn):
                 return
-            if self._hopeless(txn):  # slower than when it was held
+            if self._hopeless(txn, self.slots.expect(txn)[1]):  # slower than when it was held
                 self.rudder.refuse(txn)
             else:
                 self.back(txn)
@@ -318,15 +319,14 @@
                  cores: int, crowd_per_core: float, cold_ms: float, cold_from: float) -> None:
         self.rudder, self.memory, self.repeats, self.cores = rudder, memory, repeats, cores
         self.crowd_per_core, self.cold_ms, self.cold_from = crowd_per_core, cold_ms, cold_from
-        self.born = rudder.now
-        self.limit = float(cores)
+        self.born, self.limit = rudder.now, float(cores)
         self.running = self.in_hand = 0  # on the cores; those and all out on calls
         self.busy = 0.0  # share of the cores in use, as the server last told
-        self.pace = 1.0  # recent latency over that mean, all products together: a slowdown shows in it first
         self.seen = [0] * len(products)
         self.low: list[float] = [math.inf] * len(products)
         self.mean: list[float] = [0.0] * len(products)  # ms on the cores for one unit
         self.away: list[float] = [0.0] * len(products)  # ms off the cores
+        self.pace = 1.0  # recent latency over the mean, all products together: a slowdown shows in it first
         self.stretch = 1.0  # recent latency over the lowest
 
     def warmth(self) -> float:
@@ -371,13 +371,14 @@
             self.on_cores(txn)  # what it spent at the call it ended at is no time on the cores
         self.running -= 1
         # One cut short tells the least it takes; without it only the quick ones would be counted.
-        if txn.settled or self.rudder.now - txn.started - txn.away > self.mean[txn.product] * txn.unit:
-            self._learn(txn)
+        spent = self.rudder.now - txn.started - txn.away
+        if txn.settled or spent > self.mean[txn.product] * txn.unit:
+            self._learn(txn, spent)
 
-    def _learn(self, txn: Txn) -> None:
-        n, took = txn.product, max(self.rudder.now - txn.started - txn.away, LEAST_MS) / txn.unit
+    def _learn(self, txn: Txn, spent: float) -> None:
+        n, took = txn.product, max(spent, LEAST_MS) / txn.unit
         self.seen[n] += 1
-        gain = max(GAIN / 4, 1 / self.seen[n])
+        gain = max(MEAN_GAIN, 1 / self.seen[n])
         self.pace += PACE_GAIN * (took / (self.mean[n] or took) - self.pace)
         self.mean[n] += gain * (took - self.mean[n])
         self.away[n] += gain * (txn.away - self.away[n]) * txn.settled
@@ -484,8 +485,7 @@
     def advice(self, room: bool) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
         If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
-        the others are full as well, for callers spread their load: a further try would only cost a read.
-        """
+        the others are full as well, for callers spread their load: a further try would only cost a read."""
         if self.draining:
             return False, self.away_max
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
@@ -497,8 +497,8 @@
         self.waits += GAIN * (part - self.waits)
 
     def renew(self) -> None:
-        slots, value, beyond = self.rudder.slots, self.told, min(self.waits / WAIT_AIM - 1, 2.0)
-        ease = PRESSURE_EASE + IDLE_EASE * max(0.5 - slots.busy, 0.0)
+        slots, value, beyond = self.rudder.slots, self.told, min(self.waits / WAIT_AIM - 1, BEYOND_MOST)
+        ease = PRESSURE_EASE + IDLE_EASE * max(CORES_IDLE - slots.busy, 0.0)
         change = PRESSURE_STEP * beyond * (1.0 if beyond > 0 else ease)
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
         self.waits *= 1.0 if slots.in_hand else 1 - GAIN  # fades with nothing to hear from
@@ -591,8 +591,8 @@
     def retire(self, now: float, left_ms: float) -> list[Step]:
         self._at(now)
         self.signals.draining = True
-        self.steps.append(("health", False))
-        self.steps.append(("log", f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop"))
+        log = f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop"
+        self.steps += [("health", False), ("log", log)]
         self.expiry.retire(left_ms)
         return self._done()
 
