--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -482,14 +482,14 @@
         self.told, self.draining = -1.0, False
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
-    def advice(self, room: bool) -> tuple[bool, float]:
+    def advice(self, room: bool, retry: bool) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
         If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
         the others are full as well, for callers spread their load: a further try would only cost a read."""
         if self.draining:
             return False, self.away_max
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
-        return room and not alone, min(STAY_AWAY_MS, self.away_max)
+        return room and not alone or retry, min(STAY_AWAY_MS, self.away_max)
 
     def hear(self, txn: Txn, wait_ms: float) -> None:
         # Time spent unread counts: a server that reads late is short of cores, whatever its holds say.
@@ -649,7 +649,7 @@
         if txn.ran:
             return self.void(txn)
         if not txn.answered:
-            self.steps.append(("decline", txn.ident, *self.signals.advice(room)))
+            self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry)))
             self._end(txn)
         return False
 
