--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -55,6 +55,7 @@
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
+RETRIES_MOST = 0.15
 STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
 
 
@@ -480,6 +481,7 @@
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
         self.told, self.draining = -1.0, False
+        self.retries = 0.0  # share of further tries among recent arrivals
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
     def advice(self, room: bool, retry: bool) -> tuple[bool, float]:
@@ -489,7 +491,8 @@
         if self.draining:
             return False, self.away_max
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
-        return room and not alone or retry, min(STAY_AWAY_MS, self.away_max)
+        crowded = retry or self.retries > RETRIES_MOST
+        return room and not alone or crowded, min(STAY_AWAY_MS, self.away_max)
 
     def hear(self, txn: Txn, wait_ms: float) -> None:
         # Time spent unread counts: a server that reads late is short of cores, whatever its holds say.
@@ -554,6 +557,7 @@
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
         txn.retry, txn.source, txn.unit = retry, source, hint_ms**HINT_TRUST or 1.0
         self.memory.txns_kb += txn.kb
+        self.signals.retries += GAIN * (retry - self.signals.retries)
         self.expiry.times(txn, left_ms)
         self.forward(txn)
         return self._done()
