Close idle connections early where hundreds of gateways seldom come back

Should also guard against any crowd of rare callers; harm where a few callers send nearly all: they open again and again.

--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -54,6 +54,7 @@
         tick_ms=_ms(env, "tickUs", 1000),
         say=_SAY.get(info.get("say"), ""),
         stay_away_max_ms=_ms(limits, "maxRetryAfterUs") if limits.get("retryAfter") else 0.0,
+        idle_max_ms=_ms(info, "callerIdleUs"),
         may_stop=info.get("stopMode") == "drop",
         below=_BELOW.get(info.get("below"), ""),
         calls_share=info.get("callsOut") or 0.0,
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -56,6 +56,8 @@
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
 RETRIES_MOST = 0.15
+LINK_WORTH_MS = 4000.0  # ms between a caller's txns up to which keeping its connection is worth its place
+LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
 STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
 
 
@@ -478,8 +480,11 @@
 class Signals:
     """What callers are told: health, the free value, when to stay away. One timer an instance renews it."""
 
-    def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float) -> None:
+    def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float,
+                 idle_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
+        self.idle_max = self.idle = idle_max_ms
+        self.gap, self.last = 0.0, rudder.now  # mean ms between arrivals
         self.told, self.draining = -1.0, False
         self.retries = 0.0  # share of further tries among recent arrivals
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
@@ -494,6 +499,11 @@
         crowded = retry or self.retries > RETRIES_MOST
         return room and not alone or crowded, min(STAY_AWAY_MS, self.away_max)
 
+    def arrived(self, retry: bool) -> None:
+        self.retries += GAIN * (retry - self.retries)
+        self.gap += GAIN * (self.rudder.now - self.last - self.gap)
+        self.last = self.rudder.now
+
     def hear(self, txn: Txn, wait_ms: float) -> None:
         # Time spent unread counts: a server that reads late is short of cores, whatever its holds say.
         part = min((self.rudder.now - txn.arrived + wait_ms) / txn.spec.sla_ms, 1.0)
@@ -512,6 +522,12 @@
             value = round(1 - (1 - WEIGHT_LEAST) * self.pressure, 2)
         elif self.kind == "rank":
             value = round(RANK_MOST * self.pressure, 2)
+        # A caller's own next txn is far off where many share few: its connection would only fill the table.
+        seldom = self.gap * self.callers > LINK_WORTH_MS
+        idle = min(LINK_SHORT_MS if seldom else math.inf, self.idle_max)
+        if idle != self.idle:
+            self.idle = idle
+            self.rudder.steps.append(("idle", idle))
         if value != self.told:
             self.rudder.steps.append(("advertise", value))
         self.told = value
@@ -523,9 +539,9 @@
     def __init__(self, now: float, *, instance: int, seed: int, products: list[Product],
                  tenants: list[Tenant], cores: int, callers: int, memory_kb: float, run_factor: float,
                  ref_kb: float, crowd_per_core: float, fresh: bool, cold_from: float, cold_ms: float,
-                 drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float, may_stop: bool,
-                 below: str, calls_share: float, calls_span_ms: float, linger_ms: float,
-                 gauges: tuple[str, ...]) -> None:
+                 drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float,
+                 idle_max_ms: float, may_stop: bool, below: str, calls_share: float, calls_span_ms: float,
+                 linger_ms: float, gauges: tuple[str, ...]) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
         self.counter, self.gauges = seed, gauges
         self.steps: list[Step] = []
@@ -541,7 +557,7 @@
         self.holds = Holds(self, self.sessions, self.slots, self.calls)
         self.chain: list[Stage] = [self.expiry, self.repeats, self.memory, self.sessions]
         self.chain += [self.holds, self.slots, self.calls]
-        self.signals = Signals(self, say, callers, stay_away_max_ms)
+        self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms)
 
     def begin(self) -> list[Step]:
         self.signals.renew()
@@ -557,7 +573,7 @@
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
         txn.retry, txn.source, txn.unit = retry, source, hint_ms**HINT_TRUST or 1.0
         self.memory.txns_kb += txn.kb
-        self.signals.retries += GAIN * (retry - self.signals.retries)
+        self.signals.arrived(retry)
         self.expiry.times(txn, left_ms)
         self.forward(txn)
         return self._done()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,7 +19,7 @@
 SERVER = {
     "cores": 2, "callers": 2, "memory": 1e6, "factor": 4, "ref": 10, "crowd": 4, "fresh": 0, "cold_from": 0.2,
     "cold": 10000, "grace": 1000, "tick": 4, "say": "", "away": 1000, "stop": 0, "below": "", "share": 0,
-    "span": 5000, "linger": 200, "busy": 1.0,
+    "idle": 30000, "span": 5000, "linger": 200, "busy": 1.0,
 }  # fmt: skip
 
 
@@ -47,8 +47,8 @@
             callers=int(t["callers"]), memory_kb=t["memory"], run_factor=t["factor"], ref_kb=t["ref"],
             crowd_per_core=t["crowd"], fresh=bool(t["fresh"]), cold_from=t["cold_from"], cold_ms=t["cold"],
             drain_grace_ms=t["grace"], tick_ms=t["tick"], say=t["say"], stay_away_max_ms=t["away"],
-            may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"], calls_span_ms=t["span"],
-            linger_ms=t["linger"], gauges=("core_use",),
+            idle_max_ms=t["idle"], may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"],
+            calls_span_ms=t["span"], linger_ms=t["linger"], gauges=("core_use",),
         )  # fmt: skip
         self.take(now, rudder.begin())
         return rudder
@@ -69,6 +69,7 @@
         if verb == "arrive":
             more = {k: v if k == "earlier" else float(v) for k, v in (w.split("=") for w in rest[1:])}
             more |= {k: int(more[k]) for k in ("key", "tenant") if k in more}
+        more |= {k: bool(more[k]) for k in ("retry",) if k in more}
             more = {k + "_ms" if k in ("left", "age", "hint") else k: v for k, v in more.items()}
             number = [p.name for p in self.products].index(rest[0])
             return rudder.arrive(now, ident, number, **{"kb": 10.0, **more})
