Let the limit gain a run a core in the gauge's half second, not one a ring

The gauge of the cores lags by half a second; with one run a ring the limit of a two-core server stood at eight before the gauge told of it, and the crowd made every run slower.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -36,6 +36,7 @@
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
 HINT_TRUST = 0.7  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
+GAUGE_MS = 500.0  # ms the gauge of the cores lags: in this time the limit gains a run a core at most
 RISE = 0.25  # runs the limit grows by for each finished one while it may
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
@@ -56,6 +57,7 @@
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
 RETRIES_MOST = 0.15
+GAP_GUESS_MS = 100.0  # ms between arrivals before any are seen: ten txns a second
 LINK_WORTH_MS = 4000.0  # ms between a caller's txns up to which keeping its connection is worth its place
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
 STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
@@ -395,7 +397,8 @@
 
     def turn(self, busy: float, held: int) -> None:
         self.busy = busy
-        self.limit += held > 0 and busy < CORES_BUSY and self.running >= int(self.limit)
+        if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
+            self.limit += self.cores * TICK_MS / GAUGE_MS
         self._bound()
 
     def _bound(self) -> None:
@@ -484,7 +487,7 @@
                  idle_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
         self.idle_max = self.idle = idle_max_ms
-        self.gap, self.last = 0.0, rudder.now  # mean ms between arrivals
+        self.gap, self.last = GAP_GUESS_MS, rudder.now  # mean ms between arrivals
         self.told, self.draining = -1.0, False
         self.retries = 0.0  # share of further tries among recent arrivals
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -69,7 +69,7 @@
         if verb == "arrive":
             more = {k: v if k == "earlier" else float(v) for k, v in (w.split("=") for w in rest[1:])}
             more |= {k: int(more[k]) for k in ("key", "tenant") if k in more}
-        more |= {k: bool(more[k]) for k in ("retry",) if k in more}
+            more |= {k: bool(more[k]) for k in ("retry",) if k in more}
             more = {k + "_ms" if k in ("left", "age", "hint") else k: v for k, v in more.items()}
             number = [p.name for p in self.products].index(rest[0])
             return rudder.arrive(now, ident, number, **{"kb": 10.0, **more})
