--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -53,6 +53,7 @@
 PRESSURE_EASE = 0.5  # share of such a step lost while waits are short: callers all let go at once, so slowly
 CORES_IDLE = 0.5  # share of the cores in use under which nobody is crowded
 IDLE_EASE = 4.0  # further such steps lost for each share of the cores in use under that
+CREDIT_TIMES = 8.0  # even shares of the limit a caller may have out at rest: a larger credit binds nobody
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
@@ -519,7 +520,8 @@
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
         self.waits *= 1.0 if slots.in_hand else 1 - GAIN  # fades with nothing to hear from
         if self.kind == "credit":
-            most, least = slots.crowd(), slots.limit / self.callers
+            least = slots.limit / self.callers
+            most = min(slots.crowd(), max(CREDIT_TIMES * least, 1.0))
             value = round(most * (least / most) ** self.pressure, 2)
         elif self.kind == "weight":
             value = round(1 - (1 - WEIGHT_LEAST) * self.pressure, 2)
