--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -97,7 +97,7 @@
 
     def __init__(self, rudder: "Rudder", drain_grace_ms: float) -> None:
         self.rudder, self.grace = rudder, drain_grace_ms
-        self.most_left: dict[tuple[int, int], float] = {}  # longest wait passed on by a caller: a first try's
+        self.most_left: dict[int, float] = {}  # longest wait passed on with a product: a first try's
         self.last_arrival = self.stop = math.inf
 
     def arrive(self, txn: Txn) -> bool:
@@ -109,11 +109,10 @@
         return True
 
     def times(self, txn: Txn, left_ms: float) -> None:
-        """A marked later try has used up time: what its wait lacks of the longest its caller passed on."""
+        """A marked later try has used up time: what its wait lacks of the longest of its product."""
         spent = self.rudder.now - txn.arrived
         wait = left_ms + spent if left_ms else txn.spec.expiry_ms
-        most = max(self.most_left.get((txn.source, txn.product), 0.0), wait)
-        self.most_left[txn.source, txn.product] = most
+        most = self.most_left[txn.product] = max(self.most_left.get(txn.product, 0.0), wait)
         txn.due = txn.arrived + wait - ANSWER_EARLY_MS
         txn.in_time = min(txn.arrived + txn.spec.sla_ms - (most - wait if txn.retry else 0.0), txn.due)
 
