--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -37,7 +37,7 @@
 HINT_TRUST = 0.7  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
 GAUGE_MS = 2000.0  # ms the gauge of the cores lags: in this time the limit gains a run a core at most
-RISE = 0.25  # runs the limit grows by for each finished one while it may
+RISE = 0.04  # runs a core the limit grows by for each finished one while it may
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
@@ -390,7 +390,8 @@
         self.low[n] = min(self.low[n] * LOW_LEAK, took)
         self.stretch += GAIN * (took / self.low[n] - self.stretch)
         if self.stretch <= NEAR_LOW:
-            self.limit += RISE if self.running + 1 >= int(self.limit) else 0.0
+            if self.running + 1 >= int(self.limit):
+                self.limit += RISE * self.cores
         elif self.busy >= CORES_BUSY:
             self.limit *= max(1 / self.stretch, FALL_LEAST)
         self._bound()
