--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -22,6 +22,7 @@
 STOP_EARLY_MS = 250.0  # ms ahead of the stop at which all is answered: a freeze of that length does no harm
 SESSION_SLA_TIMES = 10.0  # SLA times an unseen session lives (the design's figure)
 SESSION_ROOM = 50_000  # entries; about 100 bytes each, so some 5 MB at most
+CALLER_ROOM = 4096  # first waits kept; forgotten all at once beyond: some hundred callers' worth is enough
 MEMORY_READ = 0.85  # share of the memory up to which txns are held: what is being read needs room unasked
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
 CROWD = 0.5  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
@@ -97,7 +98,7 @@
 
     def __init__(self, rudder: "Rudder", drain_grace_ms: float) -> None:
         self.rudder, self.grace = rudder, drain_grace_ms
-        self.most_left: dict[int, float] = {}  # longest wait passed on with a product: a first try's
+        self.first_waits: dict[tuple[int, int | None], float] = {}  # by product and caller or any
         self.last_arrival = self.stop = math.inf
 
     def arrive(self, txn: Txn) -> bool:
@@ -109,12 +110,19 @@
         return True
 
     def times(self, txn: Txn, left_ms: float) -> None:
-        """A marked later try has used up time: what its wait lacks of the longest of its product."""
-        spent = self.rudder.now - txn.arrived
-        wait = left_ms + spent if left_ms else txn.spec.expiry_ms
-        most = self.most_left[txn.product] = max(self.most_left.get(txn.product, 0.0), wait)
+        """A marked later try has used up time: what its wait lacks of a first try's of its caller, or, on
+        servers that seldom see a caller, of the longest of its product."""
+        wait = left_ms + self.rudder.now - txn.arrived if left_ms else txn.spec.expiry_ms
+        any_caller = (txn.product, None)
+        if not txn.retry:
+            if len(self.first_waits) > CALLER_ROOM:
+                self.first_waits.clear()
+            self.first_waits[txn.product, txn.source] = wait
+            self.first_waits[any_caller] = max(self.first_waits.get(any_caller, 0.0), wait)
+        first = self.first_waits.get((txn.product, txn.source)) or self.first_waits.get(any_caller, wait)
+        spent = max(first - wait, self.rudder.signals.waits * txn.spec.sla_ms) if txn.retry else 0.0
         txn.due = txn.arrived + wait - ANSWER_EARLY_MS
-        txn.in_time = min(txn.arrived + txn.spec.sla_ms - (most - wait if txn.retry else 0.0), txn.due)
+        txn.in_time = min(txn.arrived + txn.spec.sla_ms - spent, txn.due)
 
     def retire(self, left_ms: float) -> None:
         self.last_arrival = self.rudder.now + self.grace
