Take a later try to have spent twice what txns wait here, and keep no table of waits

It should also guard against retries after a freeze; harm where this server alone waits long: it declines later tries it could do.

--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -93,11 +93,11 @@
         if rudder is None:
             return []
         if code == frames.INBOUND:
-            ident, hint, earlier, kb, key, age, _rank, product, left, flags, source, tenant = f
+            ident, hint, earlier, kb, key, age, _rank, product, left, flags, _source, tenant = f
             return rudder.arrive(
                 now, ident, product, tenant=tenant, key=key, kb=kb, age_ms=age / 1000,
                 left_ms=left / 1000, earlier=earlier, hint_ms=hint / 1000 if flags & 1 else 0.0,
-                retry=bool(flags & 2), source=source,
+                retry=bool(flags & 2),
             )
         if code == frames.FINISHED:
             return rudder.finished(now, f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -83,7 +83,7 @@
         self.ident, self.product, self.spec = ident, product, spec
         self.arrived = now - age
         self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
-        self.tenant = self.key = self.earlier = self.source = 0
+        self.tenant = self.key = self.earlier = 0
         self.kb = self.unit = 1.0  # memory while held; what one unit of cost stands for, 1 without a hint
         self.cost = 0.0  # expected ms on the cores, fixed when held
         self.retry = self.old = self.queued = self.ran = self.answered = self.settled = self.calling = False
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -22,7 +22,7 @@
 STOP_EARLY_MS = 250.0  # ms ahead of the stop at which all is answered: a freeze of that length does no harm
 SESSION_SLA_TIMES = 10.0  # SLA times an unseen session lives (the design's figure)
 SESSION_ROOM = 50_000  # entries; about 100 bytes each, so some 5 MB at most
-CALLER_ROOM = 4096  # first waits kept; forgotten all at once beyond: some hundred callers' worth is enough
+RETRY_WAITS = 2.0  # mean waits here that a later try is taken to have spent: a read and a hold elsewhere
 MEMORY_READ = 0.85  # share of the memory up to which txns are held: what is being read needs room unasked
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
 CROWD = 0.5  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
@@ -98,7 +98,6 @@
 
     def __init__(self, rudder: "Rudder", drain_grace_ms: float) -> None:
         self.rudder, self.grace = rudder, drain_grace_ms
-        self.first_waits: dict[tuple[int, int | None], float] = {}  # by product and caller or any
         self.last_arrival = self.stop = math.inf
 
     def arrive(self, txn: Txn) -> bool:
@@ -110,17 +109,9 @@
         return True
 
     def times(self, txn: Txn, left_ms: float) -> None:
-        """A marked later try has used up time: what its wait lacks of a first try's of its caller, or, on
-        servers that seldom see a caller, of the longest of its product."""
+        """A marked later try has used up time: about what txns wait here, for other servers are alike."""
         wait = left_ms + self.rudder.now - txn.arrived if left_ms else txn.spec.expiry_ms
-        any_caller = (txn.product, None)
-        if not txn.retry:
-            if len(self.first_waits) > CALLER_ROOM:
-                self.first_waits.clear()
-            self.first_waits[txn.product, txn.source] = wait
-            self.first_waits[any_caller] = max(self.first_waits.get(any_caller, 0.0), wait)
-        first = self.first_waits.get((txn.product, txn.source)) or self.first_waits.get(any_caller, wait)
-        spent = max(first - wait, self.rudder.signals.waits * txn.spec.sla_ms) if txn.retry else 0.0
+        spent = RETRY_WAITS * self.rudder.signals.waits * txn.spec.sla_ms if txn.retry else 0.0
         txn.due = txn.arrived + wait - ANSWER_EARLY_MS
         txn.in_time = min(txn.arrived + txn.spec.sla_ms - spent, txn.due)
 
@@ -580,11 +571,11 @@
 
     def arrive(self, now: float, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
                age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, hint_ms: float = 0.0,
-               retry: bool = False, source: int = 0) -> list[Step]:
+               retry: bool = False) -> list[Step]:
         self._at(now)
         txn = self.txns[ident] = Txn(ident, product, self.products[product], now, age_ms)
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
-        txn.retry, txn.source, txn.unit = retry, source, hint_ms**HINT_TRUST or 1.0
+        txn.retry, txn.unit = retry, hint_ms**HINT_TRUST or 1.0
         self.memory.txns_kb += txn.kb
         self.signals.arrived(retry)
         self.expiry.times(txn, left_ms)
