--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -59,6 +59,7 @@
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
 RETRIES_MOST = 0.15  # share of later tries among arrivals over which others are taken to be full as well
+STORM = 0.5  # share of later tries among arrivals from which callers are asked to keep off as long as they heed
 GAP_GUESS_MS = 100.0  # ms between arrivals before any are seen: ten txns a second
 LINK_WORTH_MS = 4000.0  # ms between a caller's txns up to which keeping its connection is worth its place
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
@@ -500,7 +501,8 @@
             return False, self.away_max
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
         crowded = retry or self.retries > RETRIES_MOST
-        return room and not alone or crowded, min(STAY_AWAY_MS, self.away_max)
+        away = math.inf if self.retries > STORM else STAY_AWAY_MS
+        return room and not alone or crowded, min(away, self.away_max)
 
     def arrived(self, retry: bool) -> None:
         self.retries += GAIN * (retry - self.retries)
