Keep connections open while openings crowd the cores: a full table refuses at no cost

A flood of four times the traffic (h1b444e) stays open: openings themselves fill the cores, which no server can decline.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -62,6 +62,7 @@
 STORM = 0.5  # share of later tries among arrivals from which callers are asked to keep off at length
 GAP_GUESS_MS = 100.0  # ms between arrivals before any are seen: ten txns a second
 LINK_WORTH_MS = 4000.0  # ms between a caller's txns up to which keeping its connection is worth its place
+OPENINGS_MOST = 0.75  # connections opening a core, over which a full table does better than more of them
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
 STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
 
@@ -327,6 +328,7 @@
         self.born, self.limit = rudder.now, float(cores)
         self.running = self.in_hand = 0  # on the cores; those and all out on calls
         self.busy = 0.0  # share of the cores in use, as the server last told
+        self.openings = 0.0  # recent mean on the cores beside runs and reads: connections that open
         self.seen = [0] * len(products)
         self.low: list[float] = [math.inf] * len(products)
         self.mean: list[float] = [0.0] * len(products)  # ms on the cores for one unit
@@ -396,8 +398,9 @@
             self.limit *= max(1 / self.stretch, FALL_LEAST)
         self._bound()
 
-    def turn(self, busy: float, held: int) -> None:
+    def turn(self, busy: float, on_cores: float, held: int) -> None:
         self.busy = busy
+        self.openings += GAIN * (on_cores - self.running - self.cores - self.openings)
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
             self.limit += self.cores * TICK_MS / GAUGE_MS
         self._bound()
@@ -529,7 +532,8 @@
         elif self.kind == "rank":
             value = round(RANK_MOST * self.pressure, 2)
         # A caller's own next txn is far off where many share few: its connection would only fill the table.
-        seldom = self.gap * self.callers > LINK_WORTH_MS
+        # But when openings crowd the cores, a full table is the cheapest refusal there is.
+        seldom = self.gap * self.callers > LINK_WORTH_MS and slots.openings < OPENINGS_MOST * slots.cores
         idle = min(LINK_SHORT_MS if seldom else math.inf, self.idle_max)
         if idle != self.idle:
             self.idle = idle
@@ -624,7 +628,8 @@
 
     def ring(self, now: float, gauges: tuple[float, ...]) -> list[Step]:
         self._at(now)
-        self.slots.turn(dict(zip(self.gauges, gauges, strict=False)).get("core_use", 1.0), self.sessions.held)
+        told = dict(zip(self.gauges, gauges, strict=False))
+        self.slots.turn(told.get("core_use", 1.0), told.get("on_cores", 0.0), self.sessions.held)
         self.holds.refill()
         self.calls.pump()
         self.repeats.unrun = (set(), self.repeats.unrun[0])
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,7 +19,7 @@
 SERVER = {
     "cores": 2, "callers": 2, "memory": 1e6, "factor": 4, "ref": 10, "crowd": 4, "fresh": 0, "cold_from": 0.2,
     "cold": 10000, "grace": 1000, "tick": 4, "say": "", "away": 1000, "stop": 0, "below": "", "share": 0,
-    "idle": 30000, "span": 5000, "linger": 200, "busy": 1.0,
+    "idle": 30000, "on_cores": 0, "span": 5000, "linger": 200, "busy": 1.0,
 }  # fmt: skip
 
 
@@ -48,7 +48,7 @@
             crowd_per_core=t["crowd"], fresh=bool(t["fresh"]), cold_from=t["cold_from"], cold_ms=t["cold"],
             drain_grace_ms=t["grace"], tick_ms=t["tick"], say=t["say"], stay_away_max_ms=t["away"],
             idle_max_ms=t["idle"], may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"],
-            calls_span_ms=t["span"], linger_ms=t["linger"], gauges=("core_use",),
+            calls_span_ms=t["span"], linger_ms=t["linger"], gauges=("core_use", "on_cores"),
         )  # fmt: skip
         self.take(now, rudder.begin())
         return rudder
@@ -57,7 +57,7 @@
         self.steps = []
         self.rudder = self.rudder or self.start(now)
         while self.ring_at <= now:
-            self.take(self.ring_at, self.rudder.ring(self.ring_at, (self.told["busy"],)))
+            self.take(self.ring_at, self.rudder.ring(self.ring_at, (self.told["busy"], self.told["on_cores"])))
         if not words:
             return
         verb, *rest = words
