--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -57,7 +57,8 @@
         self.steps = []
         self.rudder = self.rudder or self.start(now)
         while self.ring_at <= now:
-            self.take(self.ring_at, self.rudder.ring(self.ring_at, (self.told["busy"], self.told["on_cores"])))
+            gauges = self.told["busy"], self.told["on_cores"]
+            self.take(self.ring_at, self.rudder.ring(self.ring_at, gauges))
         if not words:
             return
         verb, *rest = words
