--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -17,7 +17,7 @@
     return (default_us if value is None else value) / 1000
 
 
-def boot(now: float, instance: int, seed: int, text: bytes) -> tuple[Rudder, list[Step]]:
+def boot(now: float, instance: int, seed: int, text: bytes) -> Rudder:
     env = json.loads(text)
     info, rules, limits = env.get("familyInfo") or {}, env.get("rules") or {}, env.get("limits") or {}
     calls, omits = info.get("classCalls") or [], info.get("classSkipWorth") or []
@@ -62,7 +62,8 @@
         linger_ms=_ms(info, "lingerUs"),
         gauges=tuple(info.get("gauges") or ()),
     )
-    return rudder, rudder.begin()
+    rudder.begin()
+    return rudder
 
 
 class Host:
@@ -84,29 +85,31 @@
 
     def _handle(self, now: float, code: int, instance: int, f: list) -> list[Step]:
         if code == frames.BOOT:
-            self._rudders[instance], steps = boot(now, instance, f[0], f[1])
-            return steps
+            rudder = self._rudders[instance] = boot(now, instance, f[0], f[1])
+            return rudder.done()
         if code == frames.KILL:
             self._rudders.pop(instance, None)
-            return []
         rudder = self._rudders.get(instance)
         if rudder is None:
             return []
+        rudder.at(now)
         if code == frames.INBOUND:
             ident, hint, earlier, kb, key, age, _rank, product, left, flags, _source, tenant = f
-            return rudder.arrive(
-                now, ident, product, tenant=tenant, key=key, kb=kb, age_ms=age / 1000,
+            rudder.arrive(
+                ident, product, tenant=tenant, key=key, kb=kb, age_ms=age / 1000,
                 left_ms=left / 1000, earlier=earlier, hint_ms=hint / 1000 if flags & 1 else 0.0,
                 retry=bool(flags & 2),
             )
-        if code == frames.FINISHED:
-            return rudder.finished(now, f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
-        if code == frames.RING:
-            return rudder.ring(now, f[1])
-        if code == frames.NEEDS:
-            return rudder.needs_call(now, f[0])
-        if code == frames.CALLED:
-            return rudder.call_ended(now, f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
-        if code == frames.LEFT:
-            return rudder.left(now, f[0])
-        return rudder.retire(now, f[0] / 1000)
+        elif code == frames.FINISHED:
+            rudder.finished(f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
+        elif code == frames.RING:
+            rudder.ring(f[1])
+        elif code == frames.NEEDS:
+            rudder.needs_call(f[0])
+        elif code == frames.CALLED:
+            rudder.call_ended(f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
+        elif code == frames.LEFT:
+            rudder.left(f[0])
+        else:
+            rudder.retire(f[0] / 1000)
+        return rudder.done()
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -1,8 +1,8 @@
 """All decisions of otterrudder: SBOC, session-based overload control, and the guards around it.
 
-An adapter (today otterrudder/drill, later a server's front) makes one Rudder for each server process and
-calls begin, arrive, finished, needs_call, call_ended, left, retire and ring; each returns steps to carry out,
-in order. The plain types and the words of the steps stand in otterrudder/interface.py.
+An adapter (today otterrudder/drill, later a server's front) makes one Rudder for each server process. It says
+the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire or ring, and carries out,
+in order, the steps that done returns. The plain types and the words of the steps: otterrudder/interface.py.
 
 A txn passes a chain of stages: Expiry, Repeats, Memory, Sessions, Holds, Slots, Calls. Each may pass it on,
 keep it or end it; what becomes of it runs back through the chain in reverse. docs/design.md says why.
@@ -37,12 +37,12 @@
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
 HINT_TRUST = 0.7  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
+EASY_RUNS = 1.34  # runs a core up to which the limit gains one a ring while cores have room: hardly a crowd
 GAUGE_MS = 2000.0  # ms the gauge of the cores lags: in this time the limit gains a run a core at most
 RISE = 0.04  # runs a core the limit grows by for each finished one while it may
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
-BLOCKED = 0.17  # txns a core that may wait to call before others that need a call stay unstarted
 MEAN_GAIN = 1 / 64  # weight of a new run in the mean that the pace is held against: some ten seconds of work
 PACE_GAIN = 1 / 8  # weight of a new run in the pace: follows a slowdown within a second
 CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again, as much longer with each try
@@ -290,7 +290,9 @@
         return False
 
     def _may_start(self, txn: Txn) -> bool:
-        return self.slots.may_start(txn) and self.calls.may_start(txn)
+        # What needs a call while others wait for leave to call would be run to be thrown away.
+        stuck = txn.spec.calls and self.calls.queue and not txn.spec.omit_value
+        return not stuck and self.slots.may_start(txn)
 
     def _hopeless(self, txn: Txn, whole: float) -> bool:
         """Too late here even if started now: a quicker server may yet be in time. With nothing in hand it
@@ -402,7 +404,8 @@
         self.busy = busy
         self.openings += GAIN * (on_cores - self.running - self.cores - self.openings)
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
-            self.limit += self.cores * TICK_MS / GAUGE_MS
+            easy = self.limit + 1 <= EASY_RUNS * self.cores
+            self.limit += 1.0 if easy else self.cores * TICK_MS / GAUGE_MS
         self._bound()
 
     def _bound(self) -> None:
@@ -419,12 +422,6 @@
         self.debt, self.counted, self.out = 0.0, rudder.now, 0  # ms beyond the share, as of; calls out
         self.failed, self.next_trial = 0, 0.0  # failures in a row
         self.queue: deque[Txn] = deque()  # waiting for leave to call
-        self.turned = 0  # txns waiting to call again
-
-    def may_start(self, txn: Txn) -> bool:
-        """What needs a call that can't be made now is not run to be thrown away."""
-        blocked = self.turned + len(self.queue)
-        return not txn.spec.calls or txn.spec.omit_value > 0 or blocked <= self.rudder.slots.cores * BLOCKED
 
     def _count(self, by: int) -> None:
         self.debt = max(self.debt + (self.out - self.share) * (self.rudder.now - self.counted), 0.0)
@@ -435,8 +432,7 @@
         shut = self.failed >= BREAK_AFTER and self.rudder.now < self.next_trial
         return not shut and not (self.shared and (self.out + 1 > max(self.share, 1) or self.debt > self.room))
 
-    def want(self, txn: Txn, again: int = 0) -> None:
-        self.turned -= again
+    def want(self, txn: Txn) -> None:
         self.queue.append(txn)
         self.pump()
 
@@ -479,8 +475,7 @@
                 self.rudder.void(txn)
             elif not txn.answered:
                 pause = CALL_PAUSE_MS * txn.tries * (0.5 + self.rudder.chance(txn.ident))
-                self.turned += 1
-                self.rudder.agenda.at(self.rudder.now + pause, lambda: self.want(txn, again=1))
+                self.rudder.agenda.at(self.rudder.now + pause, lambda: self.want(txn))
         self.pump()
 
 
@@ -569,65 +564,60 @@
         self.chain += [self.holds, self.slots, self.calls]
         self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms)
 
-    def begin(self) -> list[Step]:
+    def at(self, now: float) -> None:
+        """Every call from outside stands between this, which plays what has come due, and done."""
+        self.now = now
+        self.agenda.play(now)
+
+    def done(self) -> list[Step]:
+        steps, self.steps = self.steps, []
+        return steps
+
+    def begin(self) -> None:
         self.signals.renew()
         wake = TICK_MS * (0.5 + self.chance(self.instance) / 2)  # servers should not all ring in step
         self.steps += [("health", True), ("wake", wake)]
-        return self._done()
 
-    def arrive(self, now: float, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
+    def arrive(self, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
                age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, hint_ms: float = 0.0,
-               retry: bool = False) -> list[Step]:
-        self._at(now)
-        txn = self.txns[ident] = Txn(ident, product, self.products[product], now, age_ms)
+               retry: bool = False) -> None:
+        txn = self.txns[ident] = Txn(ident, product, self.products[product], self.now, age_ms)
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
         txn.retry, txn.unit = retry, hint_ms**HINT_TRUST or 1.0
         self.memory.txns_kb += txn.kb
         self.signals.arrived(retry)
         self.expiry.times(txn, left_ms)
         self.forward(txn)
-        return self._done()
 
-    def finished(self, now: float, ident: int, outcome: Outcome) -> list[Step]:
-        self._at(now)
+    def finished(self, ident: int, outcome: Outcome) -> None:
         if txn := self.txns.get(ident):
             txn.settled = outcome is Outcome.OK
             if outcome not in (Outcome.OK, Outcome.ERROR):  # not an answer: it may still be owed one
                 self.void(txn)
             self._end(txn, finished=True)
             self._free(txn)
-        return self._done()
 
-    def needs_call(self, now: float, ident: int) -> list[Step]:
-        self._at(now)
+    def needs_call(self, ident: int) -> None:
         if (txn := self.txns.get(ident)) and txn.place is Place.RUNS:
             self.slots.off_cores(txn)
             self.calls.want(txn)
             self.holds.refill()
-        return self._done()
 
-    def call_ended(self, now: float, ident: int, outcome: Outcome) -> list[Step]:
-        self._at(now)
+    def call_ended(self, ident: int, outcome: Outcome) -> None:
         if (txn := self.txns.get(ident)) and txn.place is Place.CALLS:
             self.calls.ended(txn, outcome)
-        return self._done()
 
-    def left(self, now: float, ident: int) -> list[Step]:
-        self._at(now)
+    def left(self, ident: int) -> None:
         if txn := self.txns.get(ident):
             self._end(txn)
-        return self._done()
 
-    def retire(self, now: float, left_ms: float) -> list[Step]:
-        self._at(now)
+    def retire(self, left_ms: float) -> None:
         self.signals.draining = True
         log = f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop"
         self.steps += [("health", False), ("log", log)]
         self.expiry.retire(left_ms)
-        return self._done()
 
-    def ring(self, now: float, gauges: tuple[float, ...]) -> list[Step]:
-        self._at(now)
+    def ring(self, gauges: tuple[float, ...]) -> None:
         told = dict(zip(self.gauges, gauges, strict=False))
         self.slots.turn(told.get("core_use", 1.0), told.get("on_cores", 0.0), self.sessions.held)
         self.holds.refill()
@@ -635,15 +625,6 @@
         self.repeats.unrun = (set(), self.repeats.unrun[0])
         self.signals.renew()
         self.steps.append(("wake", TICK_MS))
-        return self._done()
-
-    def _at(self, now: float) -> None:
-        self.now = now
-        self.agenda.play(now)
-
-    def _done(self) -> list[Step]:
-        steps, self.steps = self.steps, []
-        return steps
 
     def chance(self, ident: int) -> float:
         self.counter += 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -50,7 +50,8 @@
             idle_max_ms=t["idle"], may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"],
             calls_span_ms=t["span"], linger_ms=t["linger"], gauges=("core_use", "on_cores"),
         )  # fmt: skip
-        self.take(now, rudder.begin())
+        rudder.begin()
+        self.take(now, rudder.done())
         return rudder
 
     def at(self, now: float, words: list[str]) -> None:
@@ -58,14 +59,18 @@
         self.rudder = self.rudder or self.start(now)
         while self.ring_at <= now:
             gauges = self.told["busy"], self.told["on_cores"]
-            self.take(self.ring_at, self.rudder.ring(self.ring_at, gauges))
+            self.rudder.at(self.ring_at)
+            self.rudder.ring(gauges)
+            self.take(self.ring_at, self.rudder.done())
         if not words:
             return
         verb, *rest = words
         for ident in list(self.running) if rest[0] == "*" else names(rest[0]):
-            self.take(now, self.call(now, verb, ident, rest[1:]))
+            self.rudder.at(now)
+            self.call(verb, ident, rest[1:])
+            self.take(now, self.rudder.done())
 
-    def call(self, now: float, verb: str, ident: str, rest: list[str]) -> list[tuple]:
+    def call(self, verb: str, ident: str, rest: list[str]) -> None:
         rudder = self.rudder
         if verb == "arrive":
             more = {k: v if k == "earlier" else float(v) for k, v in (w.split("=") for w in rest[1:])}
@@ -73,16 +78,17 @@
             more |= {k: bool(more[k]) for k in ("retry",) if k in more}
             more = {k + "_ms" if k in ("left", "age", "hint") else k: v for k, v in more.items()}
             number = [p.name for p in self.products].index(rest[0])
-            return rudder.arrive(now, ident, number, **{"kb": 10.0, **more})
-        if verb == "finished":
+            rudder.arrive(ident, number, **{"kb": 10.0, **more})
+        elif verb == "finished":
             if ident in self.running:
                 self.running.remove(ident)
-            return rudder.finished(now, ident, Outcome(rest[0]))
-        if verb == "called":
-            return rudder.call_ended(now, ident, Outcome(rest[0]))
-        if verb == "retire":
-            return rudder.retire(now, float(ident))
-        return {"needs": rudder.needs_call, "left": rudder.left}[verb](now, ident)
+            rudder.finished(ident, Outcome(rest[0]))
+        elif verb == "called":
+            rudder.call_ended(ident, Outcome(rest[0]))
+        elif verb == "retire":
+            rudder.retire(float(ident))
+        else:
+            {"needs": rudder.needs_call, "left": rudder.left}[verb](ident)
 
     def line(self, text: str) -> None:
         word, *rest = text.split()
