--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -1,8 +1,8 @@
 """All decisions of otterrudder: SBOC, session-based overload control, and the guards around it.
 
 An adapter (today otterrudder/drill, later a server's front) makes one Rudder for each server process. It says
-the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire or ring, and carries out,
-in order, the steps that done returns. The plain types and the words of the steps: otterrudder/interface.py.
+the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire or ring, and carries
+out, in order, the steps that done returns. Plain types and the words of the steps: otterrudder/interface.py.
 
 A txn passes a chain of stages: Expiry, Repeats, Memory, Sessions, Holds, Slots, Calls. Each may pass it on,
 keep it or end it; what becomes of it runs back through the chain in reverse. docs/design.md says why.
@@ -37,7 +37,7 @@
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
 HINT_TRUST = 0.7  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
-EASY_RUNS = 1.34  # runs a core up to which the limit gains one a ring while cores have room: hardly a crowd
+EASY_RUNS = 1.34  # runs a core up to which the limit gains one a ring while cores have room: no crowd yet
 GAUGE_MS = 2000.0  # ms the gauge of the cores lags: in this time the limit gains a run a core at most
 RISE = 0.04  # runs a core the limit grows by for each finished one while it may
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
@@ -311,12 +311,9 @@
             txn = hold[0]
             if not self._may_start(txn):
                 return
-            if self._hopeless(txn, self.slots.expect(txn)[1]):  # slower than when it was held
-                self.rudder.refuse(txn)
-            else:
-                self.back(txn)
-                self.old_starts += GAIN * (txn.old - self.old_starts)
-                self.rudder.forward(txn, after=self)
+            self.back(txn)
+            self.old_starts += GAIN * (txn.old - self.old_starts)
+            self.rudder.forward(txn, after=self)
 
 
 class Slots(Stage):
@@ -397,8 +394,7 @@
             if self.running + 1 >= int(self.limit):
                 self.limit += RISE * self.cores
         elif self.busy >= CORES_BUSY:
-            self.limit *= max(1 / self.stretch, FALL_LEAST)
-        self._bound()
+            self.limit = max(self.limit * max(1 / self.stretch, FALL_LEAST), self.cores)
 
     def turn(self, busy: float, on_cores: float, held: int) -> None:
         self.busy = busy
@@ -406,10 +402,7 @@
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
             easy = self.limit + 1 <= EASY_RUNS * self.cores
             self.limit += 1.0 if easy else self.cores * TICK_MS / GAUGE_MS
-        self._bound()
-
-    def _bound(self) -> None:
-        self.limit = max(min(self.limit, self.crowd()), float(self.cores))
+        self.limit = min(self.limit, max(self.crowd(), self.cores))
 
 
 class Calls(Stage):
