--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -52,8 +52,6 @@
 PRESSURE_STEP = 0.01  # pressure gained a ring for each WAIT_AIM above it: full in two to four seconds
 BEYOND_MOST = 2.0  # most WAIT_AIMs above it that count in a ring: a burst must not fill the pressure at once
 PRESSURE_EASE = 0.5  # share of such a step lost while waits are short: callers all let go at once, so slowly
-CORES_IDLE = 0.5  # share of the cores in use under which nobody is crowded
-IDLE_EASE = 4.0  # further such steps lost for each share of the cores in use under that
 CREDIT_TIMES = 8.0  # even shares of the limit a caller may have out at rest: a larger credit binds nobody
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
 WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
@@ -400,8 +398,7 @@
         self.busy = busy
         self.openings += GAIN * (on_cores - self.running - self.cores - self.openings)
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
-            easy = self.limit + 1 <= EASY_RUNS * self.cores
-            self.limit += 1.0 if easy else self.cores * TICK_MS / GAUGE_MS
+            self.limit += 1 if self.limit + 1 <= EASY_RUNS * self.cores else self.cores * TICK_MS / GAUGE_MS
         self.limit = min(self.limit, max(self.crowd(), self.cores))
 
 
@@ -478,9 +475,9 @@
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float,
                  idle_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
-        self.idle_max = self.idle = idle_max_ms
+        self.idle_max, self.draining = idle_max_ms, False
         self.gap, self.last = GAP_GUESS_MS, rudder.now  # mean ms between arrivals
-        self.told, self.draining = -1.0, False
+        self.told: dict[str, float | None] = {"advertise": None, "idle": idle_max_ms}
         self.retries = 0.0  # share of further tries among recent arrivals
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
@@ -506,9 +503,8 @@
         self.waits += GAIN * (part - self.waits)
 
     def renew(self) -> None:
-        slots, value, beyond = self.rudder.slots, self.told, min(self.waits / WAIT_AIM - 1, BEYOND_MOST)
-        ease = PRESSURE_EASE + IDLE_EASE * max(CORES_IDLE - slots.busy, 0.0)
-        change = PRESSURE_STEP * beyond * (1.0 if beyond > 0 else ease)
+        slots, value, beyond = self.rudder.slots, None, min(self.waits / WAIT_AIM - 1, BEYOND_MOST)
+        change = PRESSURE_STEP * beyond * (1.0 if beyond > 0 else PRESSURE_EASE)
         self.pressure = min(max(self.pressure + change, 0.0), 1.0)
         self.waits *= 1.0 if slots.in_hand else 1 - GAIN  # fades with nothing to hear from
         if self.kind == "credit":
@@ -523,12 +519,10 @@
         # But when openings crowd the cores, a full table is the cheapest refusal there is.
         seldom = self.gap * self.callers > LINK_WORTH_MS and slots.openings < OPENINGS_MOST * slots.cores
         idle = min(LINK_SHORT_MS if seldom else math.inf, self.idle_max)
-        if idle != self.idle:
-            self.idle = idle
-            self.rudder.steps.append(("idle", idle))
-        if value != self.told:
-            self.rudder.steps.append(("advertise", value))
-        self.told = value
+        for word, now in (("idle", idle), ("advertise", value)):
+            if now != self.told[word]:
+                self.told[word] = now
+                self.rudder.steps.append((word, now))
 
 
 class Rudder:
@@ -558,7 +552,6 @@
         self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms)
 
     def at(self, now: float) -> None:
-        """Every call from outside stands between this, which plays what has come due, and done."""
         self.now = now
         self.agenda.play(now)
 
