--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -74,21 +74,19 @@
         rudder = self.rudder
         if verb == "arrive":
             more = {k: v if k == "earlier" else float(v) for k, v in (w.split("=") for w in rest[1:])}
-            more |= {k: int(more[k]) for k in ("key", "tenant") if k in more}
-            more |= {k: bool(more[k]) for k in ("retry",) if k in more}
+            kinds = {"key": int, "tenant": int, "retry": bool}
+            more = {k: kinds.get(k, type(v))(v) for k, v in more.items()}
             more = {k + "_ms" if k in ("left", "age", "hint") else k: v for k, v in more.items()}
             number = [p.name for p in self.products].index(rest[0])
             rudder.arrive(ident, number, **{"kb": 10.0, **more})
-        elif verb == "finished":
-            if ident in self.running:
-                self.running.remove(ident)
-            rudder.finished(ident, Outcome(rest[0]))
-        elif verb == "called":
-            rudder.call_ended(ident, Outcome(rest[0]))
-        elif verb == "retire":
-            rudder.retire(float(ident))
-        else:
-            {"needs": rudder.needs_call, "left": rudder.left}[verb](ident)
+            return
+        if verb == "finished" and ident in self.running:
+            self.running.remove(ident)
+        calls = {
+            "finished": rudder.finished, "called": rudder.call_ended, "needs": rudder.needs_call,
+            "left": rudder.left, "retire": lambda left: rudder.retire(float(left)),
+        }  # fmt: skip
+        calls[verb](ident, *map(Outcome, rest[:1]))
 
     def line(self, text: str) -> None:
         word, *rest = text.split()
