--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -1,7 +1,7 @@
 """Plain types shared by the decision module and whatever calls it (the drill now, a server later).
 
 All times are milliseconds with fractions on the caller's clock. Ids are handed back exactly as given.
-The module answers every call with a list of steps, plain tuples that start with a word:
+What the module wants done after a call is a list of steps, plain tuples that start with a word:
 
     ("run", id)  ("reuse", id)  ("stop", id)           start it; answer it from its earlier try; halt it
     ("decline", id, terminal, stay_away_ms)            final: turned away, never ran
