Let the adapter name the gauges; give a constant its true reason

The module read two gauges by their wire names; those now end at the adapter, which hands over busy and on_cores, and the module's gauge list goes. The constant called the gauge's lag is the time in which the limit gains a run a core.

--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -8,6 +8,7 @@
 
 _EFFECTS = {"safe": Effect.INQUIRY, "keyed": Effect.REFERENCED, "unsafe": Effect.ONCE}
 _SAY = {"min_rank": "rank", "tokens": "credit", "bias": "weight"}
+_GAUGES = {"core_use": "busy", "on_cores": "on_cores"}
 _BELOW = {"common": "shared", "next_hop": "tier"}
 FATAL = 77
 
@@ -17,7 +18,8 @@
     return (default_us if value is None else value) / 1000
 
 
-def boot(now: float, instance: int, seed: int, text: bytes) -> Rudder:
+def boot(now: float, instance: int, seed: int, text: bytes) -> tuple[Rudder, list[str]]:
+    """The instance and the names of its gauges, in the order in which a ring brings them."""
     env = json.loads(text)
     info, rules, limits = env.get("familyInfo") or {}, env.get("rules") or {}, env.get("limits") or {}
     calls, omits = info.get("classCalls") or [], info.get("classSkipWorth") or []
@@ -60,15 +62,15 @@
         calls_share=info.get("callsOut") or 0.0,
         calls_span_ms=_ms(info, "depWindowUs"),
         linger_ms=_ms(info, "lingerUs"),
-        gauges=tuple(info.get("gauges") or ()),
     )
     rudder.begin()
-    return rudder
+    return rudder, info.get("gauges") or []
 
 
 class Host:
     def __init__(self) -> None:
         self._rudders: dict[int, Rudder] = {}
+        self._gauges: dict[int, list[str]] = {}
 
     def play(self, body: bytes) -> bytes:
         now, events = frames.decode(body)
@@ -85,10 +87,12 @@
 
     def _handle(self, now: float, code: int, instance: int, f: list) -> list[Step]:
         if code == frames.BOOT:
-            rudder = self._rudders[instance] = boot(now, instance, f[0], f[1])
+            rudder, self._gauges[instance] = boot(now, instance, f[0], f[1])
+            self._rudders[instance] = rudder
             return rudder.done()
         if code == frames.KILL:
             self._rudders.pop(instance, None)
+            return []
         rudder = self._rudders.get(instance)
         if rudder is None:
             return []
@@ -103,7 +107,8 @@
         elif code == frames.FINISHED:
             rudder.finished(f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
         elif code == frames.RING:
-            rudder.ring(f[1])
+            told = zip(self._gauges[instance], f[1], strict=False)
+            rudder.ring(**{_GAUGES[name]: value for name, value in told if name in _GAUGES})
         elif code == frames.NEEDS:
             rudder.needs_call(f[0])
         elif code == frames.CALLED:
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -38,7 +38,7 @@
 HINT_TRUST = 0.7  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
 EASY_RUNS = 1.34  # runs a core up to which the limit gains one a ring while cores have room: no crowd yet
-GAUGE_MS = 2000.0  # ms the gauge of the cores lags: in this time the limit gains a run a core at most
+ROOM_MS = 2000.0  # ms in which the limit gains a run a core beyond that: the gauge lags half a second
 RISE = 0.04  # runs a core the limit grows by for each finished one while it may
 CORES_BUSY = 0.9  # share of the cores in use that counts as busy
 GAIN = 1 / 16  # weight of a new sample in running means: some 16 runs are a second of work a server
@@ -398,7 +398,7 @@
         self.busy = busy
         self.openings += GAIN * (on_cores - self.running - self.cores - self.openings)
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
-            self.limit += 1 if self.limit + 1 <= EASY_RUNS * self.cores else self.cores * TICK_MS / GAUGE_MS
+            self.limit += 1 if self.limit + 1 <= EASY_RUNS * self.cores else self.cores * TICK_MS / ROOM_MS
         self.limit = min(self.limit, max(self.crowd(), self.cores))
 
 
@@ -519,10 +519,10 @@
         # But when openings crowd the cores, a full table is the cheapest refusal there is.
         seldom = self.gap * self.callers > LINK_WORTH_MS and slots.openings < OPENINGS_MOST * slots.cores
         idle = min(LINK_SHORT_MS if seldom else math.inf, self.idle_max)
-        for word, now in (("idle", idle), ("advertise", value)):
-            if now != self.told[word]:
-                self.told[word] = now
-                self.rudder.steps.append((word, now))
+        for word, wanted in (("idle", idle), ("advertise", value)):
+            if wanted != self.told[word]:
+                self.told[word] = wanted
+                self.rudder.steps.append((word, wanted))
 
 
 class Rudder:
@@ -533,9 +533,9 @@
                  ref_kb: float, crowd_per_core: float, fresh: bool, cold_from: float, cold_ms: float,
                  drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float,
                  idle_max_ms: float, may_stop: bool, below: str, calls_share: float, calls_span_ms: float,
-                 linger_ms: float, gauges: tuple[str, ...]) -> None:
+                 linger_ms: float) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
-        self.counter, self.gauges = seed, gauges
+        self.counter = seed
         self.steps: list[Step] = []
         self.txns: dict[int, Txn] = {}  # everything in the hold, on the cores or at a call
         self.agenda = Agenda()
@@ -603,9 +603,8 @@
         self.steps += [("health", False), ("log", log)]
         self.expiry.retire(left_ms)
 
-    def ring(self, gauges: tuple[float, ...]) -> None:
-        told = dict(zip(self.gauges, gauges, strict=False))
-        self.slots.turn(told.get("core_use", 1.0), told.get("on_cores", 0.0), self.sessions.held)
+    def ring(self, busy: float = 1.0, on_cores: float = 0.0) -> None:
+        self.slots.turn(busy, on_cores, self.sessions.held)
         self.holds.refill()
         self.calls.pump()
         self.repeats.unrun = (set(), self.repeats.unrun[0])
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -48,7 +48,7 @@
             crowd_per_core=t["crowd"], fresh=bool(t["fresh"]), cold_from=t["cold_from"], cold_ms=t["cold"],
             drain_grace_ms=t["grace"], tick_ms=t["tick"], say=t["say"], stay_away_max_ms=t["away"],
             idle_max_ms=t["idle"], may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"],
-            calls_span_ms=t["span"], linger_ms=t["linger"], gauges=("core_use", "on_cores"),
+            calls_span_ms=t["span"], linger_ms=t["linger"],
         )  # fmt: skip
         rudder.begin()
         self.take(now, rudder.done())
@@ -58,9 +58,8 @@
         self.steps = []
         self.rudder = self.rudder or self.start(now)
         while self.ring_at <= now:
-            gauges = self.told["busy"], self.told["on_cores"]
             self.rudder.at(self.ring_at)
-            self.rudder.ring(gauges)
+            self.rudder.ring(self.told["busy"], self.told["on_cores"])
             self.take(self.ring_at, self.rudder.done())
         if not words:
             return
