--- a/otterrudder/__init__.py
+++ b/otterrudder/__init__.py
@@ -1,1 +1,3 @@
-"""Admission and scheduling for servers behind gateways that are not ours."""
+"""Session-based admission and scheduling for servers behind other people's gateways."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/otterrudder/boot.py
@@ -0,0 +1,74 @@
+"""From the settings object, as a server is told it at its start, to a Rudder: for drill and server alike."""
+
+from otterrudder.interface import Effect, Product, Tenant
+from otterrudder.logic import Rudder
+
+_EFFECTS = {"safe": Effect.INQUIRY, "keyed": Effect.REFERENCED, "unsafe": Effect.ONCE}
+_SAY = {"min_rank": "rank", "tokens": "credit", "bias": "weight"}
+_GAUGES = {"core_use": "busy", "on_cores": "on_cores"}
+_BELOW = {"common": "shared", "next_hop": "tier"}
+
+
+def _ms(table: dict, name: str, default_us: float = 0) -> float:
+    value = table.get(name)
+    return (default_us if value is None else value) / 1000
+
+
+def products_of(settings: dict) -> list[Product]:
+    info = settings.get("familyInfo") or {}
+    calls, omits = info.get("classCalls") or [], info.get("classSkipWorth") or []
+    return [
+        Product(
+            name=c.get("name") or str(n),
+            effect=_EFFECTS.get(c.get("effect"), Effect.ONCE),
+            value=c.get("worth") or 0.0,
+            sla_ms=_ms(c, "promiseUs", c.get("hardLimitUs") or 1e6),
+            expiry_ms=_ms(c, "hardLimitUs", 1e6),
+            window_ms=_ms(c, "windowUs"),
+            late_value=c.get("lateWorth") or 0.0,
+            calls=bool(calls[n]) if n < len(calls) else False,
+            omit_value=(omits[n] or 0.0) if n < len(omits) else 0.0,
+        )
+        for n, c in enumerate(settings.get("classes") or [])
+    ]
+
+
+def tenants_of(settings: dict) -> list[Tenant]:
+    return [Tenant(r.get("name") or "", r.get("share") or 0.0) for r in settings.get("realms") or []]
+
+
+def gauge_names(settings: dict) -> list[str]:
+    """In the order in which a ring brings them; empty where the module has no use for one."""
+    return [_GAUGES.get(name, "") for name in (settings.get("familyInfo") or {}).get("gauges") or []]
+
+
+def boot(now: float, instance: int, seed: int, settings: dict, **told: object) -> Rudder:
+    """`told`: what this start knows better than the settings, by the Rudder's own names."""
+    info, rules = settings.get("familyInfo") or {}, settings.get("rules") or {}
+    limits = settings.get("limits") or {}
+    facts = dict(
+        products=products_of(settings),
+        tenants=tenants_of(settings),
+        cores=info.get("cores") or 1,
+        callers=info.get("callers") or 1,
+        memory_kb=info.get("memoryKb") or 0.0,
+        run_factor=info.get("runFactor") or 1.0,
+        ref_kb=info.get("keyKb") or 0.0,
+        crowd_per_core=rules.get("fallMultiple") or 1.0,
+        fresh=bool(info.get("freshStart")),
+        cold_from=rules.get("coldFrom") or 0.0,
+        cold_ms=_ms(rules, "coldUs"),
+        drain_grace_ms=_ms(rules, "drainGraceUs"),
+        tick_ms=_ms(settings, "tickUs", 1000),
+        say=_SAY.get(info.get("say"), ""),
+        stay_away_max_ms=_ms(limits, "maxRetryAfterUs") if limits.get("retryAfter") else 0.0,
+        idle_max_ms=_ms(info, "callerIdleUs"),
+        may_stop=info.get("stopMode") == "drop",
+        below=_BELOW.get(info.get("below"), ""),
+        calls_share=info.get("callsOut") or 0.0,
+        calls_span_ms=_ms(info, "depWindowUs"),
+        linger_ms=_ms(info, "lingerUs"),
+    )
+    rudder = Rudder(now, instance=instance, seed=seed, **(facts | told))
+    rudder.begin()
+    return rudder
--- a/otterrudder/drill/frames.py
+++ b/otterrudder/drill/frames.py
@@ -112,6 +112,8 @@
         return _HEALTH.pack(67, instance, step[1], True)  # answered from store: a check must not cost a run
     if word == "idle":
         return _IDLE.pack(74, instance, _us(step[1]))
+    if word == "close":
+        return b""  # the simulator ends the process itself
     if word == "log":
         return encode_text(79, instance, step[1])
     raise ValueError(f"no record for step {word!r}")
@@ -124,4 +126,4 @@
 
 def frame(records: list[bytes]) -> bytes:
     body = b"".join(records)
-    return _U32.pack(len(body) + 4) + _U32.pack(len(records)) + body
+    return _U32.pack(len(body) + 4) + _U32.pack(len(records) - records.count(b"")) + body
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -1,4 +1,4 @@
-"""Plain types shared by the decision module and whatever calls it (the drill now, a server later).
+"""Plain types shared by the decision module and whatever calls it (the drill, the server).
 
 All times are milliseconds with fractions on the caller's clock. Ids are handed back exactly as given.
 What the module wants done after a call is a list of steps, plain tuples that start with a word:
@@ -10,6 +10,7 @@
     ("call", id, wait_ms)  ("omit", id)                make the call it waits for; go on without
     ("wake", delay_ms)                                 ring once after this long
     ("advertise", value)  ("health", good)  ("idle", ms)  ("log", text)
+    ("close",)                                         the drain is over: all is answered, so leave
 """
 
 from dataclasses import dataclass
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -123,6 +123,7 @@
     def _close(self) -> None:
         for txn in list(self.rudder.txns.values()):
             self.rudder.refuse(txn)
+        self.rudder.steps.append(("close",))
 
 
 class Repeats(Stage):
--- /dev/null
+++ b/otterrudder/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real server: the decisions on sockets."""
--- /dev/null
+++ b/otterrudder/net/core.py
@@ -0,0 +1,373 @@
+"""The server without its sockets: decoded messages and the time in, the Rudder's steps carried out, addressed
+messages out. No I/O, no clock, no decision.
+
+What it sends is a list of (address, word, ...). Addresses: a gateway's peer, or one of the words below.
+
+    peer        ("settled", rpc, body, load)  ("declined", rpc, terminal, stay_away_ms, load)
+                ("voided", rpc, why, load)  ("health", rpc, good, load)
+    RUNTIME     ("start", call, product, body)  ("give", call, body)  ("stop", call)  ("omit", call)
+                ("gauges", tag)
+    RECORDS     ("call", call, wait_ms, body)  ("hang up", call)
+    GATEWAYS    ("idle", ms)  ("close",)
+    HELM        ("wake", ms)  ("log", text, facts)
+
+Owners: a txn's entry is given back in `_release`, a reference in `_lapse`, a run in `_run_over`, a call in
+`_call_over`, each on every way out.
+"""
+
+import heapq
+from collections.abc import Callable, Hashable
+from typing import Any
+
+from otterrudder.interface import Effect, Outcome, Product, Step
+from otterrudder.logic import Rudder
+
+RUNTIME, RECORDS, GATEWAYS, HELM = "runtime", "records", "gateways", "helm"
+UNSENT, PROVED = 0, -1  # of what was sent to the runtime, beside the number of gauges
+
+
+class Reference:
+    """What is known of a referenced txn by its mark, whichever of its tries holds it."""
+
+    __slots__ = ("mark", "holder", "until", "result", "over", "waiting")
+
+    def __init__(self, mark: str, holder: int) -> None:
+        self.mark, self.holder, self.until = mark, holder, 0.0
+        self.result: bytes | None = None  # of the run that settled
+        self.over = False  # the run has ended, with or without a result
+        self.waiting: list[int] = []  # tries to be answered from it
+
+
+class Txn:
+    """A txn that is owed an answer, or whose run is not over."""
+
+    __slots__ = ("number", "call", "peer", "rpc", "product", "body", "mark", "answered", "started", "proof",
+                 "in_doubt", "wants", "given", "calling", "waits_on")
+
+    def __init__(self, number: int, call: str, peer: Hashable, rpc: int, product: int, body: bytes,
+                 mark: str) -> None:
+        self.number, self.call, self.peer, self.rpc, self.product = number, call, peer, rpc, product
+        self.body, self.mark = body, mark
+        self.answered = self.started = self.calling = False
+        self.proof = UNSENT  # the gauges whose answer proves that its start or reply was read
+        self.in_doubt = False  # a lost link may have swallowed its start; see Core.linked
+        self.wants: bytes | None = None  # the body of the call it stands at
+        self.given = False  # the reply to its last call was sent
+        self.waits_on: Reference | None = None
+
+
+class Core:
+    def __init__(self, boot: Callable[..., Rudder], products: list[Product], gauges: list[str]) -> None:
+        """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms)."""
+        self.boot, self.products, self.gauges = boot, products, gauges
+        self.names = {product.name: n for n, product in enumerate(products)}
+        self.rudder: Rudder | None = None
+        self.unix = self.now = 0.0
+        self.out: list[tuple] = []
+        self.txns: dict[int, Txn] = {}
+        self.calls: dict[str, Txn] = {}  # the same entries by the id the wires know
+        self.references: dict[str, Reference] = {}
+        self.lapses: list[tuple[float, str]] = []
+        self.fresh: dict[str, int] = {}  # marks that came in this batch: two tries in one are linked
+        self.numbered = 0
+        self.load: float | None = None
+        self.healthy = self.retiring = False
+        self.is_linked = False  # a runtime link stands and its replay is over
+        self.asked = self.heard = 0  # the last gauges asked for, and those last answered
+        self.proved = 0  # those last answered when the link was lost
+        self.told: dict[str, float] = {}  # the answered gauges, until a ring takes them
+
+    # The batch: the time first, then what came, then the steps.
+
+    def at(self, unix: float, now: float) -> None:
+        self.unix, self.now = unix, now
+        while self.lapses and self.lapses[0][0] <= now:
+            self._lapse(heapq.heappop(self.lapses)[1])
+        if self.rudder:
+            self.rudder.at(now)
+
+    def done(self) -> list[tuple]:
+        """Carries the steps out, and those that follow from them, and hands over what is to be sent."""
+        while self.rudder and (steps := self.rudder.done()):
+            for step in steps:
+                try:
+                    self._carry_out(step)
+                except Exception as trouble:  # one txn's failure is not the others'
+                    self.out.append((HELM, "log", "a step failed", {"step": step, "trouble": repr(trouble)}))
+                    if txn := self.txns.get(step[1]):
+                        self._void(txn)
+        self.fresh.clear()
+        out, self.out = self.out, []
+        return out
+
+    # From the gateways.
+
+    def arrive(self, peer: Hashable, rpc: int, product: int, *, call: str, recv: float, ttl: float | None,
+               kb: float, tenant: int, key: int, retry: bool, dedupe: str, body: bytes) -> None:
+        if call in self.calls:
+            self.out.append((peer, "voided", rpc, "this call is open already", self.load))
+            return
+        if not self.rudder:  # no module yet that could decide, and nothing runs
+            self.out.append((peer, "declined", rpc, False, 0.0, self.load))
+            return
+        self.numbered += 1
+        spec = self.products[product]
+        mark = dedupe if spec.effect is Effect.REFERENCED else ""
+        txn = Txn(self.numbered, call, peer, rpc, product, body, mark)
+        self.txns[txn.number] = self.calls[call] = txn
+        earlier = 0
+        if mark:
+            known = self.references.get(mark)
+            earlier = known.holder if known else self.fresh.get(mark, 0)
+            if not known:
+                self.fresh[mark] = txn.number
+        age = max(self.unix - recv, 0.0)
+        left = 0.0 if ttl is None else max(ttl - age, 1e-3)  # 0 would say that nothing is known
+        self.rudder.arrive(txn.number, product, tenant=tenant, key=key, kb=kb, age_ms=age, left_ms=left,
+                           earlier=earlier, retry=retry)
+
+    def left(self, call: str) -> None:
+        """Its caller waits no more, or its connection has gone: no answer is owed."""
+        txn = self.calls.get(call)
+        if txn and not txn.answered:
+            self._close(txn)
+            self.rudder.left(txn.number)
+            self._release(txn)
+
+    def check(self, peer: Hashable, rpc: int) -> None:
+        self.out.append((peer, "health", rpc, self.healthy, self.load))
+
+    # From the runtime.
+
+    def begin(self, warm: bool, up_ms: float) -> None:
+        """The runtime is up for the first time in this life of the process."""
+        self.rudder = self.boot(self.now, warm, up_ms)
+
+    def linked(self) -> None:
+        """A link stands and all that the runtime told meanwhile was heard: what it shows to be missing goes
+        out again. What was sent before gauges that were answered was read; of the little sent after them
+        nothing is known. Inquiry-like txns are started again (if they run, nothing happens). One with an
+        effect may just have ended, so it is in doubt until it is answered: from then on a start does no harm.
+        Nor is a reply sent again, for the run may stand at its next call."""
+        self.is_linked = True
+        for txn in [txn for txn in self.txns.values() if txn.started]:
+            if txn.proof == UNSENT and txn.answered:
+                self._run_over(txn, Outcome.MOOT)
+            elif txn.proof == UNSENT:
+                self._start(txn)
+            elif txn.proof > self.proved and not txn.given:
+                txn.in_doubt = self._effectful(txn) and not txn.answered
+                if not txn.in_doubt:
+                    self._start(txn)
+
+    def unlinked(self) -> None:
+        self.is_linked, self.proved, self.told = False, self.heard, {}
+
+    def ended(self, call: str, outcome: Outcome, body: bytes) -> None:
+        if (txn := self.calls.get(call)) and txn.started:
+            self._run_over(txn, outcome, body)
+
+    def wants(self, call: str, body: bytes) -> None:
+        if (txn := self.calls.get(call)) and txn.started and txn.wants is None:
+            txn.wants, txn.given, txn.in_doubt, txn.proof = body, False, False, PROVED
+            self.rudder.needs_call(txn.number)
+
+    def gauged(self, tag: int, values: list[float]) -> None:
+        if tag == self.asked:  # an older answer proves what was read, but says nothing of now
+            self.told = {name: value for name, value in zip(self.gauges, values, strict=False) if name}
+        self.heard = max(self.heard, tag)
+
+    def refused(self, word: str, call: str) -> None:
+        """A command that the runtime did not carry out."""
+        txn = self.calls.get(call)
+        self.out.append((HELM, "log", "runtime refused a command", {"command": word, "call": call}))
+        if txn and txn.started and word == "start":
+            self._run_over(txn, Outcome.MOOT)
+        elif txn and word == "give":
+            self._void(txn)
+
+    # From the records service.
+
+    def replied(self, call: str, outcome: Outcome, body: bytes = b"") -> None:
+        txn = self.calls.get(call)
+        if not txn or not txn.calling:
+            return  # late: it was given up
+        self._call_over(txn)
+        if outcome is Outcome.OK:
+            txn.wants, txn.given, txn.proof = None, True, self.asked + 1
+            self.out.append((RUNTIME, "give", txn.call, body))
+        self.rudder.call_ended(txn.number, outcome)
+
+    # From the helm.
+
+    def ask(self) -> None:
+        """Asks for gauges, ahead of a ring."""
+        self.asked += 1
+        self.told = {}
+        if self.is_linked:
+            self.out.append((RUNTIME, "gauges", self.asked))
+
+    def ring(self) -> None:
+        """Without gauges that answer the last question the module keeps to what it takes to be safe."""
+        told, self.told = self.told, {}
+        self.rudder.ring(**told)
+
+    def retire(self, left_ms: float) -> None:
+        if self.rudder and not self.retiring:
+            self.retiring = True
+            self.rudder.retire(left_ms)
+
+    def failed(self, call: str) -> None:
+        """An event of this txn could not be dealt with: it is voided, the others go on."""
+        if txn := self.calls.get(call):
+            self._void(txn)
+            self.rudder.left(txn.number)
+
+    # Steps.
+
+    def _carry_out(self, step: Step) -> None:
+        word, *rest = step
+        if word in _OF_A_TXN:
+            if txn := self.txns.get(rest[0]):
+                _OF_A_TXN[word](self, txn, *rest[1:])
+        elif word == "wake":
+            self.out.append((HELM, "wake", rest[0]))
+        elif word == "advertise":
+            self.load = rest[0]
+        elif word == "health":
+            self.healthy = rest[0]
+        elif word == "log":
+            self.out.append((HELM, "log", rest[0], {}))
+        else:
+            self.out.append((GATEWAYS, word, *rest))
+
+    def _run(self, txn: Txn) -> None:
+        txn.started = True
+        if self.is_linked:
+            self._start(txn)
+
+    def _start(self, txn: Txn) -> None:
+        txn.proof = self.asked + 1  # gauges asked for from now on prove that it was read
+        self.out.append((RUNTIME, "start", txn.call, self.products[txn.product].name, txn.body))
+
+    def _reuse(self, txn: Txn) -> None:
+        known = self.references.get(txn.mark)
+        if known and not known.over:
+            known.waiting.append(txn.number)
+            txn.waits_on = known
+        else:
+            self._serve_from(txn, known.result if known else None)
+
+    def _serve_from(self, txn: Txn, result: bytes | None) -> None:
+        self._answer(txn, Outcome.ERROR if result is None else Outcome.OK, result or b"")
+        self.rudder.finished(txn.number, Outcome.ERROR if result is None else Outcome.OK)
+        self._release(txn)
+
+    def _stop(self, txn: Txn) -> None:
+        self.out.append((RUNTIME, "stop", txn.call))
+
+    def _omit(self, txn: Txn) -> None:
+        txn.wants = None
+        self.out.append((RUNTIME, "omit", txn.call))
+
+    def _decline(self, txn: Txn, terminal: bool, stay_away_ms: float) -> None:
+        if not txn.answered:
+            self.out.append((txn.peer, "declined", txn.rpc, terminal, stay_away_ms, self.load))
+            self._close(txn)
+        self._release(txn)
+
+    def _void(self, txn: Txn) -> None:
+        if not txn.answered:
+            self.out.append((txn.peer, "voided", txn.rpc, "given up", self.load))
+            self._close(txn)
+        self._release(txn)
+
+    def _keep(self, txn: Txn, span_ms: float) -> None:
+        known = self.references.get(txn.mark)
+        if not known:
+            known = self.references[txn.mark] = Reference(txn.mark, txn.number)
+            heapq.heappush(self.lapses, (self.now + span_ms, txn.mark))
+        elif known.holder != txn.number:
+            known.holder, known.over, known.result = txn.number, False, None
+        # A try of the window may wait unread for as long as its caller does, and no longer.
+        known.until = self.now + span_ms + self.products[txn.product].expiry_ms
+
+    def _forget(self, txn: Txn) -> None:
+        known = self.references.get(txn.mark)
+        if known and known.holder == txn.number:
+            del self.references[txn.mark]
+
+    def _call(self, txn: Txn, wait_ms: float) -> None:
+        if txn.wants is not None:
+            txn.calling = True
+            self.out.append((RECORDS, "call", txn.call, wait_ms, txn.wants))
+
+    # The ends of things.
+
+    def _answer(self, txn: Txn, outcome: Outcome, body: bytes) -> None:
+        if txn.answered:
+            return
+        if outcome is Outcome.OK:
+            self.out.append((txn.peer, "settled", txn.rpc, body, self.load))
+        else:
+            self.out.append((txn.peer, "voided", txn.rpc, "failed", self.load))
+        self._close(txn)
+
+    def _close(self, txn: Txn) -> None:
+        """No answer is owed any more; a run may go on."""
+        txn.answered, txn.peer = True, None
+        if txn.waits_on:
+            txn.waits_on.waiting.remove(txn.number)
+            txn.waits_on = None
+        if txn.calling:
+            self._call_over(txn, hang_up=True)
+        if txn.in_doubt and txn.started and self.is_linked:
+            self._start(txn)  # as it is answered, nothing starts: it tells whether it runs
+
+    def _run_over(self, txn: Txn, outcome: Outcome, body: bytes = b"") -> None:
+        txn.started = False
+        known = self.references.get(txn.mark) if txn.mark else None
+        if known and known.holder == txn.number:
+            known.over, known.result = True, body if outcome is Outcome.OK else None
+        if outcome in (Outcome.OK, Outcome.ERROR):
+            self._answer(txn, outcome, body)
+        if txn.calling:
+            self._call_over(txn, hang_up=True)
+        self.rudder.finished(txn.number, outcome)
+        if known and known.holder == txn.number:
+            waiting, known.waiting = known.waiting, []
+            for number in waiting:
+                if waiter := self.txns.get(number):
+                    waiter.waits_on = None
+                    self._serve_from(waiter, known.result)
+        self._release(txn)
+
+    def _call_over(self, txn: Txn, hang_up: bool = False) -> None:
+        txn.calling = False
+        if hang_up:
+            self.out.append((RECORDS, "hang up", txn.call))
+
+    def _release(self, txn: Txn) -> None:
+        if txn.answered and not txn.started and self.txns.pop(txn.number, None):
+            del self.calls[txn.call]
+
+    def _lapse(self, mark: str) -> None:
+        known = self.references.get(mark)
+        if not known:
+            return
+        if known.until > self.now:
+            heapq.heappush(self.lapses, (known.until, mark))
+        elif known.waiting or known.holder in self.txns:  # not before its run
+            heapq.heappush(self.lapses, (self.now + self.products[self.txns[known.holder].product].expiry_ms
+                                         if known.holder in self.txns else self.now + 1000.0, mark))
+        else:
+            del self.references[mark]
+
+    def _effectful(self, txn: Txn) -> bool:
+        return self.products[txn.product].effect is not Effect.INQUIRY
+
+
+_OF_A_TXN: dict[str, Any] = {
+    "run": Core._run, "reuse": Core._reuse, "stop": Core._stop, "decline": Core._decline, "void": Core._void,
+    "keep": Core._keep, "forget": Core._forget, "call": Core._call, "omit": Core._omit,
+}
--- /dev/null
+++ b/otterrudder/net/gateways.py
@@ -0,0 +1,196 @@
+"""The listener, and one peer a connection: each answers for its own input and output alone."""
+
+import errno
+import math
+import socket
+
+import anyio
+import anyio.abc
+
+from otterrudder.net import clock, jsonrpc, sockets
+from otterrudder.net.helm import Helm
+from otterrudder.net.log import log
+
+BACKLOG = 1024  # connections that may wait to be accepted while the loop is busy
+OPEN_MOST = 32  # open requests of a connection
+UNSENT_MOST = 512 * 1024  # bytes owed to a peer: its 32 longest answers, three times over
+PAUSE_S = 0.05  # s without accepting when there are too many connections, or no descriptor
+SPARE = 24  # descriptors kept for the runtime, records, registry, logs and the loop itself
+SWEEP_LEAST_S, SWEEP_MOST_S = 0.05, 2.0  # s between looks for idle connections
+GRACE_S = 1.0  # s after which an idle peer told `noMore` is closed from this side
+LEAVE_S = 0.12  # s left to the peers to close by themselves at the end of a drain
+
+
+class Peer:
+    """One connection. Gives back its socket and its open txns in `run`, on every way out."""
+
+    def __init__(self, gateways: "Gateways", sock: socket.socket) -> None:
+        self.gateways, self.helm = gateways, gateways.helm
+        self.stream = sockets.Stream(sock, jsonrpc.LINE_MOST, UNSENT_MOST)
+        self.open: dict[int, str] = {}  # calls by the id of their request
+        self.quiet_since = clock.monotonic()
+        self.told_no_more = 0.0  # when
+        self.complained = False
+
+    def tell(self, word: str, rpc: int, *rest: object) -> None:
+        if word == "health":
+            parts = jsonrpc.health(rpc, *rest)
+        else:
+            self.open.pop(rpc, None)
+            if word == "settled":
+                parts = jsonrpc.settled(rpc, *rest)
+            elif word == "declined":
+                parts = jsonrpc.declined(rpc, *rest)
+            else:
+                parts = jsonrpc.voided(rpc, jsonrpc.FAILED, *rest)
+        self.quiet_since = clock.monotonic()
+        self.stream.send(parts)
+
+    async def run(self) -> None:
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.stream.write)
+                while await self.stream.read():
+                    self.quiet_since = clock.monotonic()
+                    for message in jsonrpc.messages(self.stream.buffer):
+                        self._hear(message)
+                if self.stream.broken or not self.stream.buffer.space():
+                    self._complain("reads too slowly" if self.stream.broken else "line without end")
+                group.cancel_scope.cancel()
+        finally:
+            self.stream.close()
+            self.gateways.gone(self)
+            for call in self.open.values():
+                self.helm.post_arrival(self.helm.core.left, call, of=call)
+
+    def _hear(self, message: jsonrpc.Message | jsonrpc.Malformed) -> None:
+        if isinstance(message, jsonrpc.Malformed):
+            self._reject(message.rpc, message.code, str(message))
+            return
+        rpc, method, params = message
+        core = self.helm.core
+        if method == "interrupt":
+            self._interrupt(params)
+        elif rpc is None:
+            self._complain(f"notification {method[:40]!r} is not known")
+        elif method == "check":
+            self.helm.post_arrival(core.check, self, rpc)
+        elif (product := core.names.get(method)) is None:
+            self._reject(rpc, jsonrpc.METHOD, "no such method")
+        elif rpc in self.open:
+            # An answer under this id would be taken for that of the open request.
+            self._complain(f"id {rpc} is open already")
+        elif len(self.open) >= OPEN_MOST:
+            self._reject(rpc, jsonrpc.REQUEST, f"more than {OPEN_MOST} open requests")
+        else:
+            try:
+                fields = jsonrpc.txn(params, self.gateways.tenants)
+            except ValueError as trouble:
+                self._reject(rpc, jsonrpc.PARAMS, str(trouble))
+                return
+            self.open[rpc] = fields["call"]
+            self.helm.post_arrival(core.arrive, self, rpc, product, of=fields["call"], **fields)
+
+    def _interrupt(self, params: dict) -> None:
+        for rpc, call in self.open.items():
+            if call == params.get("call"):
+                del self.open[rpc]
+                self.helm.post_arrival(self.helm.core.left, call, of=call)
+                return
+
+    def _reject(self, rpc: int | None, code: int, why: str) -> None:
+        self._complain(why)
+        self.stream.send(jsonrpc.voided(rpc, code, why, None))
+
+    def _complain(self, why: str) -> None:
+        if not self.complained:
+            self.complained = True
+            log.warning("bad input from a gateway", why=why)
+
+    def sweep(self, now: float, idle_ms: float) -> None:
+        """An idle peer is told first: a txn on its way here still comes, and is answered."""
+        if self.open or now - self.quiet_since < idle_ms:
+            return
+        if not self.told_no_more:
+            self.no_more(now)
+        elif now - max(self.told_no_more, self.quiet_since) > GRACE_S * 1000:
+            self.stream.broken = True
+            anyio.notify_closing(self.stream.sock)
+
+    def no_more(self, now: float) -> None:
+        self.told_no_more = now
+        self.stream.send(jsonrpc.NO_MORE)
+
+
+class Gateways:
+    def __init__(self, helm: Helm, address: tuple[str, int], sockets_most: int,
+                 tenants: dict[str, int]) -> None:
+        self.helm, self.tenants = helm, tenants
+        self.most = max(sockets_most - SPARE, 8)
+        self.peers: set[Peer] = set()
+        self.idle_ms = math.inf
+        self.closing = anyio.Event()
+        self.left = anyio.Event()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(BACKLOG)
+
+    def tell(self, word: str, *rest: object) -> None:
+        if word == "idle":
+            self.idle_ms = rest[0]
+        elif word == "close":
+            self.closing.set()
+
+    async def run(self, group: anyio.abc.TaskGroup) -> None:
+        """Accepts until the drain is over, then sees the peers off and returns."""
+        group.start_soon(self._sweep)
+        async with anyio.create_task_group() as accepting:
+            accepting.start_soon(self._accept, group)
+            await self.closing.wait()
+            accepting.cancel_scope.cancel()
+        self._accept_all(group)  # what waits to be accepted would be reset with the listener
+        self.sock.close()
+        await anyio.lowlevel.checkpoint()
+        for peer in self.peers:
+            peer.no_more(clock.monotonic())
+        with anyio.move_on_after(LEAVE_S):
+            while self.peers:
+                self.left = anyio.Event()
+                await self.left.wait()
+
+    async def _accept(self, group: anyio.abc.TaskGroup) -> None:
+        while True:
+            await anyio.wait_readable(self.sock)
+            if not self._accept_all(group):
+                await anyio.sleep(PAUSE_S)
+
+    def _accept_all(self, group: anyio.abc.TaskGroup) -> bool:
+        """False if there is no room for those that still wait: trying at once again would only spin."""
+        while len(self.peers) < self.most:
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return True
+            except OSError as trouble:
+                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    log.error("cannot accept", why=str(trouble), connections=len(self.peers))
+                    return False
+                continue  # that one connection went before it was taken
+            peer = Peer(self, sock)
+            self.peers.add(peer)
+            group.start_soon(peer.run)
+        log.error("too many connections", connections=len(self.peers))
+        return False
+
+    def gone(self, peer: Peer) -> None:
+        self.peers.discard(peer)
+        self.left.set()
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(min(max(self.idle_ms / 4000, SWEEP_LEAST_S), SWEEP_MOST_S))
+            now = clock.monotonic()
+            for peer in list(self.peers):
+                peer.sweep(now, self.idle_ms)
--- /dev/null
+++ b/otterrudder/net/helm.py
@@ -0,0 +1,118 @@
+"""The module's actor: the only caller of the core, with its one timer and the gauges' clock.
+
+What waits in the mailbox is taken in one go: the time once, the runtime and records before arrivals (what
+they free is there for those that come), then one `done`."""
+
+import gc
+import resource
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from otterrudder.net import clock, core
+from otterrudder.net.log import log
+
+ASK_AHEAD_MS = 6.0  # ms before a ring at which gauges are asked for: a round trip and a busy loop
+REPORT_MS = 10_000.0  # ms between lines on how this process does
+
+
+class Address(Protocol):
+    def tell(self, word: str, *rest: object) -> None: ...
+
+
+class Helm:
+    def __init__(self, the_core: core.Core) -> None:
+        self.core = the_core
+        self.addresses: dict[str, Address] = {}
+        self.urgent: list[tuple] = []
+        self.arrivals: list[tuple] = []
+        self.wake = anyio.Event()
+        self.ring_at = self.ask_at = float("inf")
+        self.watch = _Watch()
+
+    def post(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+        """Puts a call of the core into the mailbox; `of` names the txn that is voided if it fails."""
+        self.urgent.append((act, args, more, of))
+        self.wake.set()
+
+    def post_arrival(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+        self.arrivals.append((act, args, more, of))
+        self.wake.set()
+
+    async def run(self) -> None:
+        while True:
+            wait = min(self.ring_at, self.ask_at, self.watch.next) - clock.monotonic()
+            if not (self.urgent or self.arrivals) and wait > 0:
+                self.wake = anyio.Event()
+                with anyio.move_on_after(wait / 1000):
+                    await self.wake.wait()
+            self.turn()
+            await anyio.lowlevel.checkpoint()  # the actors get to their mail even if this one never rests
+
+    def turn(self) -> None:
+        now = clock.monotonic()
+        urgent, self.urgent = self.urgent, []
+        arrivals, self.arrivals = self.arrivals, []
+        self._try(self.core.at, clock.unix(), now)
+        for act, args, more, of in urgent + arrivals:
+            self._try(act, *args, of=of, **more)
+        if now >= self.ask_at:
+            self.ask_at = float("inf")
+            self._try(self.core.ask)
+        if now >= self.ring_at:
+            self.watch.late(now - self.ring_at)
+            self.ring_at = float("inf")
+            self._try(self.core.ring)
+        for address, word, *rest in self.core.done():
+            if address is core.HELM:
+                self.tell(word, *rest)
+            elif isinstance(address, str):
+                self.addresses[address].tell(word, *rest)
+            elif address:
+                address.tell(word, *rest)
+        self.watch.turned(now, len(urgent) + len(arrivals), self.core)
+
+    def tell(self, word: str, *rest: object) -> None:
+        if word == "wake":
+            self.ring_at = clock.monotonic() + rest[0]
+            self.ask_at = self.ring_at - ASK_AHEAD_MS
+        else:
+            log.info(rest[0], **rest[1])
+
+    def _try(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+        try:
+            act(*args, **more)
+        except Exception:
+            log.exception("an event failed", event_of=act.__name__, call=of)
+            if of and act != self.core.failed:
+                self._try(self.core.failed, of)
+
+
+class _Watch:
+    """A cheap count of how this process does, told now and then."""
+
+    def __init__(self) -> None:
+        self.next = clock.monotonic() + REPORT_MS
+        self.lag = self.turn_ms = 0.0
+        self.mail = self.turns = self.events = 0
+        self.cpu = 0.0
+
+    def late(self, ms: float) -> None:
+        self.lag = max(self.lag, ms)
+
+    def turned(self, began: float, mail: int, of: core.Core) -> None:
+        now = clock.monotonic()
+        self.turn_ms = max(self.turn_ms, now - began)
+        self.mail, self.turns, self.events = max(self.mail, mail), self.turns + 1, self.events + mail
+        if now < self.next:
+            return
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        cpu = used.ru_utime + used.ru_stime
+        log.info("doing", txns=len(of.txns), references=len(of.references), numbered=of.numbered,
+                 worst_ring_late_ms=round(self.lag, 1), worst_turn_ms=round(self.turn_ms, 1),
+                 most_mail=self.mail, turns=self.turns, events=self.events, cpu_s=round(cpu - self.cpu, 3),
+                 rss_mb=round(used.ru_maxrss / 1024, 1), collections=gc.get_stats()[2]["collections"])
+        self.next, self.cpu = now + REPORT_MS, cpu
+        self.lag = self.turn_ms = 0.0
+        self.mail = self.turns = self.events = 0
--- /dev/null
+++ b/otterrudder/net/runtime.py
@@ -0,0 +1,97 @@
+"""The link to the runtime: held open, made anew when lost, with every notice heard once and in order."""
+
+import random
+
+import anyio
+
+from otterrudder.net import lines, sockets
+from otterrudder.net.helm import Helm
+from otterrudder.net.log import log
+
+PAUSE_MS = 20.0  # ms before the first try to connect again: the link is lost, the runtime most likely is not
+PAUSE_MOST_MS = 500.0  # ms at most: a runtime that comes up is found within that
+UNSENT_MOST = 8 << 20  # bytes not yet read by the runtime; past that it hangs, and a new link tells more
+REPLAYED = "replayed"  # tag of the gauges whose answer ends the replay: commands are dealt with in order
+
+
+class Runtime:
+    def __init__(self, helm: Helm, address: tuple[str, int]) -> None:
+        self.helm, self.address = helm, address
+        self.stream: sockets.Stream | None = None
+        self.last = 0  # the last notice heard
+        self.begun = self.replaying = False
+
+    def tell(self, word: str, *rest: object) -> None:
+        if not self.stream or self.replaying:
+            return  # the core repeats what is missing once the link stands
+        self.stream.send(lines.say_body(rest[-1], word, *rest[:-1]) if word in ("start", "give")
+                         else lines.say(word, *rest))
+
+    async def run(self) -> None:
+        pause = PAUSE_MS
+        while True:
+            try:
+                stream = sockets.Stream(await sockets.connect(self.address), lines.ROOM, UNSENT_MOST)
+            except OSError as trouble:
+                if pause == PAUSE_MS:
+                    log.warning("no link to the runtime", why=str(trouble))
+            else:
+                pause = PAUSE_MS
+                await self._serve(stream)
+            await anyio.sleep(pause / 1000 * random.uniform(0.5, 1.0))
+            pause = min(pause * 2, PAUSE_MOST_MS)
+
+    async def _serve(self, stream: sockets.Stream) -> None:
+        self.stream, self.replaying = stream, True
+        stream.send(lines.say("sync", self.last) + lines.say("gauges", REPLAYED))
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream.write)
+                try:
+                    while await stream.read():
+                        for words, body in lines.messages(stream.buffer, lines.runtime_body):
+                            self._hear(words, body)
+                    log.warning("runtime link lost", last_notice=self.last, unsent=stream.unsent)
+                except (lines.Broken, ValueError, IndexError) as trouble:
+                    log.error("runtime link broken off", why=str(trouble), last_notice=self.last)
+                group.cancel_scope.cancel()
+        finally:
+            self.stream = None
+            stream.close()
+            self.helm.post(self.helm.core.unlinked)
+
+    def _hear(self, words: lines.Words, body: bytes) -> None:
+        word, core = words[0], self.helm.core
+        if word in ("end", "wants", "info"):
+            number = lines.natural(words[1])
+            if number <= self.last:
+                log.warning("notice heard twice", notice=number, last_notice=self.last)
+                return
+            if number > self.last + 1 and not self.replaying:
+                raise lines.Broken(f"notice {number} after {self.last}")
+            if number > self.last + 1:  # the runtime keeps so many and no more: what is lost is lost
+                log.error("notices are missing", notice=number, last_notice=self.last)
+            self.last = number
+            if word == "end":
+                outcome = lines.ENDS.get(words[3])
+                if outcome is None:
+                    raise lines.Broken(f"unknown end {words[3][:20]!r}")
+                self.helm.post(core.ended, words[2], outcome, body, of=words[2])
+            elif word == "wants":
+                self.helm.post(core.wants, words[2], body, of=words[2])
+        elif word == "load":
+            if words[1] == REPLAYED:
+                self.replaying = False
+                self.helm.post(core.linked)
+            else:
+                self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
+        elif word == "ready":
+            warm, up_ms = words[1] == "hot", float(words[2])
+            if not self.begun:
+                self.begun = True
+                log.info("runtime is up", warm=warm, up_ms=up_ms)
+                self.helm.post(core.begin, warm, up_ms)
+        elif word == "nack":
+            self.helm.post(core.refused, words[1], words[2] if len(words) > 2 else "")
+        else:
+            raise lines.Broken(f"unknown word {word[:20]!r}")
--- /dev/null
+++ b/otterrudder/net/serve.py
@@ -0,0 +1,105 @@
+"""One server's life: its parts made in order, one task group, SIGTERM, the end."""
+
+import gc
+import json
+import os
+import signal
+from pathlib import Path
+
+import anyio
+
+from otterrudder.boot import boot, gauge_names, products_of, tenants_of
+from otterrudder.logic import Rudder
+from otterrudder.net import core
+from otterrudder.net.gateways import Gateways
+from otterrudder.net.helm import Helm
+from otterrudder.net.log import log
+from otterrudder.net.records import Records
+from otterrudder.net.registry import Registry
+from otterrudder.net.runtime import Runtime
+
+
+class BadConfiguration(Exception):
+    """What is wrong, in one line."""
+
+
+def read_configuration(path: str | None) -> dict:
+    """The whole configuration, checked as far as the start needs it."""
+    if not path:
+        raise BadConfiguration("NODE_CONFIG is not set: it names the configuration file")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except OSError as trouble:
+        raise BadConfiguration(f"cannot read the configuration: {trouble}") from None
+    except ValueError as trouble:
+        raise BadConfiguration(f"the configuration {path} is not JSON: {trouble}") from None
+    try:
+        for name in ("name", "listen", "runtime", "registry", "seed"):
+            if not isinstance(told[name], str):
+                raise BadConfiguration(f"{name} in the configuration is no string")
+        for name in ("listen", "runtime", "registry", "records"):
+            if told.get(name) is not None:
+                address(told[name])
+        int(told["seed"], 16)
+        for value in (told["stop_ms"], told["limits"]["sockets"], told["limits"]["memory_mb"]):
+            if type(value) not in (int, float) or value <= 0:
+                raise BadConfiguration(f"{value!r} in the configuration is no number above 0")
+        if not told["settings"]["classes"] or not products_of(told["settings"]):
+            raise BadConfiguration("the settings name no classes")
+    except KeyError as trouble:
+        raise BadConfiguration(f"the configuration lacks {trouble.args[0]}") from None
+    except (TypeError, ValueError, AttributeError) as trouble:
+        raise BadConfiguration(f"the configuration is not as it should be: {trouble}") from None
+    return told
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadConfiguration(f"{text!r} is no address and port")
+    return host, int(port)
+
+
+def run(told: dict) -> int:
+    """Serves until the drain is over or SIGTERM comes before the runtime is up."""
+    try:
+        anyio.run(_serve, told)
+    except OSError as trouble:  # before anything is served: the address is taken, or not ours
+        log.error("cannot start", why=str(trouble))
+        return 1
+    return 0
+
+
+async def _serve(told: dict) -> None:
+    settings, seed = told["settings"], int(told["seed"], 16)
+
+    def make(now: float, warm: bool, up_ms: float) -> Rudder:
+        return boot(now, settings.get("me") or 0, seed, settings, fresh=not warm)
+
+    tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
+    the_core = core.Core(make, products_of(settings), gauge_names(settings))
+    helm = Helm(the_core)
+    gateways = Gateways(helm, address(told["listen"]), int(told["limits"]["sockets"]), tenants)
+    runtime = Runtime(helm, address(told["runtime"]))
+    records = Records(helm, address(told["records"]) if told.get("records") else None)
+    registry = Registry(told["name"], address(told["registry"]))
+    helm.addresses = {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
+    log.info("listening", address=told["listen"], pid=os.getpid())
+    gc.collect()
+    gc.freeze()  # what lives as long as the process is not looked through again and again
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as group:
+            for actor in (helm, runtime, records, registry):
+                group.start_soon(actor.run)
+            group.start_soon(_watch, signals, helm, registry, gateways, told["stop_ms"])
+            await gateways.run(group)
+            group.cancel_scope.cancel()
+    log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
+
+
+async def _watch(signals: object, helm: Helm, registry: Registry, gateways: Gateways, stop_ms: float) -> None:
+    async for _ in signals:
+        if not helm.core.rudder:
+            gateways.closing.set()
+        registry.draining = True
+        helm.post(helm.core.retire, stop_ms)
