Ask for the gauges that end a replay after ready: a restarted server ran nothing

Its log: "runtime refused a command command=gauges", and half the turns of its neighbours afterwards. Cause: runtime.py sent the question with `sync`; a runtime that is not up yet refuses it, the replay never ended and every start was held back.

--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -43,7 +43,7 @@
 
     async def _serve(self, stream: sockets.Stream) -> None:
         self.stream, self.replaying = stream, True
-        stream.send(lines.say("sync", self.last) + lines.say("gauges", REPLAYED))
+        stream.send(lines.say("sync", self.last))
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(stream.write)
@@ -87,6 +87,8 @@
                 self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
         elif word == "ready":
             warm, up_ms = words[1] == "hot", float(words[2])
+            # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
+            self.stream.send(lines.say("gauges", REPLAYED))
             if not self.begun:
                 self.begun = True
                 log.info("runtime is up", warm=warm, up_ms=up_ms)
