--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -184,8 +184,8 @@
 class Memory(Stage):
     """Held + run factor x in hand + kept refs, by our own count. Guards: no death for want of memory."""
 
-    def __init__(self, rudder: "Rudder", memory_kb: float, run_factor: float, repeats: Repeats) -> None:
-        self.rudder, self.factor, self.repeats = rudder, run_factor, repeats
+    def __init__(self, rudder: "Rudder", memory_kb: float, run_factor: float, refs_most: float) -> None:
+        self.rudder, self.factor, self.repeats, self.refs_most = rudder, run_factor, rudder.repeats, refs_most
         self.read_room, self.run_room = memory_kb * MEMORY_READ, memory_kb * MEMORY_RUN
         self.txns_kb = 0.0
 
@@ -195,7 +195,8 @@
 
     def arrive(self, txn: Txn) -> bool:
         keeps = txn.spec.effect is Effect.REFERENCED
-        if self.used + self.repeats.ref_kb * keeps > self.read_room:
+        full = keeps and len(self.repeats.refs) >= self.refs_most  # its results lie elsewhere
+        if full or self.used + self.repeats.ref_kb * keeps > self.read_room:
             return self.rudder.refuse(txn, room=False)
         if keeps:
             self.repeats.keep(txn)
@@ -320,10 +321,10 @@
     Guards: nothing falls over by crowding, whatever is out on calls or still runs for nobody."""
 
     def __init__(self, rudder: "Rudder", memory: Memory, repeats: Repeats, products: list[Product],
-                 cores: int, crowd_per_core: float, cold_ms: float, cold_from: float) -> None:
+                 cores: int, crowd_per_core: float, cold_ms: float, cold_from: float, born: float) -> None:
         self.rudder, self.memory, self.repeats, self.cores = rudder, memory, repeats, cores
         self.crowd_per_core, self.cold_ms, self.cold_from = crowd_per_core, cold_ms, cold_from
-        self.born, self.limit = rudder.now, float(cores)
+        self.born, self.limit = born, float(cores)
         self.running = self.in_hand = 0  # on the cores; those and all out on calls
         self.busy = 0.0  # share of the cores in use, as the server last told
         self.openings = 0.0  # recent mean on the cores beside runs and reads: connections that open
@@ -534,7 +535,7 @@
                  ref_kb: float, crowd_per_core: float, fresh: bool, cold_from: float, cold_ms: float,
                  drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float,
                  idle_max_ms: float, may_stop: bool, below: str, calls_share: float, calls_span_ms: float,
-                 linger_ms: float) -> None:
+                 linger_ms: float, up_ms: float = 0.0, refs_most: float = math.inf) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
         self.counter = seed
         self.steps: list[Step] = []
@@ -542,10 +543,10 @@
         self.agenda = Agenda()
         self.expiry = Expiry(self, drain_grace_ms)
         self.repeats = Repeats(self, ref_kb, tick_ms)
-        self.memory = Memory(self, memory_kb, run_factor, self.repeats)
+        self.memory = Memory(self, memory_kb, run_factor, refs_most)
         self.sessions = Sessions(self, tenants)
         self.slots = Slots(self, self.memory, self.repeats, products, cores, crowd_per_core,
-                           cold_ms if fresh else 0.0, cold_from)
+                           cold_ms if fresh else 0.0, cold_from, now - up_ms)
         self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
         self.holds = Holds(self, self.sessions, self.slots, self.calls)
         self.chain: list[Stage] = [self.expiry, self.repeats, self.memory, self.sessions]
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -160,6 +160,11 @@
                 if not txn.in_doubt:
                     self._start(txn)
 
+    def restarted(self) -> None:
+        """The runtime has started anew by itself: what ran is gone, and nothing says how it ended."""
+        for txn in [txn for txn in self.txns.values() if txn.started and txn.proof != UNSENT]:
+            self._run_over(txn, Outcome.RESET)
+
     def unlinked(self) -> None:
         self.is_linked, self.proved, self.told = False, self.heard, {}
 
@@ -181,7 +186,7 @@
         """A command that the runtime did not carry out."""
         txn = self.calls.get(call)
         self.out.append((HELM, "log", "runtime refused a command", {"command": word, "call": call}))
-        if txn and txn.started and word == "start":
+        if txn and txn.started and word == "start" and txn.proof != UNSENT:
             self._run_over(txn, Outcome.MOOT)
         elif txn and word == "give":
             self._void(txn)
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -4,13 +4,14 @@
 
 import anyio
 
-from otterrudder.net import lines, sockets
+from otterrudder.net import clock, lines, sockets
 from otterrudder.net.helm import Helm
 from otterrudder.net.log import log
 
 PAUSE_MS = 20.0  # ms before the first try to connect again: the link is lost, the runtime most likely is not
 PAUSE_MOST_MS = 500.0  # ms at most: a runtime that comes up is found within that
 UNSENT_MOST = 8 << 20  # bytes not yet read by the runtime; past that it hangs, and a new link tells more
+ANEW_MS = 5000.0  # ms a runtime may seem younger before it counts as another: a pause may lie between
 REPLAYED = "replayed"  # tag of the gauges whose answer ends the replay: commands are dealt with in order
 
 
@@ -19,7 +20,8 @@
         self.helm, self.address = helm, address
         self.stream: sockets.Stream | None = None
         self.last = 0  # the last notice heard
-        self.begun = self.replaying = False
+        self.replaying = False
+        self.born: float | None = None  # when the runtime started, by our clock
 
     def tell(self, word: str, *rest: object) -> None:
         if not self.stream or self.replaying:
@@ -89,10 +91,15 @@
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
             self.stream.send(lines.say("gauges", REPLAYED))
-            if not self.begun:
-                self.begun = True
+            born = clock.monotonic() - up_ms
+            if self.born is None:
                 log.info("runtime is up", warm=warm, up_ms=up_ms)
                 self.helm.post(core.begin, warm, up_ms)
+            elif born > self.born + ANEW_MS:
+                log.error("runtime has started anew", up_ms=up_ms, last_notice=self.last)
+                self.last = 0
+                self.helm.post(core.restarted)
+            self.born = born
         elif word == "nack":
             self.helm.post(core.refused, words[1], words[2] if len(words) > 2 else "")
         else:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import anyio
@@ -18,6 +19,9 @@
 from otterrudder.net.registry import Registry
 from otterrudder.net.runtime import Runtime
 
+RESULTS_SHARE = 0.4  # share of this process's memory that references with their results may take
+RESULT_BYTES = 5 * 1024  # bytes of a reference: the longest result, its mark and what both hang on
+
 
 class BadConfiguration(Exception):
     """What is wrong, in one line."""
@@ -71,13 +75,23 @@
 
 
 async def _serve(told: dict) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:  # before anybody can connect
+        await _live(told, signals)
+
+
+async def _live(told: dict, signals: AsyncIterator[signal.Signals]) -> None:
     settings, seed = told["settings"], int(told["seed"], 16)
+    products = products_of(settings)
+    # A reference outlives its window by an expiry, see core.py.
+    stay = max(1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in products)
+    refs_most = told["limits"]["memory_mb"] * 1e6 * RESULTS_SHARE / RESULT_BYTES / stay
 
     def make(now: float, warm: bool, up_ms: float) -> Rudder:
-        return boot(now, settings.get("me") or 0, seed, settings, fresh=not warm)
+        return boot(now, settings.get("me") or 0, seed, settings, fresh=not warm, up_ms=up_ms,
+                    ref_kb=0.0, refs_most=refs_most)  # results lie here, not in the runtime's memory
 
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
-    the_core = core.Core(make, products_of(settings), gauge_names(settings))
+    the_core = core.Core(make, products, gauge_names(settings))
     helm = Helm(the_core)
     gateways = Gateways(helm, address(told["listen"]), int(told["limits"]["sockets"]), tenants)
     runtime = Runtime(helm, address(told["runtime"]))
@@ -87,17 +101,17 @@
     log.info("listening", address=told["listen"], pid=os.getpid())
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked through again and again
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with anyio.create_task_group() as group:
-            for actor in (helm, runtime, records, registry):
-                group.start_soon(actor.run)
-            group.start_soon(_watch, signals, helm, registry, gateways, told["stop_ms"])
-            await gateways.run(group)
-            group.cancel_scope.cancel()
+    async with anyio.create_task_group() as group:
+        for actor in (helm, runtime, records, registry):
+            group.start_soon(actor.run)
+        group.start_soon(_watch, signals, helm, registry, gateways, told["stop_ms"])
+        await gateways.run(group)
+        group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
-async def _watch(signals: object, helm: Helm, registry: Registry, gateways: Gateways, stop_ms: float) -> None:
+async def _watch(signals: AsyncIterator[signal.Signals], helm: Helm, registry: Registry, gateways: Gateways,
+                 stop_ms: float) -> None:
     async for _ in signals:
         if not helm.core.rudder:
             gateways.closing.set()
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,219 @@
+"""Codecs and the core, without a socket."""
+
+import base64
+import json
+import random
+
+import pytest
+from helpers import SETTINGS
+
+from otterrudder.boot import boot, gauge_names, products_of
+from otterrudder.interface import Outcome
+from otterrudder.net import core, jsonrpc, lines
+from otterrudder.net.sockets import Buffer
+
+
+def fed(pieces: list[bytes], read, room: int = 4096) -> list:
+    buffer, got = Buffer(room), []
+    for piece in pieces:
+        buffer.put(piece)
+        got += read(buffer)
+    assert buffer.start == buffer.end
+    return got
+
+
+GATEWAY = b'{"jsonrpc":"2.0","id":7,"method":"look","params":{"call":"00000000000000aa"}}\n{"x"}\n\r\n[1]\n'
+RUNTIME = (b"ready hot 3600000.5\r\nend 1 9b1f03aa5c7e2d41 complete 12 8\r\nre\r\nsult\r\n"
+           b"info 2 all is well\r\nwants 3 9b1f03aa5c7e2d41 0\r\n\r\n"
+           b"end 4 9b1f03aa5c7e2d41 cancelled 3 0\r\n\r\nload t 0.5 3 0.1 9\r\n")
+RECORDS = b"9b1f03aa5c7e2d41 DONE 5\r\nDONE \r\n9b1f03aa5c7e2d41 WAIT\r\n"
+READERS = {
+    GATEWAY: lambda b: [m if isinstance(m, tuple) else m.code for m in jsonrpc.messages(b)],
+    RUNTIME: lambda b: list(lines.messages(b, lines.runtime_body)),
+    RECORDS: lambda b: list(lines.messages(b, lines.records_body)),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("data", READERS, ids=["gateway", "runtime", "records"])
+def test_every_split_of_a_stream_gives_the_same_messages(data: bytes) -> None:
+    whole = fed([data], READERS[data])
+    assert len(whole) == {GATEWAY: 3, RUNTIME: 6, RECORDS: 2}[data]
+    for at in range(len(data)):
+        assert fed([data[:at], data[at:]], READERS[data]) == whole, at
+    assert fed([data[n : n + 1] for n in range(len(data))], READERS[data]) == whole
+
+
+def test_messages_are_what_was_said() -> None:
+    assert fed([GATEWAY], READERS[GATEWAY])[0] == (7, "look", {"call": "00000000000000aa"})
+    said = fed([RUNTIME], READERS[RUNTIME])
+    assert said[1] == (["end", "1", "9b1f03aa5c7e2d41", "complete", "12", "8"], b"re\r\nsult")
+    assert said[3] == (["wants", "3", "9b1f03aa5c7e2d41", "0"], b"")
+    assert fed([RECORDS], READERS[RECORDS])[0] == (["9b1f03aa5c7e2d41", "DONE", "5"], b"DONE ")
+
+
+@pytest.mark.parametrize("data", [
+    b"end 1 a complete 1 3\r\nabcdef", b"end 1 a complete 1 99999999\r\n", b"end 1 a complete 1 -4\r\n",
+    b"\xff\r\n", b"x" * 600, b"x" * 600 + b"\r\n"])
+def test_lines_that_can_not_be_followed_break_the_link(data: bytes) -> None:
+    with pytest.raises(lines.Broken):
+        fed([data], READERS[RUNTIME])
+
+
+def test_answers_are_json_with_their_bodies_unchanged() -> None:
+    body = bytes(range(256))
+    told = [json.loads(b"".join(parts)) for parts in (
+        jsonrpc.settled(1, body, 0.25), jsonrpc.settled(2, b"", None), jsonrpc.declined(3, True, 12.1, 3.0),
+        jsonrpc.declined(4, False, 0.0, None), jsonrpc.declined(5, False, 0.0, 0.0),
+        jsonrpc.voided(None, jsonrpc.PARSE, 'a "why"', None), jsonrpc.health(6, True, 1.5), jsonrpc.NO_MORE)]
+    assert base64.b64decode(told[0]["result"]["blob"]) == body and told[0]["result"]["load"] == 0.25
+    assert told[1]["result"] == {"blob": ""}
+    assert [t["error"].get("data") for t in told[2:5]] == [
+        {"stop": 1, "pushback": 13, "load": 3.0}, {}, {"load": 0.0}]  # fmt: skip
+    assert told[5]["id"] is None and told[5]["error"]["message"] == 'a "why"'
+    assert told[6]["result"] == {"pass": True, "load": 1.5} and told[7]["method"] == "noMore"
+
+
+class Bench:
+    """A core with what it sent, by address; answers are counted by their request."""
+
+    def __init__(self, **told: object) -> None:
+        self.core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS, **told),
+                              products_of(SETTINGS), gauge_names(SETTINGS))
+        self.now, self.answers, self.sent = 1000.0, {}, []
+        self.step(self.core.begin, True, 1.0)
+        self.step(self.core.linked)
+
+    def step(self, act, *args: object, ms: float = 0.0, **more: object) -> list[tuple]:
+        self.now += ms
+        self.core.at(self.now + 1e12, self.now)
+        act(*args, **more)
+        out = self.core.done()
+        for _, word, rpc, *rest in (m for m in out if m[0] == "peer"):
+            self.answers.setdefault(rpc, []).append((word, *rest))
+        self.sent += out
+        return out
+
+    def arrive(self, rpc: int, product: int = 0, mark: str = "", age: float = 0.0, ttl: float | None = 9000.0,
+               ms: float = 0.0) -> list[tuple]:
+        return self.step(self.core.arrive, "peer", rpc, product, ms=ms, call=f"{rpc:016x}", ttl=ttl,
+                         kb=20.0, recv=self.now + ms + 1e12 - age, tenant=0, key=0, retry=False, dedupe=mark,
+                         body=b"b")
+
+    def words(self, word: str) -> list[tuple]:
+        return [m[2:] for m in self.sent if m[1] == word]
+
+
+def test_two_tries_in_one_batch_are_linked() -> None:
+    bench = Bench()
+    for rpc in (1, 2):
+        bench.core.arrive("peer", rpc, 1, call=f"{rpc:016x}", ttl=9000.0, kb=20.0, recv=bench.now + 1e12,
+                          tenant=0, key=0, retry=False, dedupe="m", body=b"b")
+    bench.step(lambda: None)
+    assert len(bench.words("start")) == 1
+    bench.step(bench.core.ended, f"{1:016x}", Outcome.OK, b"r")
+    assert bench.answers == {n: [("settled", b"r", bench.core.load)] for n in (1, 2)}
+
+
+@pytest.mark.parametrize("age", [0.0, 10_000.0])
+def test_a_reference_outlives_its_window_by_what_may_still_be_unread(age: float) -> None:
+    bench = Bench()
+    bench.arrive(1, 1, "m", age=age, ttl=16_000.0)
+    bench.step(bench.core.ended, f"{1:016x}", Outcome.OK, b"r", ms=100.0)
+    # Written just within the window (20 s from the first `recv`), read seconds later: never run.
+    bench.arrive(2, 1, "m", age=5000.0, ttl=8000.0, ms=24_800.0 - age)
+    assert bench.answers[2] == [("settled", b"r", bench.core.load)] and len(bench.words("start")) == 1
+    bench.step(lambda: None, ms=40_000.0)
+    assert not bench.core.references and not bench.core.lapses
+    bench.arrive(3, 1, "m")
+    assert len(bench.words("start")) == 2
+
+
+def test_none_left_is_not_unknown() -> None:
+    bench = Bench()
+    bench.arrive(1, age=300.0, ttl=300.0)
+    bench.arrive(2, age=300.0, ttl=0.0)
+    assert [bench.answers[n][0][0] for n in (1, 2)] == ["declined"] * 2 and not bench.words("start")
+    bench.arrive(3, age=300.0, ttl=None)
+    assert len(bench.words("start")) == 1
+
+
+def test_a_runtime_that_came_anew_has_lost_its_runs() -> None:
+    bench = Bench()
+    bench.arrive(1), bench.arrive(2, 1, "m")
+    bench.step(bench.core.unlinked)
+    bench.step(bench.core.restarted)
+    bench.step(bench.core.linked)
+    assert [bench.answers[n][0][0] for n in (1, 2)] == ["voided"] * 2 and not bench.core.txns
+
+
+def test_a_failing_event_voids_its_txn_and_no_other() -> None:
+    bench = Bench()
+    bench.arrive(1), bench.arrive(2)
+    bench.step(bench.core.failed, f"{1:016x}")
+    bench.step(bench.core.ended, f"{2:016x}", Outcome.OK, b"r")
+    bench.step(bench.core.ended, f"{1:016x}", Outcome.OK, b"late")
+    assert bench.answers == {1: [("voided", "given up", bench.core.load)],
+                             2: [("settled", b"r", bench.core.load)]}
+    assert not bench.core.txns and bench.core.rudder.slots.in_hand == 0
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_whatever_comes_each_txn_has_one_answer_and_nothing_is_left_over(seed: int) -> None:
+    """Random days: repeats, late and lost replies, links that break, callers that leave, a drain."""
+    chance, bench = random.Random(seed), Bench(refs_most=40)
+    the_core, running, at_calls, gone, effects = bench.core, {}, set(), set(), {}
+    for n in range(1, 900):
+        out = bench.arrive(n, chance.randrange(2), f"m{chance.randrange(60)}", ttl=chance.choice([300, 3000]),
+                           age=chance.choice([0.0, 0.0, 250.0]), ms=chance.expovariate(0.05))
+        while out:
+            news = []
+            for _, word, *rest in out:
+                if word == "start":
+                    call = rest[0]
+                    if rest[1] == "pay" and call not in running:
+                        mark = bench.core.calls[call].mark
+                        assert bench.now - effects.get(mark, -1e9) > 15_000  # windows are 20 s from `recv`
+                        effects[mark] = bench.now
+                    running[call] = rest[1]
+                elif word == "call":
+                    at_calls.add(rest[0])
+                elif word in ("hang up", "give"):
+                    at_calls.discard(rest[0])
+            what = chance.randrange(14)
+            if what < 6 and running:
+                call = chance.choice(sorted(running))
+                del running[call]
+                at_calls.discard(call)
+                how = chance.choice([Outcome.OK] * 5 + [Outcome.ERROR, Outcome.MOOT, Outcome.STOPPED])
+                news = bench.step(the_core.ended, call, how, b"r")
+            elif what == 6 and (calm := sorted(set(running) - at_calls)):
+                news = bench.step(the_core.wants, chance.choice(calm), b"?")
+            elif what < 10 and at_calls:
+                how = chance.choice([Outcome.OK, Outcome.FULL, Outcome.TIMEOUT, Outcome.RESET, Outcome.MOOT])
+                news = bench.step(the_core.replied, chance.choice(sorted(at_calls)), how, b"!")
+            elif what == 10:
+                gone.add(chance.randrange(1, n + 1))
+                news = bench.step(the_core.left, f"{max(gone):016x}")
+            elif what == 11:
+                bench.step(the_core.unlinked)
+                news = bench.step(the_core.linked, ms=chance.choice([1.0, 50.0]))
+            elif what == 12:
+                bench.step(the_core.ask)
+                news = bench.step(the_core.gauged, the_core.asked, [0.5, 2.0, 0.1, 5.0])
+            elif what == 13:
+                news = bench.step(the_core.ring, ms=40.0)
+            out = news
+    bench.step(the_core.retire, 1500.0)
+    bench.step(lambda: None, ms=1500.0)
+    assert bench.words("close") and all(txn.answered for txn in the_core.txns.values())
+    for call in sorted(running):
+        bench.step(the_core.ended, call, Outcome.STOPPED, b"")
+    bench.step(lambda: None, ms=60_000.0)
+    assert all(len(bench.answers.get(n, [])) == 1 or n in gone for n in range(1, 900))
+    assert max(map(len, bench.answers.values())) == 1
+    rudder = the_core.rudder
+    left = (the_core.txns, the_core.calls, the_core.references, the_core.lapses, rudder.txns,
+            rudder.repeats.refs)
+    assert not any(left), left
+    assert (rudder.slots.running, rudder.slots.in_hand, rudder.sessions.held) == (0, 0, 0)
+    assert abs(rudder.memory.txns_kb) < 1e-6 and rudder.calls.out == 0
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,396 @@
+"""The program, started as deployed and spoken to on sockets. Tests wait for events, never for a time."""
+
+import base64
+import os
+import signal
+import socket
+import struct
+import subprocess
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from helpers import ROOT, RUN, SETTINGS, Gateway, Runtime, Server
+
+A, B, C, MARK = "00000000000000aa", "00000000000000bb", "00000000000000cc", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+@pytest.fixture
+def server(tmp_path: Path) -> Iterator[Server]:
+    with Server(tmp_path) as server:
+        yield server
+
+
+def settles(runtime: Runtime, gateway: Gateway, call: str, body: bytes = b"ask") -> None:
+    """A txn from end to end, byte for byte: the server is well."""
+    rpc = gateway.txn(call, body=body)
+    words, got = runtime.expect("start", call, "look")
+    assert got == body
+    runtime.ends(call, body[::-1])
+    answer = gateway.answer()
+    assert answer["id"] == rpc and "load" in answer["result"]
+    assert base64.b64decode(answer["result"]["blob"]) == body[::-1]
+
+
+def test_a_txn_settles_byte_for_byte_and_answers_come_in_any_order(server: Server) -> None:
+    runtime, gateway = server.up()
+    settles(runtime, gateway, A, bytes(range(256)) * 8)
+    first, second = gateway.txn(B), gateway.txn(C)
+    runtime.expect("start", B), runtime.expect("start", C)
+    runtime.ends(C, b""), runtime.ends(B, b"x", how="error")
+    answer = gateway.answer()
+    assert (answer["id"], answer["result"]["blob"]) == (second, "")
+    failed = gateway.answer()
+    assert failed["id"] == first and failed["error"]["code"] not in (-32014, -32700)
+
+
+def test_a_repeat_is_answered_from_the_first_run(server: Server) -> None:
+    runtime, gateway = server.up()
+    other = server.gateway()
+    gateway.txn(A, "pay", dedupe=MARK)
+    runtime.expect("start", A, "pay")
+    other.txn(B, "pay", dedupe=MARK, rep=1)  # while it runs
+    runtime.idle()
+    runtime.ends(A, b"paid")
+    assert gateway.result() == other.result() == b"paid"
+    other.txn(C, "pay", dedupe=MARK, rep=1)  # afterwards
+    assert other.result() == b"paid"
+    runtime.idle()
+
+
+def test_calls_are_made_repeated_given_up_and_late_replies_dropped(server: Server) -> None:
+    runtime, gateway = server.up()
+    rpc = gateway.txn(A, "pay", dedupe=MARK)
+    runtime.expect("start", A)
+    runtime.tell(f"wants {A}", b"row?")
+    records = server.record()
+    op, call, wait, size = records.line().decode().split()
+    assert (op, call, records.body(int(size))) == ("OP", A, b"row?") and 0 < int(wait) <= 15000
+    records.say(f"{A} WAIT")  # proves that nothing ran, so it may go again, effect or not
+    assert records.line().startswith(f"OP {A} ".encode())
+    records.body(4)
+    records.say(f"{A} DONE", b"row!")
+    assert runtime.expect("give", A)[1] == b"row!"
+    runtime.tell(f"wants {A}", b"more?")
+    assert records.line().startswith(f"OP {A} ".encode())
+    records.body(5)
+    gateway.ask("interrupt", call=A)
+    assert records.line() == f"UNOP {A}".encode()
+    records.say(f"{A} DONE", b"late")
+    runtime.ends(A, b"", how="cancelled")
+    gateway.txn(B)
+    assert runtime.next()[0][:2] == ["start", B]  # no `give` of the late reply before it
+    runtime.ends(B)
+    assert gateway.answer()["id"] == rpc + 2
+
+
+def test_a_broken_records_link_proves_nothing_and_a_refused_one_that_nothing_ran(server: Server) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A, "pay", dedupe=MARK), gateway.txn(B, "look")
+    for call in (A, B):
+        runtime.expect("start", call)
+        runtime.tell(f"wants {call}", b"?")
+    records = server.record()
+    assert {records.line().split()[1].decode() + str(records.body(1)) for _ in "AB"} == {
+        A + "b'?'", B + "b'?'"}  # fmt: skip
+    records.close()
+    assert gateway.answer()["error"]["code"] not in (-32014,)  # the effect may have happened: voided
+    records = server.record()
+    assert records.line().startswith(f"OP {B} ".encode())  # inquiry-like: again, on a new connection
+    records.body(1)
+    server.records.close()
+    records.close()  # the next tries are refused: B waits on and tries again until somebody listens
+    runtime.idle(20)
+    assert server.logged("records service refuses")
+    settles(runtime, gateway, C)
+
+
+def test_a_runtime_that_comes_up_late_refuses_the_gauges_and_starts_cold(server: Server) -> None:
+    # A restarted server once ran nothing: its question for the end of the replay came before `ready`.
+    gateway = server.gateway()
+    check = gateway.ask("check")
+    assert gateway.answer() == {"jsonrpc": "2.0", "id": check, "result": {"pass": False}}
+    gateway.txn(A)
+    assert gateway.answer()["error"]["code"] == -32014
+    runtime = server.runtime(ready="")
+    runtime.sock.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        runtime.line()  # nothing is asked before `ready`
+    runtime.sock.settimeout(20)
+    runtime.say("ready chilly 0")
+    runtime.idle(3)
+    gateway.ask("check")
+    assert gateway.answer()["result"]["pass"] is True
+    settles(runtime, gateway, B)
+
+
+@pytest.mark.parametrize("cut", [b"end 2 ", f"end 2 {A} complete 3.5 40\r\nhalf of".encode()])
+def test_a_lost_runtime_link_is_made_anew_and_replayed(server: Server, cut: bytes) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A, "pay", dedupe=MARK), gateway.txn(B)
+    runtime.expect("start", A), runtime.expect("start", B)
+    runtime.idle()  # proves that both starts were read
+    runtime.tell("info hello there")
+    runtime.sock.sendall(cut)
+    runtime.close()
+    runtime = server.runtime(missed=[(f"end {A} complete 3.5", b"a" * 40)])
+    assert runtime.synced == 1 and gateway.result() == b"a" * 40
+    runtime.idle()
+    runtime.ends(B, b"b")  # it ran on and was not started again
+    assert gateway.result() == b"b"
+    settles(runtime, gateway, C)
+
+
+def test_after_a_lost_link_only_what_has_no_effect_is_started_again(server: Server) -> None:
+    runtime, gateway = server.up()
+    runtime.unanswered = True  # so nothing proves that the starts were read
+    gateway.txn(A, "pay", dedupe=MARK), gateway.txn(B)
+    runtime.expect("start", A), runtime.expect("start", B)
+    runtime.close()
+    runtime = server.runtime()
+    runtime.expect("start", B)
+    runtime.idle()
+    runtime.ends(B)
+    assert gateway.answer()["id"] == 2
+    gateway.ask("interrupt", call=A)  # answered or left, a start tells how it stands and does no harm
+    runtime.expect("start", A)
+    runtime.ends(A, b"", how="unknown")
+    settles(runtime, gateway, C)
+
+
+def test_starts_decided_without_a_link_go_out_with_the_next(server: Server) -> None:
+    runtime, gateway = server.up()
+    server.runtimes.close()
+    runtime.close()
+    gateway.txn(A, "pay", dedupe=MARK)
+    gateway.ask("check")
+    assert gateway.answer()["result"]["pass"] is True  # it has read the txn before
+    server.runtimes = socket.create_server(server.runtimes_at, reuse_port=False)
+    server.runtimes.settimeout(20)
+    runtime = server.runtime()
+    runtime.expect("start", A, "pay")
+    runtime.ends(A)
+    assert gateway.result() == b"done"
+
+
+@pytest.mark.parametrize("junk", [
+    "what is this", f"end x {A} complete 1 0\r\n", f"end 1 {A} complete 1 99999999",
+    "wants 1", f"end 7 {A} complete 1 0\r\n", "\xff", "x" * 5000], ids=range(7))
+def test_a_runtime_that_speaks_nonsense_loses_its_link_only(server: Server, junk: str) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A)
+    runtime.expect("start", A)
+    runtime.idle()
+    runtime.sock.sendall(junk.encode("latin-1") + b"\r\n")
+    runtime = server.runtime()
+    runtime.idle()
+    runtime.ends(A)
+    assert gateway.result() == b"done"
+    runtime.tell(f"end {C} complete 1", b"of no txn")
+    runtime.say(f"end 1 {A} complete 1", b"heard before")
+    runtime.say(f"nack stop {C}")
+    settles(runtime, gateway, B)
+
+
+def test_a_nack_and_an_unknown_end_a_txn(server: Server) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A), gateway.txn(B)
+    runtime.expect("start", A), runtime.expect("start", B)
+    runtime.say(f"nack start {A}")
+    assert gateway.answer()["error"]["code"] == -32000
+    runtime.ends(B, b"", how="unknown")
+    assert gateway.answer()["error"]["code"] == -32000
+
+
+def test_a_drain_answers_all_and_ends_with_0(server: Server) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A, "pay", dedupe=MARK), gateway.txn(B), gateway.txn(C)
+    for call in (A, B, C):
+        runtime.expect("start", call)
+    runtime.tell(f"wants {C}", b"?")
+    records = server.record()
+    assert records.line().startswith(b"OP ")
+    server.process.terminate()
+    while not server.logged("draining: 3 in hand"):
+        runtime.idle(1)
+    gateway.ask("check")
+    assert gateway.answer()["result"]["pass"] is False
+    server.process.terminate()  # a second one changes nothing
+    runtime.ends(B)
+    assert gateway.result() == b"done"
+    assert {gateway.answer()["error"]["code"] for _ in "AC"} == {-32000}  # they ran, so never "declined"
+    with pytest.raises(AssertionError, match="closed"):
+        while True:  # what crosses the end is answered as long as the connection stands
+            gateway.txn(os.urandom(8).hex())
+            assert gateway.answer()["error"]["code"] == -32014
+    assert server.ends() == 0
+    assert server.logged("event=left unanswered=0")
+
+
+def test_a_drain_before_the_runtime_is_up_ends_at_once(server: Server) -> None:
+    server.gateway()
+    server.process.terminate()
+    assert server.ends() == 0
+
+
+def test_reports_go_on_and_say_when_it_drains(server: Server) -> None:
+    server.up()
+    assert {server.registry.recv(100) for _ in range(3)} == {b"BEAT n3 ready"}
+    server.process.terminate()
+    while (told := server.registry.recv(100)) == b"BEAT n3 ready":
+        pass
+    assert told == b"BEAT n3 draining"
+
+
+def test_a_restart_takes_the_same_address_from_nothing(server: Server) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A)
+    runtime.expect("start", A)
+    server.process.kill()
+    server.process.wait()
+    assert gateway.line() == b""
+    server.start()
+    runtime = server.runtime(ready="chilly 0")
+    assert runtime.synced == 0
+    runtime.idle()
+    settles(runtime, server.gateway(), B)
+
+
+def test_a_stall_of_the_process_is_dealt_with_before_new_work(server: Server) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A, ttl=400)
+    runtime.expect("start", A)
+    server.process.send_signal(signal.SIGSTOP)
+    gateway.txn(B, ttl=300), gateway.txn(C)
+    time.sleep(0.6)  # longer than the first two may wait: what makes them late, not what the test waits for
+    server.process.send_signal(signal.SIGCONT)
+    assert gateway.answer()["error"]["code"] == -32000  # it ran
+    assert gateway.answer()["error"]["code"] == -32014  # its age counts from `recv`: none of its time is left
+    runtime.expect("start", C)
+
+
+BAD_FIELDS = [
+    {"call": "xyz"}, {"call": 7}, {"call": None}, {"recv": "now"}, {"recv": -1}, {"recv": 1e300}, {"ttl": []},
+    {"heap": -4}, {"heap": 1e9}, {"heap": True}, {"org": "nobody"}, {"org": 3}, {"blob": "*"}, {"blob": 5},
+    {"blob": "A" * 2800}, {"row": "zz"}, {"dedupe": {}},
+]  # fmt: skip
+BAD_LINES = {
+    b"{": -32700, b"\xff\xfe": -32700, b"[]": -32600, b'{"id":1}': -32600,
+    b'{"jsonrpc":"2.0","id":"x"}': -32600,
+    b'{"jsonrpc":"2.0","id":1,"method":7}': -32600, b'{"jsonrpc":"2.0","id":1,"method":"nope"}': -32601,
+    b'{"jsonrpc":"2.0","id":1,"method":"look","params":[]}': -32602,
+    b'{"jsonrpc":"2.0","id":1,"method":"look","params":{"recv":NaN}}': -32700, b"[" * 9000: -32700,
+}  # fmt: skip
+
+
+def test_bad_input_is_answered_and_harms_nobody(server: Server) -> None:
+    runtime, good = server.up()
+    bad = server.gateway()
+    for fields in BAD_FIELDS:
+        bad.txn(**({"call": B} | fields))
+        assert bad.answer()["error"]["code"] == -32602, fields
+    for line, code in BAD_LINES.items():
+        bad.sock.sendall(line + b"\n")
+        assert bad.answer()["error"]["code"] == code, line
+    bad.sock.sendall(b"\n" + b'{"jsonrpc":"2.0","method":"hello"}\n')  # nothing to answer
+    settles(runtime, bad, A)
+    bad.txn(B)
+    runtime.expect("start", B)
+    bad.txn(B)  # open already
+    assert "error" in bad.answer()
+    runtime.ends(B)
+    assert bad.result() == b"done"
+    bad.sock.sendall(b"x" * 40000)
+    assert bad.line() == b""  # a line without end ends its peer
+    settles(runtime, good, C)
+    assert server.log.read_text().count("bad input from a gateway") == 1
+
+
+def test_a_33rd_open_request_is_turned_away(server: Server) -> None:
+    runtime, gateway = server.up()
+    for n in range(33):
+        gateway.txn(f"{n:016x}", "pay", dedupe=MARK)
+    answer = gateway.answer()
+    assert answer["id"] == 33 and answer["error"]["code"] == -32600
+
+
+def test_a_reset_and_a_peer_that_never_reads_harm_nobody(server: Server) -> None:
+    runtime, gateway = server.up()
+    rude = server.gateway()
+    rude.txn(A)
+    runtime.expect("start", A)
+    rude.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    rude.close()
+    runtime.idle()
+    runtime.ends(A)  # its caller has gone: the run is over, and nobody is told
+    deaf = server.gateway()
+    deaf.sock.setblocking(False)
+    check, ends = b'{"jsonrpc":"2.0","id":1,"method":"check"}\n' * 500, time.monotonic() + 20
+    while not server.logged("reads too slowly") and time.monotonic() < ends:
+        try:
+            deaf.sock.send(check)
+        except BlockingIOError:
+            time.sleep(0.01)
+        except ConnectionError:
+            break
+    settles(runtime, gateway, B)
+    assert server.logged("reads too slowly")
+
+
+def test_descriptors_run_out_without_a_spin_or_a_loss(tmp_path: Path) -> None:
+    with Server(tmp_path, descriptors=40) as server:  # fewer than the configuration says
+        runtime, gateway = server.up()
+        many = [socket.create_connection(server.address) for _ in range(60)]
+        while not server.logged("cannot accept"):
+            runtime.idle(1)
+        before = cpu_ticks(server.process.pid)
+        runtime.idle(25)  # about a second of rings
+        assert cpu_ticks(server.process.pid) - before < 60  # of 100 a second
+        settles(runtime, gateway, A)
+        for sock in many:
+            sock.close()
+        settles(runtime, server.gateway(), B)
+
+
+def cpu_ticks(pid: int) -> int:
+    return sum(map(int, Path(f"/proc/{pid}/stat").read_text().rsplit(")")[1].split()[11:13]))
+
+
+def test_idle_connections_are_told_and_closed(tmp_path: Path) -> None:
+    rare = SETTINGS["familyInfo"] | {"callers": 100}  # none of them is back soon
+    with Server(tmp_path, settings=SETTINGS | {"familyInfo": rare}) as server:
+        _, gateway = server.up()
+        assert b"noMore" in gateway.line() and gateway.line() == b""
+
+
+def test_no_room_for_references_is_declined(tmp_path: Path) -> None:
+    limits = {"cores": 1.0, "memory_mb": 0.02, "sockets": 256}  # room for one result
+    with Server(tmp_path, limits=limits) as server:
+        runtime, gateway = server.up()
+        gateway.txn(A, "pay", dedupe=MARK)
+        runtime.expect("start", A)
+        gateway.txn(B, "pay", dedupe=MARK[::-1])
+        assert gateway.answer()["error"]["code"] == -32014
+        gateway.txn(C, "pay", dedupe=MARK)  # the one that is kept is still known
+        runtime.ends(A, b"paid")
+        assert {gateway.result(), gateway.result()} == {b"paid"}
+
+
+@pytest.mark.parametrize("text", [None, "{", "[]", "{}", '{"name":"n","listen":"x"}'])
+def test_a_bad_configuration_is_one_line_and_not_0(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    for command in (RUN, RUN + " check"):
+        done = subprocess.run(["/bin/sh", "-c", command], cwd=ROOT, capture_output=True, timeout=60,
+                              env=os.environ | {"NODE_CONFIG": str(path)})
+        assert done.returncode not in (0, None) and done.stderr.count(b"\n") == 1, done.stderr
+
+
+def test_check_and_version_say_what_is_good(server: Server) -> None:
+    for word, told in (("check", b"n3: the configuration is good"), ("version", b"otterrudder "),
+                       ("--help", b"NODE_CONFIG")):
+        done = subprocess.run(["/bin/sh", "-c", f"{RUN} {word}"], cwd=ROOT, capture_output=True, timeout=60,
+                              env=os.environ | {"NODE_CONFIG": str(server.configuration)})
+        assert done.returncode == 0 and told in done.stdout
