--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# What CI, README and a developer use alike.
+PY = .venv/bin/python
+
+.PHONY: build test lint run clean
+
+build: .venv/dev  ## the environment, with what tests and lint need
+
+.venv/dev: requirements.txt requirements-dev.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	touch .venv/dev
+
+test: build  ## scenarios, codecs, core, and the program on sockets
+	$(PY) -m pytest -q
+
+lint: build
+	.venv/bin/ruff check .
+
+run: build  ## serve; NODE_CONFIG names the configuration
+	$(PY) -m otterrudder serve
+
+clean:
+	rm -rf .venv .pytest_cache .ruff_cache
