--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -48,8 +48,9 @@
                 self.wake = anyio.Event()
                 with anyio.move_on_after(wait / 1000):
                     await self.wake.wait()
+            else:
+                await anyio.lowlevel.checkpoint()  # the actors get to their mail even if this one never rests
             self.turn()
-            await anyio.lowlevel.checkpoint()  # the actors get to their mail even if this one never rests
 
     def turn(self) -> None:
         now = clock.monotonic()
