Give a reply that came without a runtime link on the next one

Seen in a test with a link that breaks while a call is out: the reply was dropped, so the run stood at its call until its txn was voided. Line at fault: Core.replied sent `give` whether a link stood or not, and Core.linked took every reply for sent. It is kept until it is sent; one that may have been read is still never given twice. Also: a runtime that refuses the question for the end of the replay gets a new link (before, every start would have been held back), and the first failed connect after a lost link is logged. Test waits are bounded.

--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -53,7 +53,7 @@
         self.proof = UNSENT  # the gauges whose answer proves that its start or reply was read
         self.in_doubt = False  # a lost link may have swallowed its start; see Core.linked
         self.wants: bytes | None = None  # the body of the call it stands at
-        self.given = False  # the reply to its last call was sent
+        self.given: bytes | None = None  # the reply to its last call, from when it came to the next call
         self.waits_on: Reference | None = None
 
 
@@ -152,19 +152,23 @@
         Nor is a reply sent again, for the run may stand at its next call."""
         self.is_linked = True
         for txn in [txn for txn in self.txns.values() if txn.started]:
-            if txn.proof == UNSENT and txn.answered:
+            if txn.proof == UNSENT and txn.answered and txn.given is None:
                 self._run_over(txn, Outcome.MOOT)
+            elif txn.proof == UNSENT and txn.given is not None:
+                if not txn.answered:  # else its run ends at its call by itself
+                    self._give(txn)
             elif txn.proof == UNSENT:
                 self._start(txn)
-            elif txn.proof > self.proved and not txn.given:
+            elif txn.proof > self.proved and txn.given is None:
                 txn.in_doubt = self._effectful(txn) and not txn.answered
                 if not txn.in_doubt:
                     self._start(txn)
 
     def restarted(self) -> None:
         """The runtime has started anew by itself: what ran is gone, and nothing says how it ended."""
-        for txn in [txn for txn in self.txns.values() if txn.started and txn.proof != UNSENT]:
-            self._run_over(txn, Outcome.RESET)
+        for txn in [txn for txn in self.txns.values() if txn.started]:
+            if txn.proof != UNSENT or txn.given is not None:
+                self._run_over(txn, Outcome.RESET)
 
     def unlinked(self) -> None:
         self.is_linked, self.proved, self.told = False, self.heard, {}
@@ -175,7 +179,7 @@
 
     def wants(self, call: str, body: bytes) -> None:
         if (txn := self.calls.get(call)) and txn.started and txn.wants is None:
-            txn.wants, txn.given, txn.in_doubt, txn.proof = body, False, False, PROVED
+            txn.wants, txn.given, txn.in_doubt, txn.proof = body, None, False, PROVED
             self.rudder.needs_call(txn.number)
 
     def gauged(self, tag: int, values: list[float]) -> None:
@@ -201,8 +205,9 @@
             return  # late: it was given up
         self._call_over(txn)
         if outcome is Outcome.OK:
-            txn.wants, txn.given, txn.proof = None, True, self.asked + 1
-            self.out.append((RUNTIME, "give", txn.call, body))
+            txn.wants, txn.given, txn.proof = None, body, UNSENT
+            if self.is_linked:  # else it goes out with the next link, for the run waits for it
+                self._give(txn)
         self.rudder.call_ended(txn.number, outcome)
 
     # From the helm.
@@ -257,6 +262,10 @@
         txn.proof = self.asked + 1  # gauges asked for from now on prove that it was read
         self.out.append((RUNTIME, "start", txn.call, self.products[txn.product].name, txn.body))
 
+    def _give(self, txn: Txn) -> None:
+        txn.proof = self.asked + 1
+        self.out.append((RUNTIME, "give", txn.call, txn.given))
+
     def _reuse(self, txn: Txn) -> None:
         known = self.references.get(txn.mark)
         if known and not known.over:
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -37,11 +37,11 @@
             except OSError as trouble:
                 if pause == PAUSE_MS:
                     log.warning("no link to the runtime", why=str(trouble))
+                pause = min(pause * 2, PAUSE_MOST_MS)
             else:
-                pause = PAUSE_MS
                 await self._serve(stream)
+                pause = PAUSE_MS
             await anyio.sleep(pause / 1000 * random.uniform(0.5, 1.0))
-            pause = min(pause * 2, PAUSE_MOST_MS)
 
     async def _serve(self, stream: sockets.Stream) -> None:
         self.stream, self.replaying = stream, True
@@ -98,6 +98,8 @@
                 self.last = 0
                 self.helm.post(core.restarted)
             self.born = born
+        elif word == "nack" and words[1:3] == ["gauges", REPLAYED]:
+            raise sockets.Broken("the replay has no end")  # the next link asks again
         elif word == "nack":
             self.helm.post(core.refused, words[1], words[2] if len(words) > 2 else "")
         else:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,6 +19,7 @@
 import subprocess
 import time
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 
 from otterrudder.interface import Effect, Outcome, Product, Tenant
@@ -343,6 +344,12 @@
     def logged(self, text: str) -> bool:
         return text in self.log.read_text()
 
+    def until(self, text: str, meanwhile: Callable[[], object] = lambda: time.sleep(0.01)) -> None:
+        ends = time.monotonic() + WAIT_S
+        while not self.logged(text):
+            assert time.monotonic() < ends, self.log.read_text()
+            meanwhile()
+
     def ends(self) -> int:
         return self.process.wait(WAIT_S)
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -159,6 +159,29 @@
     settles(runtime, gateway, C)
 
 
+def test_a_reply_that_comes_without_a_link_is_given_on_the_next(server: Server) -> None:
+    runtime, gateway = server.up()
+    gateway.txn(A)
+    runtime.expect("start", A)
+    runtime.tell(f"wants {A}", b"?")
+    records = server.record()
+    records.line(), records.body(1)
+    server.runtimes.close()
+    runtime.close()
+    server.until("no link to the runtime")
+    records.say(f"{A} DONE", b"row!")
+    gateway.ask("check")
+    assert gateway.answer()["result"]["pass"] is True
+    server.runtimes = socket.create_server(server.runtimes_at)
+    server.runtimes.settimeout(20)
+    runtime = server.runtime()
+    runtime.say("nack gauges replayed")  # refused once more: a link of its own is made for it
+    runtime = server.runtime()
+    assert runtime.expect("give", A)[1] == b"row!"
+    runtime.ends(A)
+    assert gateway.result() == b"done"
+
+
 def test_starts_decided_without_a_link_go_out_with_the_next(server: Server) -> None:
     runtime, gateway = server.up()
     server.runtimes.close()
@@ -166,7 +189,7 @@
     gateway.txn(A, "pay", dedupe=MARK)
     gateway.ask("check")
     assert gateway.answer()["result"]["pass"] is True  # it has read the txn before
-    server.runtimes = socket.create_server(server.runtimes_at, reuse_port=False)
+    server.runtimes = socket.create_server(server.runtimes_at)
     server.runtimes.settimeout(20)
     runtime = server.runtime()
     runtime.expect("start", A, "pay")
@@ -212,8 +235,7 @@
     records = server.record()
     assert records.line().startswith(b"OP ")
     server.process.terminate()
-    while not server.logged("draining: 3 in hand"):
-        runtime.idle(1)
+    server.until("draining: 3 in hand", lambda: runtime.idle(1))
     gateway.ask("check")
     assert gateway.answer()["result"]["pass"] is False
     server.process.terminate()  # a second one changes nothing
@@ -336,8 +358,7 @@
     with Server(tmp_path, descriptors=40) as server:  # fewer than the configuration says
         runtime, gateway = server.up()
         many = [socket.create_connection(server.address) for _ in range(60)]
-        while not server.logged("cannot accept"):
-            runtime.idle(1)
+        server.until("cannot accept", lambda: runtime.idle(1))
         before = cpu_ticks(server.process.pid)
         runtime.idle(25)  # about a second of rings
         assert cpu_ticks(server.process.pid) - before < 60  # of 100 a second
