--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -1,6 +1,6 @@
 """All decisions of otterrudder: SBOC, session-based overload control, and the guards around it.
 
-An adapter (today otterrudder/drill, later a server's front) makes one Rudder for each server process. It says
+An adapter (otterrudder/drill, otterrudder/net) makes one Rudder for each server process. It says
 the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire or ring, and carries
 out, in order, the steps that done returns. Plain types and the words of the steps: otterrudder/interface.py.
 
