--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -102,7 +102,7 @@
     server.records.close()
     records.close()  # the next tries are refused: B waits on and tries again until somebody listens
     runtime.idle(20)
-    assert server.logged("records service refuses")
+    server.until("records service refuses")
     settles(runtime, gateway, C)
 
 
@@ -350,7 +350,7 @@
     with pytest.raises(ConnectionError):  # closed from the other side, though it never reads that
         while True:
             deaf.sock.sendall(b'{"jsonrpc":"2.0","id":1,"method":"check"}\n' * 500)
-    assert server.logged("reads too slowly")
+    server.until("reads too slowly")
     settles(runtime, gateway, B)
 
 
