--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -10,6 +10,7 @@
 import anyio
 
 from otterrudder.boot import boot, gauge_names, products_of, tenants_of
+from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
 from otterrudder.net import core
 from otterrudder.net.gateways import Gateways
@@ -83,8 +84,9 @@
     settings, seed = told["settings"], int(told["seed"], 16)
     products = products_of(settings)
     # A reference outlives its window by an expiry, see core.py.
-    stay = max(1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in products)
-    refs_most = told["limits"]["memory_mb"] * 1e6 * RESULTS_SHARE / RESULT_BYTES / stay
+    kept = [p for p in products if p.effect is Effect.REFERENCED]
+    stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
+    refs_most = told["limits"]["memory_mb"] * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
 
     def make(now: float, warm: bool, up_ms: float) -> Rudder:
         return boot(now, settings.get("me") or 0, seed, settings, fresh=not warm, up_ms=up_ms,
