Let one state say what a lost link leaves in doubt; drop dead state and a special case

Found in a read of the whole change. `in_doubt` repeated what `proof` says and went stale: gauges answered on a second link made a start of the first look proved, so a txn that was left while a further link was away kept its run and its slot for good (shown by a test that failed before). In doubt is now a value of `proof` that no gauges reach. Also: a branch of `_lapse` that could not be reached, an unused field, and the drill's frames count records again without knowing of empty ones.

--- a/otterrudder/__main__.py
+++ b/otterrudder/__main__.py
@@ -5,6 +5,7 @@
 
 import click
 
+from otterrudder import __version__
 from otterrudder.net import log, serve
 
 
@@ -44,8 +45,6 @@
 @main.command()
 def version() -> None:
     """Print the version."""
-    from otterrudder import __version__
-
     click.echo(f"otterrudder {__version__}")
 
 
--- a/otterrudder/drill/frames.py
+++ b/otterrudder/drill/frames.py
@@ -126,4 +126,4 @@
 
 def frame(records: list[bytes]) -> bytes:
     body = b"".join(records)
-    return _U32.pack(len(body) + 4) + _U32.pack(len(records) - records.count(b"")) + body
+    return _U32.pack(len(body) + 4) + _U32.pack(len(records)) + body
--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -21,7 +21,7 @@
         for code, instance, *fields in events:
             try:
                 steps = self._handle(now, code, instance, fields)
-                records += [frames.encode_step(instance, step) for step in steps]
+                records += filter(None, (frames.encode_step(instance, step) for step in steps))
             except Exception as trouble:  # the wire wants a failure of the module in words
                 text = f"{type(trouble).__name__}: {trouble}"
                 records.append(frames.encode_text(FATAL, instance, text))
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -24,16 +24,18 @@
 from otterrudder.logic import Rudder
 
 RUNTIME, RECORDS, GATEWAYS, HELM = "runtime", "records", "gateways", "helm"
-UNSENT, PROVED = 0, -1  # of what was sent to the runtime, beside the number of gauges
+# Of what was sent to the runtime, beside the number of gauges. In doubt: a lost link may have swallowed it,
+# and no gauges on a later link say anything of it.
+UNSENT, PROVED, IN_DOUBT = 0, -1, math.inf
 
 
 class Reference:
     """What is known of a referenced txn by its mark, whichever of its tries holds it."""
 
-    __slots__ = ("mark", "holder", "until", "result", "over", "waiting")
+    __slots__ = ("holder", "until", "result", "over", "waiting")
 
-    def __init__(self, mark: str, holder: int) -> None:
-        self.mark, self.holder, self.until = mark, holder, 0.0
+    def __init__(self, holder: int) -> None:
+        self.holder, self.until = holder, 0.0
         self.result: bytes | None = None  # of the run that settled
         self.over = False  # the run has ended, with or without a result
         self.waiting: list[int] = []  # tries to be answered from it
@@ -43,15 +45,14 @@
     """A txn that is owed an answer, or whose run is not over."""
 
     __slots__ = ("number", "call", "peer", "rpc", "product", "body", "mark", "answered", "started", "proof",
-                 "in_doubt", "wants", "given", "calling", "waits_on")
+                 "wants", "given", "calling", "waits_on")
 
     def __init__(self, number: int, call: str, peer: Hashable, rpc: int, product: int, body: bytes,
                  mark: str) -> None:
         self.number, self.call, self.peer, self.rpc, self.product = number, call, peer, rpc, product
         self.body, self.mark = body, mark
         self.answered = self.started = self.calling = False
-        self.proof = UNSENT  # the gauges whose answer proves that its start or reply was read
-        self.in_doubt = False  # a lost link may have swallowed its start; see Core.linked
+        self.proof: float = UNSENT  # the gauges whose answer proves that its start or reply was read
         self.wants: bytes | None = None  # the body of the call it stands at
         self.given: bytes | None = None  # the reply to its last call, from when it came to the next call
         self.waits_on: Reference | None = None
@@ -152,17 +153,15 @@
         Nor is a reply sent again, for the run may stand at its next call."""
         self.is_linked = True
         for txn in [txn for txn in self.txns.values() if txn.started]:
-            if txn.proof == UNSENT and txn.answered and txn.given is None:
-                self._run_over(txn, Outcome.MOOT)
-            elif txn.proof == UNSENT and txn.given is not None:
-                if not txn.answered:  # else its run ends at its call by itself
+            if txn.given is not None:
+                if txn.proof == UNSENT and not txn.answered:  # if it is, its run ends at its call by itself
                     self._give(txn)
-            elif txn.proof == UNSENT:
+            elif txn.proof == UNSENT and txn.answered:
+                self._run_over(txn, Outcome.MOOT)
+            elif txn.proof > self.proved and self._effectful(txn) and not txn.answered:
+                txn.proof = IN_DOUBT
+            elif txn.proof == UNSENT or txn.proof > self.proved:
                 self._start(txn)
-            elif txn.proof > self.proved and txn.given is None:
-                txn.in_doubt = self._effectful(txn) and not txn.answered
-                if not txn.in_doubt:
-                    self._start(txn)
 
     def restarted(self) -> None:
         """The runtime has started anew by itself: what ran is gone, and nothing says how it ended."""
@@ -179,7 +178,7 @@
 
     def wants(self, call: str, body: bytes) -> None:
         if (txn := self.calls.get(call)) and txn.started and txn.wants is None:
-            txn.wants, txn.given, txn.in_doubt, txn.proof = body, None, False, PROVED
+            txn.wants, txn.given, txn.proof = body, None, PROVED
             self.rudder.needs_call(txn.number)
 
     def gauged(self, tag: int, values: list[float]) -> None:
@@ -301,7 +300,7 @@
     def _keep(self, txn: Txn, span_ms: float) -> None:
         known = self.references.get(txn.mark)
         if not known:
-            known = self.references[txn.mark] = Reference(txn.mark, txn.number)
+            known = self.references[txn.mark] = Reference(txn.number)
             heapq.heappush(self.lapses, (self.now + span_ms, txn.mark))
         elif known.holder != txn.number:
             known.holder, known.over, known.result = txn.number, False, None
@@ -337,7 +336,7 @@
             txn.waits_on = None
         if txn.calling:
             self._call_over(txn, hang_up=True)
-        if txn.in_doubt and txn.started and self.is_linked:
+        if txn.proof == IN_DOUBT and txn.started and self.is_linked:
             self._start(txn)  # as it is answered, nothing starts: it tells whether it runs
 
     def _run_over(self, txn: Txn, outcome: Outcome, body: bytes = b"") -> None:
@@ -373,9 +372,8 @@
             return
         if known.until > self.now:
             heapq.heappush(self.lapses, (known.until, mark))
-        elif known.waiting or known.holder in self.txns:  # not before its run
-            heapq.heappush(self.lapses, (self.now + self.products[self.txns[known.holder].product].expiry_ms
-                                         if known.holder in self.txns else self.now + 1000.0, mark))
+        elif holder := self.txns.get(known.holder):  # not before its run
+            heapq.heappush(self.lapses, (self.now + self.products[holder.product].expiry_ms, mark))
         else:
             del self.references[mark]
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -167,6 +167,23 @@
     assert [bench.answers[n][0][0] for n in (1, 2)] == ["voided"] * 2 and not bench.core.txns
 
 
+def test_a_start_in_doubt_stays_so_over_further_links() -> None:
+    bench = Bench()
+    bench.arrive(1, 1, "m")
+    for _ in range(2):  # gauges answered on the second link say nothing of a start sent on the first
+        bench.step(bench.core.unlinked)
+        bench.step(bench.core.linked)
+        bench.step(bench.core.ask)
+        bench.step(bench.core.gauged, bench.core.asked, [0.5, 1.0, 0.1, 5.0])
+    assert len(bench.words("start")) == 1
+    bench.step(bench.core.unlinked)
+    bench.step(bench.core.left, f"{1:016x}")
+    bench.step(bench.core.linked)
+    assert len(bench.words("start")) == 2  # it is over, so this only asks how it stands
+    bench.step(bench.core.ended, f"{1:016x}", Outcome.MOOT, b"")
+    assert not bench.core.txns and bench.core.rudder.slots.in_hand == 0
+
+
 def test_a_failing_event_voids_its_txn_and_no_other() -> None:
     bench = Bench()
     bench.arrive(1), bench.arrive(2)
