SIGHUP moves the server to new addresses; calls below go out on a pool of connections

At fault: serve.py had no SIGHUP; records.py sent all calls over one connection and kept using it.

Now a new file is read and checked; the runtime link asks a last question on the old address, whose answer proves what was read, so no start is in doubt; calls in flight end where they are. Records: up to 48 connections, one call each, the freshest first, none unused for over 0.5 s; a txn's next call never meets the connection of the one before, so a second copy of a reply can't answer it; a reply half read for 0.25 s is given up.

--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -76,7 +76,6 @@
         self.healthy = self.retiring = False
         self.is_linked = False  # a runtime link stands and its replay is over
         self.asked = self.heard = 0  # the last gauges asked for, and those last answered
-        self.proved = 0  # those last answered when the link was lost
         self.told: dict[str, float] = {}  # the answered gauges, until a ring takes them
 
     # The batch: the time first, then what came, then the steps.
@@ -158,9 +157,9 @@
                     self._give(txn)
             elif txn.proof == UNSENT and txn.answered:
                 self._run_over(txn, Outcome.MOOT)
-            elif txn.proof > self.proved and self._effectful(txn) and not txn.answered:
+            elif txn.proof > self.heard and self._effectful(txn) and not txn.answered:
                 txn.proof = IN_DOUBT
-            elif txn.proof == UNSENT or txn.proof > self.proved:
+            elif txn.proof == UNSENT or txn.proof > self.heard:
                 self._start(txn)
 
     def restarted(self) -> None:
@@ -170,7 +169,14 @@
                 self._run_over(txn, Outcome.RESET)
 
     def unlinked(self) -> None:
-        self.is_linked, self.proved, self.told = False, self.heard, {}
+        self.is_linked, self.told = False, {}
+
+    def leave_link(self) -> None:
+        """The runtime has another address: what is decided from now on goes out on the link to that one.
+        A last question on the old link proves what it has read."""
+        self.asked += 1
+        self.out.append((RUNTIME, "leave", self.asked))
+        self.unlinked()
 
     def ended(self, call: str, outcome: Outcome, body: bytes) -> None:
         if (txn := self.calls.get(call)) and txn.started:
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -1,96 +1,162 @@
-"""The connection to the records service: made when a call needs it, left when idle, one for all calls."""
+"""The connections to the records service: a bounded pool, one call at a time on each while the bound allows,
+so that whatever spoils a connection costs one call. A reply counts only where its call went out."""
 
 import math
+from collections import deque
 
 import anyio
+import anyio.abc
 
 from otterrudder.interface import Outcome
 from otterrudder.net import clock, lines, sockets
 from otterrudder.net.helm import Helm
 from otterrudder.net.log import log
 
-IDLE_S = 6.0  # s without calls after which it is closed: at 10 the service does so, perhaps across a call
-UNSENT_MOST = 4 << 20  # bytes not yet read by the service
+LINKS_MOST = 48  # connections: twice the calls that a server of the usual size has out
+REUSE_MS = 500.0  # ms unused after which one takes no call: the service may have forgotten it, and then it
+# resets it at the call, which proves nothing; a new one costs less than a txn with an effect
+HALF_MS = 250.0  # ms that a reply may stay half read: its length is wrong, or its line never ends
+SWEEP_S = 0.1  # s between looks for connections unused or stuck
+CARRIED_MOST = 16  # last calls known of a connection: a txn's next call must not meet a copy of its reply
+UNSENT_MOST = 1 << 20  # bytes not yet read by the service
+CONNECT_S = 1.0  # s to connect: a proxy on this machine answers at once or hangs
 
 
-class Records:
-    def __init__(self, helm: Helm, address: tuple[str, int] | None) -> None:
-        self.helm, self.address = helm, address
+class Link:
+    """One connection. Gives back its calls in `run`, on every way out."""
+
+    def __init__(self, records: "Records", address: tuple[str, int]) -> None:
+        self.records, self.address = records, address
         self.stream: sockets.Stream | None = None
-        self.waiting: dict[str, list[bytes]] = {}  # calls that wait for a connection
-        self.out: set[str] = set()  # calls sent on the present one
-        self.wake = anyio.Event()
-        self.used = 0.0  # when it last carried something
+        self.calls: dict[str, list[bytes]] = {}  # out on it, with what is sent once it is connected
+        self.carried: deque[str] = deque(maxlen=CARRIED_MOST)
+        self.heard = clock.monotonic()
+        self.spent = ""  # why it takes no further call
 
-    def tell(self, word: str, call: str, *rest: object) -> None:
-        self.used = clock.monotonic()
-        if word == "call":
-            parts = lines.say_body(rest[1], "OP", call, max(math.ceil(rest[0]), 1))
-            if not self.address:
-                self._ended(call, Outcome.UNREACHED)
-            elif self.stream and not self.stream.why:
-                self.out.add(call)
-                self.stream.send(parts)
-            else:
-                self.waiting[call] = parts
-                self.wake.set()
-        elif call in self.out:
-            self.out.discard(call)
+    def take(self, call: str, parts: list[bytes]) -> None:
+        self.calls[call] = parts
+        self.carried.append(call)
+        if self.stream:
+            self.stream.send(parts)
+
+    def give_up(self, call: str) -> None:
+        del self.calls[call]
+        if self.stream and self.calls:  # else its close says the same
             self.stream.send(lines.say("UNOP", call))
-        else:
-            self.waiting.pop(call, None)
+        self.spend("a call on it was given up")  # its reply may be on the way
 
-    def _ended(self, call: str, outcome: Outcome, body: bytes = b"") -> None:
-        self.helm.post(self.helm.core.replied, call, outcome, body, of=call)
+    def spend(self, why: str) -> None:
+        self.spent = self.spent or why
+        if self.stream and not self.calls:
+            self.stream.end(self.spent)
 
     async def run(self) -> None:
-        while True:
-            while not self.waiting:
-                self.wake = anyio.Event()
-                await self.wake.wait()
-            try:
-                sock = await sockets.connect(self.address)
-            except OSError as trouble:
-                log.warning("records service refuses", why=str(trouble), calls=len(self.waiting))
-                waiting, self.waiting = self.waiting, {}
-                for call in waiting:
-                    self._ended(call, Outcome.UNREACHED)
-            else:
-                await self._serve(sockets.Stream(sock, lines.ROOM, UNSENT_MOST))
-
-    async def _serve(self, stream: sockets.Stream) -> None:
-        self.stream = stream
-        waiting, self.waiting = self.waiting, {}
-        for call, parts in waiting.items():
-            self.out.add(call)
-            stream.send(parts)
+        outcome, why = Outcome.UNREACHED, "no answer to the connection"
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._leave_when_idle, stream)
-                why = await stream.serve(self._hear_all)
-                group.cancel_scope.cancel()
+            with anyio.move_on_after(CONNECT_S):
+                sock = await sockets.connect(self.address)
+                outcome = Outcome.RESET  # from here on a call may have run
+                self.stream = sockets.Stream(sock, lines.ROOM, UNSENT_MOST)
+                for parts in self.calls.values():
+                    self.stream.send(parts)
+            if self.stream:
+                if not self.calls:
+                    self.spend("nothing to call")
+                why = await self.stream.serve(self._hear_all)
+        except OSError as trouble:
+            why = str(trouble)
         finally:
-            self.stream = None
-            lost, self.out = self.out, set()
-        if lost:
-            log.warning("records connection lost", why=why, calls=len(lost))
-        for call in lost:  # they may have run
-            self._ended(call, Outcome.RESET)
-
-    async def _leave_when_idle(self, stream: sockets.Stream) -> None:
-        while self.out or clock.monotonic() - self.used < IDLE_S * 1000:
-            await anyio.sleep(IDLE_S / 4)
-        stream.end("idle")
+            if self.calls:
+                log.warning("records connection lost" if self.stream else "records service refuses", why=why,
+                            calls=len(self.calls))
+            for call in list(self.calls):
+                self.records.ended(self, call, outcome)
+            self.records.gone(self)
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
+        self.heard = clock.monotonic()
         for words, body in lines.messages(buffer, lines.records_body):
-            self._hear(words, body)
-
-    def _hear(self, words: lines.Words, body: bytes) -> None:
-        self.used = clock.monotonic()
-        outcome = lines.REPLIES.get(words[1]) if len(words) > 1 else None
-        if outcome is None:
-            raise sockets.Broken(f"unknown reply {' '.join(words)[:40]!r}")
-        if words[0] in self.out:  # else it was given up, and its reply comes late
-            self.out.discard(words[0])
-            self._ended(words[0], outcome, body)
+            outcome = lines.REPLIES.get(words[1]) if len(words) > 1 else None
+            if outcome is None:
+                raise sockets.Broken(f"unknown reply {' '.join(words)[:40]!r}")
+            if words[0] in self.calls:
+                self.records.ended(self, words[0], outcome, body)
+            else:  # a copy, or somebody else's: the good one may still follow
+                self.spend("a reply to no call")
+        if not self.calls:
+            if buffer.start < buffer.end or self.spent:
+                self.spend("more than the reply")
+            else:
+                self.records.idle.append(self)
+
+    def sweep(self, now: float) -> None:
+        stream = self.stream
+        if not self.calls and now - self.heard > REUSE_MS:
+            self.spend("unused")
+        elif stream and stream.buffer.start < stream.buffer.end and now - self.heard > HALF_MS:
+            stream.end("half a reply")
+
+
+class Records:
+    def __init__(self, helm: Helm, address: tuple[str, int] | None, sockets_most: int) -> None:
+        self.helm, self.address = helm, address
+        self.most = max(min(LINKS_MOST, sockets_most // 8), 2)
+        self.links: set[Link] = set()
+        self.idle: list[Link] = []  # the last used at the end
+        self.on: dict[str, Link] = {}  # where a call is out
+        self.group: anyio.abc.TaskGroup | None = None
+
+    def tell(self, word: str, call: str, *rest: object) -> None:
+        if word == "call":
+            link = self._link(call) if self.address and self.group else None
+            if link:
+                self.on[call] = link
+                link.take(call, lines.say_body(rest[1], "OP", call, max(math.ceil(rest[0]), 1)))
+            else:  # it never ran: the module may try again
+                self.helm.post(self.helm.core.replied, call, Outcome.UNREACHED, of=call)
+        elif link := self.on.pop(call, None):
+            link.give_up(call)
+
+    def _link(self, call: str) -> Link | None:
+        """The freshest idle one, else a new one, else the one with the fewest calls."""
+        now = clock.monotonic()
+        for link in reversed(self.idle):
+            if now - link.heard > REUSE_MS:
+                break
+            if not link.spent and call not in link.carried:
+                self.idle.remove(link)
+                return link
+        if len(self.links) < self.most:
+            link = Link(self, self.address)
+            self.links.add(link)
+            self.group.start_soon(link.run)
+            return link
+        usable = [link for link in self.links if not link.spent and call not in link.carried]
+        link = min(usable, key=lambda link: len(link.calls), default=None)
+        if link in self.idle:
+            self.idle.remove(link)
+        return link
+
+    def ended(self, link: Link, call: str, outcome: Outcome, body: bytes = b"") -> None:
+        del link.calls[call], self.on[call]
+        self.helm.post(self.helm.core.replied, call, outcome, body, of=call)
+
+    def gone(self, link: Link) -> None:
+        link.spent = link.spent or "gone"
+        self.links.discard(link)
+        if link in self.idle:
+            self.idle.remove(link)
+
+    def move(self, address: tuple[str, int] | None) -> None:
+        """New calls go to a new address; those that are out end where they are."""
+        self.address = address
+        for link in self.links:
+            link.spend("the service has moved")
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as self.group:
+            while True:
+                await anyio.sleep(SWEEP_S)
+                now = clock.monotonic()
+                for link in list(self.links):
+                    link.sweep(now)
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import anyio.abc
 
 from otterrudder.net import clock, lines, sockets
 from otterrudder.net.helm import Helm
@@ -12,6 +13,8 @@
 PAUSE_MOST_MS = 500.0  # ms at most: a runtime that comes up is found within that
 UNSENT_MOST = 8 << 20  # bytes not yet read by the runtime; past that it hangs, and a new link tells more
 ANEW_MS = 5000.0  # ms a runtime may seem younger before it counts as another: a pause may lie between
+MOVE_S = 0.3  # s that the old link has to prove what it read when the runtime's address changes
+MOVED = "the address has changed"
 REPLAYED = "replayed"  # tag of the gauges whose answer ends the replay: commands are dealt with in order
 
 
@@ -19,17 +22,37 @@
     def __init__(self, helm: Helm, address: tuple[str, int]) -> None:
         self.helm, self.address = helm, address
         self.stream: sockets.Stream | None = None
+        self.group: anyio.abc.TaskGroup | None = None
         self.last = 0  # the last notice heard
         self.replaying = False
         self.born: float | None = None  # when the runtime started, by our clock
+        self.leaving = ""  # the tag of the last command on a link that is left for a new address
+        self.left: sockets.Stream | None = None  # that link
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The core is asked first: what it decides from then on waits for the new link."""
+        self.address, self.left = address, self.stream
+        if self.stream and self.replaying:
+            self.stream.end(MOVED)  # nothing was sent on it
+        elif self.stream:
+            self.helm.post(self.helm.core.leave_link)
 
     def tell(self, word: str, *rest: object) -> None:
-        if not self.stream or self.replaying:
+        if not self.stream:
             return  # the core repeats what is missing once the link stands
+        if word == "leave":
+            self._leave(*rest)
+            return
+        if self.replaying or self.leaving:
+            return
         self.stream.send(lines.say_body(rest[-1], word, *rest[:-1]) if word in ("start", "give")
                          else lines.say(word, *rest))
 
     async def run(self) -> None:
+        async with anyio.create_task_group() as self.group:
+            await self._run()
+
+    async def _run(self) -> None:
         pause = PAUSE_MS
         while True:
             try:
@@ -39,19 +62,38 @@
                     log.warning("no link to the runtime", why=str(trouble))
                 pause = min(pause * 2, PAUSE_MOST_MS)
             else:
-                await self._serve(stream)
+                moved = await self._serve(stream)
                 pause = PAUSE_MS
+                if moved:
+                    continue
             await anyio.sleep(pause / 1000 * random.uniform(0.5, 1.0))
 
-    async def _serve(self, stream: sockets.Stream) -> None:
-        self.stream, self.replaying = stream, True
+    async def _serve(self, stream: sockets.Stream) -> bool:
+        """Whether it ended because the address is another now."""
+        self.stream, self.replaying, self.leaving = stream, True, ""
         stream.send(lines.say("sync", self.last))
         try:
             why = await stream.serve(self._hear_all)
-            log.warning("runtime link lost", why=why, last_notice=self.last, unsent=stream.unsent)
+            if why == MOVED:
+                log.info("runtime link moves", address=self.address, last_notice=self.last)
+            else:
+                log.warning("runtime link lost", why=why, last_notice=self.last, unsent=stream.unsent)
         finally:
             self.stream = None
             self.helm.post(self.helm.core.unlinked)
+        return why == MOVED
+
+    def _leave(self, tag: int) -> None:
+        """The last question on the old link: its answer proves that all before it was read. What is decided
+        meanwhile waits for the new link, so that no start is in doubt."""
+        if self.stream is self.left and not self.leaving:
+            self.leaving = str(tag)
+            self.stream.send(lines.say("gauges", tag))
+            self.group.start_soon(self._end_late, self.stream)
+
+    async def _end_late(self, stream: sockets.Stream) -> None:
+        await anyio.sleep(MOVE_S)
+        stream.end(MOVED)
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
         for words, body in lines.messages(buffer, lines.runtime_body):
@@ -85,6 +127,8 @@
                 self.helm.post(core.linked)
             else:
                 self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
+                if words[1] == self.leaving:
+                    self.stream.end(MOVED)
         elif word == "ready":
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -20,6 +20,7 @@
 from otterrudder.net.registry import Registry
 from otterrudder.net.runtime import Runtime
 
+MOVABLE = ("runtime", "records", "registry")  # what a new configuration changes without a restart
 RESULTS_SHARE = 0.4  # share of this process's memory that references with their results may take
 RESULT_BYTES = 5 * 1024  # bytes of a reference: the longest result, its mark and what both hang on
 
@@ -76,7 +77,8 @@
 
 
 async def _serve(told: dict) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:  # before anybody can connect
+    heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
         await _live(told, signals)
 
 
@@ -97,7 +99,7 @@
     helm = Helm(the_core)
     gateways = Gateways(helm, address(told["listen"]), int(told["limits"]["sockets"]), tenants)
     runtime = Runtime(helm, address(told["runtime"]))
-    records = Records(helm, address(told["records"]) if told.get("records") else None)
+    records = Records(helm, _records(told), int(told["limits"]["sockets"]))
     registry = Registry(told["name"], address(told["registry"]))
     helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
     log.info("listening", address=told["listen"], pid=os.getpid())
@@ -106,16 +108,44 @@
     async with anyio.create_task_group() as group:
         for actor in (helm, runtime, records, registry):
             group.start_soon(actor.run)
-        group.start_soon(_watch, signals, helm, registry, gateways, told["stop_ms"])
+        group.start_soon(_watch, signals, told, helm, runtime, records, registry, gateways)
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
-async def _watch(signals: AsyncIterator[signal.Signals], helm: Helm, registry: Registry, gateways: Gateways,
-                 stop_ms: float) -> None:
-    async for _ in signals:
+def _records(told: dict) -> tuple[str, int] | None:
+    return address(told["records"]) if told.get("records") else None
+
+
+async def _watch(signals: AsyncIterator[signal.Signals], told: dict, helm: Helm, runtime: Runtime,
+                 records: Records, registry: Registry, gateways: Gateways) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            told = _reload(told, runtime, records, registry)
+            continue
         if not helm.core.rudder:
             gateways.closing.set()
         registry.draining = True
-        helm.post(helm.core.retire, stop_ms)
+        helm.post(helm.core.retire, told["stop_ms"])
+
+
+def _reload(told: dict, runtime: Runtime, records: Records, registry: Registry) -> dict:
+    """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
+    try:
+        new = read_configuration(os.environ.get("NODE_CONFIG"))
+    except BadConfiguration as trouble:
+        log.error("configuration not taken", why=str(trouble))
+        return told
+    moved = [name for name in MOVABLE if new.get(name) != told.get(name)]
+    fixed = {name for name in told.keys() | new.keys() if new.get(name) != told.get(name)} - {*MOVABLE}
+    if "runtime" in moved:
+        runtime.move(address(new["runtime"]))
+    if "records" in moved:
+        records.move(_records(new))
+    if "registry" in moved:
+        registry.address = address(new["registry"])
+    log.info("configuration taken", moved=moved)
+    if fixed:
+        log.warning("a restart is needed for what else has changed", names=sorted(fixed))
+    return told | {name: new.get(name) for name in MOVABLE}
