Refuse, count and close bad clients; a mark is served only with its own body

Checked: the runtime refuses starts of ids it does not know, so only a known mark could be served; the core looked at the mark alone. A test then showed a second fault: a txn taken back in the batch it came in left the module's slot taken for good, as its 'run' met no entry (core._carry_out). Ruled out: CPU (0.39 of 0.476 cores in the worst second). At fault: core.arrive (mark alone), core._carry_out, jsonrpc.txn (crit, src, rep, heap at its bounds, empty and endless marks taken), gateways.py (no bound on silence, half messages or wrong ones; at the bound of connections it only waited). Now: a digest of method and body beside the mark; a start refused by the runtime frees its mark; six wrong messages, 1.5 s without a word or with half of one close a peer; above 0.6 of the connections quiet ones are left after 1 s, and at the bound the longest wordless or quiet peer without an open request makes room. One bounded line of complaints.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -171,8 +171,7 @@
         if txn.ran or txn.spec.effect is not Effect.REFERENCED:
             return
         self.unrun[0].add(txn.ident)
-        heirs = [f for f in txn.followers if not f.answered]
-        txn.followers = []
+        heirs, txn.followers = [f for f in txn.followers if not f.answered], []
         held = self.refs.pop(txn.ident, None)
         if heirs:  # the earlier try went before it ran: the next takes its place and its entry
             heirs[0].followers, heirs[0].place = heirs[1:], Place.HELD
@@ -580,6 +579,7 @@
     def finished(self, ident: int, outcome: Outcome) -> None:
         if txn := self.txns.get(ident):
             txn.settled = outcome is Outcome.OK
+            txn.ran &= outcome is not Outcome.MOOT  # the server would not start it: a repeat may still run
             if outcome not in (Outcome.OK, Outcome.ERROR):  # not an answer: it may still be owed one
                 self.void(txn)
             self._end(txn, finished=True)
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -4,7 +4,7 @@
 What it sends is a list of (address, word, ...). Addresses: a gateway's peer, or one of the words below.
 
     peer        ("settled", rpc, body, load)  ("declined", rpc, terminal, stay_away_ms, load)
-                ("voided", rpc, why, load)  ("health", rpc, good, load)
+                ("voided", rpc, why, load)  ("rejected", rpc, why)  ("health", rpc, good, load)
     RUNTIME     ("start", call, product, body)  ("give", call, body)  ("stop", call)  ("omit", call)
                 ("gauges", tag)
     RECORDS     ("call", call, wait_ms, body)  ("hang up", call)
@@ -18,6 +18,7 @@
 import heapq
 import math
 from collections.abc import Callable, Hashable
+from hashlib import blake2b
 from typing import Any
 
 from otterrudder.interface import Effect, Outcome, Product, Step
@@ -32,15 +33,20 @@
 class Reference:
     """What is known of a referenced txn by its mark, whichever of its tries holds it."""
 
-    __slots__ = ("holder", "until", "result", "over", "waiting")
+    __slots__ = ("holder", "what", "until", "result", "over", "waiting")
 
-    def __init__(self, holder: int) -> None:
-        self.holder, self.until = holder, 0.0
+    def __init__(self, holder: int, what: bytes) -> None:
+        self.holder, self.what, self.until = holder, what, 0.0
         self.result: bytes | None = None  # of the run that settled
         self.over = False  # the run has ended, with or without a result
         self.waiting: list[int] = []  # tries to be answered from it
 
 
+def what(product: int, body: bytes) -> bytes:
+    """A digest of what is asked for: all tries of a referenced txn agree in it."""
+    return blake2b(body, digest_size=12, salt=b"%d" % product).digest()
+
+
 class Txn:
     """A txn that is owed an answer, or whose run is not over."""
 
@@ -70,7 +76,7 @@
         self.calls: dict[str, Txn] = {}  # the same entries by the id the wires know
         self.references: dict[str, Reference] = {}
         self.lapses: list[tuple[float, str]] = []
-        self.fresh: dict[str, int] = {}  # marks that came in this batch: two tries in one are linked
+        self.fresh: dict[str, Reference] = {}  # of marks that came in this batch: two tries in one are linked
         self.numbered = 0
         self.load: float | None = None
         self.healthy = self.retiring = False
@@ -106,26 +112,28 @@
     def arrive(self, peer: Hashable, rpc: int, product: int, *, call: str, recv: float, ttl: float | None,
                kb: float, tenant: int, key: int, retry: bool, dedupe: str, body: bytes) -> None:
         if call in self.calls:
-            self.out.append((peer, "voided", rpc, "this call is open already", self.load))
+            self.out.append((peer, "rejected", rpc, "this call is open already"))
             return
         if not self.rudder:  # no module yet that could decide, and nothing runs
             self.out.append((peer, "declined", rpc, False, 0.0, self.load))
             return
-        self.numbered += 1
         spec = self.products[product]
-        mark = dedupe if spec.effect is Effect.REFERENCED else ""
+        mark, known = dedupe if spec.effect is Effect.REFERENCED else "", None
+        if mark:
+            asked = what(product, body)
+            known = self.references.get(mark) or self.fresh.get(mark)
+            if known and known.what != asked:  # its result would be served to another request
+                self.out.append((peer, "rejected", rpc, "this mark came with another body or method"))
+                return
+        self.numbered += 1
         txn = Txn(self.numbered, call, peer, rpc, product, body, mark)
         self.txns[txn.number] = self.calls[call] = txn
-        earlier = 0
-        if mark:
-            known = self.references.get(mark)
-            earlier = known.holder if known else self.fresh.get(mark, 0)
-            if not known:
-                self.fresh[mark] = txn.number
+        if mark and not known:
+            self.fresh[mark] = Reference(txn.number, asked)
         age = max(self.unix - recv, 0.0)
         left = 0.0 if ttl is None else max(ttl - age, 1e-3)  # 0 would say that nothing is known
         self.rudder.arrive(txn.number, product, tenant=tenant, key=key, kb=kb, age_ms=age, left_ms=left,
-                           earlier=earlier, retry=retry)
+                           earlier=known.holder if known else 0, retry=retry)
 
     def left(self, call: str) -> None:
         """Its caller waits no more, or its connection has gone: no answer is owed."""
@@ -198,6 +206,9 @@
         txn = self.calls.get(call)
         self.out.append((HELM, "log", "runtime refused a command", {"command": word, "call": call}))
         if txn and txn.started and word == "start" and txn.proof != UNSENT:
+            if not txn.answered:
+                self.out.append((txn.peer, "rejected", txn.rpc, "the runtime does not know this request"))
+                self._close(txn)
             self._run_over(txn, Outcome.MOOT)
         elif txn and word == "give":
             self._void(txn)
@@ -247,6 +258,8 @@
         if word in _OF_A_TXN:
             if txn := self.txns.get(rest[0]):
                 _OF_A_TXN[word](self, txn, *rest[1:])
+            elif word == "run":  # its caller left within this batch: nothing starts, and its slot comes back
+                self.rudder.finished(rest[0], Outcome.MOOT)
         elif word == "wake":
             self.out.append((HELM, "wake", rest[0]))
         elif word == "advertise":
@@ -306,7 +319,7 @@
     def _keep(self, txn: Txn, span_ms: float) -> None:
         known = self.references.get(txn.mark)
         if not known:
-            known = self.references[txn.mark] = Reference(txn.number)
+            known = self.references[txn.mark] = Reference(txn.number, what(txn.product, txn.body))
             heapq.heappush(self.lapses, (self.now + span_ms, txn.mark))
         elif known.holder != txn.number:
             known.holder, known.over, known.result = txn.number, False, None
@@ -350,6 +363,8 @@
         known = self.references.get(txn.mark) if txn.mark else None
         if known and known.holder == txn.number:
             known.over, known.result = True, body if outcome is Outcome.OK else None
+            if outcome is Outcome.MOOT:  # nothing was started, so the mark is free
+                del self.references[txn.mark]
         if outcome in (Outcome.OK, Outcome.ERROR):
             self._answer(txn, outcome, body)
         if txn.calling:
--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -1,4 +1,7 @@
-"""The listener, and one peer a connection: each answers for its own input and output alone."""
+"""The listener, and one peer a connection: each answers for its own input and output alone.
+
+A peer that says nothing, half a thing or too many wrong things is closed early; when connections run short,
+those quiet for longest make room. None with an open request is closed for another's sake."""
 
 import errno
 import math
@@ -7,6 +10,7 @@
 import anyio
 import anyio.abc
 
+from otterrudder.interface import Effect
 from otterrudder.net import clock, jsonrpc, sockets
 from otterrudder.net.helm import Helm
 from otterrudder.net.log import log
@@ -16,8 +20,15 @@
 UNSENT_MOST = 512 * 1024  # bytes owed to a peer: its 32 longest answers, three times over
 PAUSE_S = 0.05  # s without accepting when there are too many connections, or no descriptor
 SPARE = 24  # descriptors kept for the runtime, registry, logs and the loop itself
-SWEEP_LEAST_S, SWEEP_MOST_S = 0.05, 2.0  # s between looks for idle connections
+SWEEP_S = 0.1  # s between looks for connections that have to go
 GRACE_S = 1.0  # s after which an idle peer told `noMore` is closed from this side
+WORDLESS_MS = 1500.0  # ms after connecting by which something was answered or is open: half of what is owed
+HALF_MS = 1500.0  # ms that a message may stay half read: gateways write a message in one go
+CROWDED = 0.6  # share of the connections from which on quiet ones are left early: gateways need at most half
+QUIET_MS = 1000.0  # ms of quiet after which one is left early; gateways are back sooner or open another
+HUSHED_MS = 100.0  # ms without a word after which one may make room at once: gateways connect to ask
+WRONGS_MOST = 6  # wrong messages after which a peer is closed: a good gateway sends none
+COMPLAINTS_MOST = 5  # log lines a second on peers; past that they are counted
 IDLE = "idle"
 LEAVE_S = 0.12  # s left to the peers to close by themselves at the end of a drain
 
@@ -29,29 +40,33 @@
         self.gateways, self.helm = gateways, gateways.helm
         self.stream = sockets.Stream(sock, jsonrpc.LINE_MOST, UNSENT_MOST)
         self.open: dict[int, str] = {}  # calls by the id of their request
-        self.quiet_since = clock.monotonic()
+        self.since = self.quiet_since = self.half_since = clock.monotonic()
         self.told_no_more = 0.0  # when
-        self.complained = False
+        self.worded = False  # something was answered
+        self.wrongs = 0
 
     def tell(self, word: str, rpc: int, *rest: object) -> None:
         if word == "health":
             parts = jsonrpc.health(rpc, *rest)
         else:
             self.open.pop(rpc, None)
+            if word == "rejected":
+                self._reject(rpc, jsonrpc.PARAMS, *rest)
+                return
             if word == "settled":
                 parts = jsonrpc.settled(rpc, *rest)
             elif word == "declined":
                 parts = jsonrpc.declined(rpc, *rest)
             else:
                 parts = jsonrpc.voided(rpc, jsonrpc.FAILED, *rest)
-        self.quiet_since = clock.monotonic()
+        self.quiet_since, self.worded = clock.monotonic(), True
         self.stream.send(parts)
 
     async def run(self) -> None:
         try:
             why = await self.stream.serve(self._hear_all)
             if why not in (sockets.CLOSED, IDLE):
-                self._complain(why)
+                self.gateways.complain(why)
         finally:
             self.gateways.gone(self)
             for call in self.open.values():
@@ -61,6 +76,9 @@
         self.quiet_since = clock.monotonic()
         for message in jsonrpc.messages(buffer):
             self._hear(message)
+            self.half_since = self.quiet_since
+            if self.stream.why:
+                return
 
     def _hear(self, message: jsonrpc.Message | jsonrpc.Malformed) -> None:
         if isinstance(message, jsonrpc.Malformed):
@@ -71,19 +89,20 @@
         if method == "interrupt":
             self._interrupt(params)
         elif rpc is None:
-            self._complain(f"notification {method[:40]!r} is not known")
+            self._reject(None, jsonrpc.REQUEST, "no id")
         elif method == "check":
             self.helm.post_arrival(core.check, self, rpc)
         elif (product := core.names.get(method)) is None:
             self._reject(rpc, jsonrpc.METHOD, "no such method")
         elif rpc in self.open:
             # An answer under this id would be taken for that of the open request.
-            self._complain(f"id {rpc} is open already")
+            self._wrong(f"id {rpc} is open already")
         elif len(self.open) >= OPEN_MOST:
             self._reject(rpc, jsonrpc.REQUEST, f"more than {OPEN_MOST} open requests")
         else:
             try:
-                fields = jsonrpc.txn(params, self.gateways.tenants)
+                fields = jsonrpc.txn(params, self.gateways.tenants, clock.unix(),
+                                     core.products[product].effect is Effect.REFERENCED)
             except ValueError as trouble:
                 self._reject(rpc, jsonrpc.PARAMS, str(trouble))
                 return
@@ -98,19 +117,29 @@
                 return
 
     def _reject(self, rpc: int | None, code: int, why: str) -> None:
-        self._complain(why)
+        self.worded = True
         self.stream.send(jsonrpc.voided(rpc, code, why, None))
+        self._wrong(why)
 
-    def _complain(self, why: str) -> None:
-        if not self.complained:
-            self.complained = True
-            log.warning("trouble with a gateway's connection", why=why)
+    def _wrong(self, why: str) -> None:
+        self.wrongs += 1
+        if self.wrongs == 1:
+            self.gateways.complain(why)
+        elif self.wrongs >= WRONGS_MOST:
+            self.stream.flush()
+            self.stream.end("too many wrong messages")
 
     def sweep(self, now: float, idle_ms: float) -> None:
         """An idle peer is told first: a txn on its way here still comes, and is answered."""
-        if self.open or now - self.quiet_since < idle_ms:
+        if self.open or self.stream.why:
+            return
+        if not self.worded and now - self.since > WORDLESS_MS:
+            self.stream.end("nothing to answer in time")
+        elif self.stream.buffer.start < self.stream.buffer.end and now - self.half_since > HALF_MS:
+            self.stream.end("half a message")
+        elif now - self.quiet_since < idle_ms:
             return
-        if not self.told_no_more:
+        elif not self.told_no_more:
             self.no_more(now)
         elif now - max(self.told_no_more, self.quiet_since) > GRACE_S * 1000:
             self.stream.end(IDLE)
@@ -123,8 +152,10 @@
 class Gateways:
     def __init__(self, helm: Helm, address: tuple[str, int], sockets_most: int,
                  tenants: dict[str, int]) -> None:
+        """`sockets_most`: descriptors that are left to connections."""
         self.helm, self.tenants = helm, tenants
         self.most = max(sockets_most - SPARE, 8)
+        self.second, self.complaints = 0, 0
         self.peers: set[Peer] = set()
         self.idle_ms, self.full = math.inf, False
         self.closing = anyio.Event()
@@ -166,7 +197,7 @@
 
     def _accept_all(self, group: anyio.abc.TaskGroup) -> bool:
         """False if there is no room for those that still wait: trying at once again would only spin."""
-        while len(self.peers) < self.most:
+        while len(self.peers) < self.most or self._make_room():
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -183,6 +214,30 @@
         self._full("as many connections as the limit allows")
         return False
 
+    def _make_room(self) -> bool:
+        """One goes at once: the longest wordless, else the longest quiet. Those ended count no more,
+        though each is gone only once its task has run."""
+        now = clock.monotonic()
+        open_still = [peer for peer in self.peers if not peer.stream.why]
+        if len(open_still) < self.most:
+            return len(self.peers) < self.most + SPARE // 2
+        idle = [peer for peer in open_still if not peer.open]
+        victim = min(idle, key=lambda peer: (peer.worded, peer.quiet_since), default=None)
+        if not victim or now - victim.quiet_since < (QUIET_MS if victim.worded else HUSHED_MS):
+            return False
+        victim.stream.end("room for others")
+        return len(self.peers) < self.most + SPARE // 2
+
+    def complain(self, why: str) -> None:
+        second = int(clock.monotonic() / 1000)
+        if second != self.second:
+            self.second, left_out, self.complaints = second, max(self.complaints - COMPLAINTS_MOST, 0), 0
+            if left_out:
+                log.warning("more trouble with connections", lines_left_out=left_out)
+        self.complaints += 1
+        if self.complaints <= COMPLAINTS_MOST:
+            log.warning("trouble with a gateway's connection", why=why)
+
     def _full(self, why: str) -> None:
         if not self.full:
             self.full = True
@@ -194,7 +249,8 @@
 
     async def _sweep(self) -> None:
         while True:
-            await anyio.sleep(min(max(self.idle_ms / 4000, SWEEP_LEAST_S), SWEEP_MOST_S))
+            await anyio.sleep(SWEEP_S)
             now = clock.monotonic()
-            for peer in list(self.peers):
-                peer.sweep(now, self.idle_ms)
+            idle_ms = min(self.idle_ms, QUIET_MS) if len(self.peers) > CROWDED * self.most else self.idle_ms
+            for peer in self.peers:
+                peer.sweep(now, idle_ms)
--- a/otterrudder/net/jsonrpc.py
+++ b/otterrudder/net/jsonrpc.py
@@ -12,8 +12,11 @@
 
 BODY_MOST = 2048  # bytes of a txn's body
 LINE_MOST = 16 * 1024  # bytes of a line: a body, its base64 and every field with room to spare
-NUMBER_MOST = 1e15  # a larger number in any field is absurd: ms since 1970 are below it for 30,000 years
-KB_MOST = 2000.0  # KB that a txn may book
+ID_MOST = 2**53  # ids count from 1; past that not all readers of JSON can tell them apart
+AWRY_MS = 3600e3  # ms by which a gateway's clock may differ from ours: past an hour it is no clock
+WAIT_MOST_MS = 86400e3  # ms that a try may wait: nobody waits for a day
+KB_MOST = 2000.0  # KB below which a txn's memory lies
+MARK_MOST = 64  # characters of a mark: all that is kept for its window is bounded
 
 PARSE, REQUEST, METHOD, PARAMS, FAILED, NEVER_RAN = -32700, -32600, -32601, -32602, -32000, -32014
 
@@ -55,8 +58,8 @@
     if not isinstance(told, dict):
         return Malformed(REQUEST, "not a JSON-RPC message; batches are not taken")
     rpc, method, params = told.get("id"), told.get("method"), told.get("params", {})
-    if type(rpc) is not int and rpc is not None:
-        return Malformed(REQUEST, "id is no whole number")
+    if rpc is not None and (type(rpc) is not int or not 1 <= rpc <= ID_MOST):
+        return Malformed(REQUEST, "id is no whole number above 0")
     if told.get("jsonrpc") != "2.0" or not isinstance(method, str):
         return Malformed(REQUEST, "not a JSON-RPC 2.0 request", rpc)
     if not isinstance(params, dict):
@@ -71,9 +74,9 @@
     return call
 
 
-def number(params: dict, name: str, least: float, most: float = NUMBER_MOST) -> float:
+def number(params: dict, name: str, least: float, most: float) -> float:
     value = params.get(name)
-    if type(value) not in (int, float) or not math.isfinite(value) or not least <= value <= most:
+    if type(value) not in (int, float) or not least <= value <= most:  # NaN is neither
         raise ValueError(f"{name} is no number from {least:g} to {most:g}")
     return float(value)
 
@@ -85,9 +88,19 @@
     return value
 
 
-def txn(params: dict, tenants: dict[str, int]) -> dict:
+def txn(params: dict, tenants: dict[str, int], unix: float, marked: bool) -> dict:
     """The fields of a txn by the core's names; ValueError says what is wrong with them."""
-    org, row = text(params, "org"), text(params, "row")
+    org, row, mark = text(params, "org"), text(params, "row"), text(params, "dedupe")
+    if len(mark) > MARK_MOST or (marked and not mark):
+        raise ValueError("dedupe is missing or too long")
+    if params.get("rep", 1) != 1:
+        raise ValueError("rep is not 1")
+    for name in ("src", "crit"):  # nothing hangs on these two here, but a good gateway knows its own
+        if name in params:
+            number(params, name, 0, 1e9 if name == "src" else 1)
+    kb = number(params, "heap", 0, KB_MOST)
+    if not 0 < kb < KB_MOST:
+        raise ValueError(f"heap is not above 0 and below {KB_MOST:g}")
     if org not in tenants and (org or tenants):
         raise ValueError("org is no tenant of the settings")
     if row and not _HEX16.fullmatch(row):
@@ -100,13 +113,13 @@
         raise ValueError(f"blob is over {BODY_MOST} bytes")
     return dict(
         call=ident(params),
-        recv=number(params, "recv", 0),
-        ttl=number(params, "ttl", 0) if "ttl" in params else None,
-        kb=number(params, "heap", 0, KB_MOST),
+        recv=number(params, "recv", unix - AWRY_MS, unix + AWRY_MS),
+        ttl=number(params, "ttl", 0, WAIT_MOST_MS) if "ttl" in params else None,
+        kb=kb,
         tenant=tenants.get(org, 0),
         key=int(row, 16) if row else 0,
-        retry=params.get("rep") in (1, True),
-        dedupe=text(params, "dedupe"),
+        retry="rep" in params,
+        dedupe=mark,
         body=body,
     )
 
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -97,9 +97,10 @@
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     the_core = core.Core(make, products, gauge_names(settings))
     helm = Helm(the_core)
-    gateways = Gateways(helm, address(told["listen"]), int(told["limits"]["sockets"]), tenants)
     runtime = Runtime(helm, address(told["runtime"]))
-    records = Records(helm, _records(told), int(told["limits"]["sockets"]))
+    sockets_most = int(told["limits"]["sockets"])
+    records = Records(helm, _records(told), sockets_most)
+    gateways = Gateways(helm, address(told["listen"]), sockets_most - records.most, tenants)
     registry = Registry(told["name"], address(told["registry"]))
     helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
     log.info("listening", address=told["listen"], pid=os.getpid())
--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -1,5 +1,6 @@
 """A stream's two ends in this process: a receive buffer that is parsed in place, and gathered writes."""
 
+import contextlib
 import os
 import socket
 from collections import deque
@@ -87,6 +88,12 @@
         if self.unsent > self.unsent_most:
             self.end("reads too slowly")
 
+    def flush(self) -> None:
+        """Writes what the socket takes at once: an end right after it drops the rest."""
+        with contextlib.suppress(OSError):
+            while self.parts and not self.why:
+                self._sent(self.sock.sendmsg(list(islice(self.parts, GATHER_MOST))))
+
     def end(self, why: str) -> None:
         if not self.why:
             self.why = why
