--- a/otterrudder/__main__.py
+++ b/otterrudder/__main__.py
@@ -29,7 +29,7 @@
 
 @main.command("serve")
 def serve_command() -> None:
-    """Serve until SIGTERM, then drain and end."""
+    """Serve until SIGTERM, then drain and end. SIGHUP takes new addresses from the configuration file."""
     told = _configuration()
     log.set_up(told["name"])
     sys.exit(serve.run(told))
@@ -37,7 +37,7 @@
 
 @main.command()
 def check() -> None:
-    """Read the configuration and say what is wrong with it."""
+    """Read the configuration and say what is wrong with it; worth doing before SIGHUP."""
     told = _configuration()
     click.echo(f"{told['name']}: the configuration is good: {len(told['settings']['classes'])} products")
 
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -82,6 +82,7 @@
         self.healthy = self.retiring = False
         self.is_linked = False  # a runtime link stands and its replay is over
         self.asked = self.heard = 0  # the last gauges asked for, and those last answered
+        self.told_cores = -1.0  # on the cores as the last ring heard, for the log
         self.told: dict[str, float] = {}  # the answered gauges, until a ring takes them
 
     # The batch: the time first, then what came, then the steps.
@@ -238,8 +239,19 @@
     def ring(self) -> None:
         """Without gauges that answer the last question the module keeps to what it takes to be safe."""
         told, self.told = self.told, {}
+        self.told_cores = told.get("on_cores", -1.0)
         self.rudder.ring(**told)
 
+    def beliefs(self) -> dict[str, float]:
+        """What the module counts beside what is known here, for the log: they must agree."""
+        if not self.rudder:
+            return {}
+        slots = self.rudder.slots
+        return dict(in_hand=slots.in_hand, running=slots.running, held=self.rudder.sessions.held,
+                    runs=sum(txn.started for txn in self.txns.values()),
+                    at_calls=sum(txn.wants is not None for txn in self.txns.values()),
+                    on_cores=self.told_cores, gauges_behind=self.asked - self.heard, load=self.load)
+
     def retire(self, left_ms: float) -> None:
         if self.rudder and not self.retiring:
             self.retiring = True
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -6,6 +6,7 @@
 import gc
 import resource
 from collections.abc import Callable, Hashable
+from pathlib import Path
 from typing import Any, Protocol
 
 import anyio
@@ -91,6 +92,11 @@
             return None
 
 
+def _rss_mb() -> float:
+    """Now, not at its highest: growth shows."""
+    return round(int(Path("/proc/self/statm").read_bytes().split()[1]) * resource.getpagesize() / 2**20, 1)
+
+
 class _Watch:
     """A cheap count of how this process does, told now and then."""
 
@@ -111,10 +117,12 @@
             return
         used = resource.getrusage(resource.RUSAGE_SELF)
         cpu = used.ru_utime + used.ru_stime
-        log.info("doing", txns=len(of.txns), references=len(of.references), numbered=of.numbered,
+        log.info("doing", **of.beliefs(), txns=len(of.txns), references=len(of.references),
+                 numbered=of.numbered,
                  worst_ring_late_ms=round(self.lag, 1), worst_turn_ms=round(self.turn_ms, 1),
                  most_mail=self.mail, turns=self.turns, events=self.events, cpu_s=round(cpu - self.cpu, 3),
-                 rss_mb=round(used.ru_maxrss / 1024, 1), collections=gc.get_stats()[2]["collections"])
+                 rss_mb=_rss_mb(), most_rss_mb=round(used.ru_maxrss / 1024, 1),
+                 collections=gc.get_stats()[2]["collections"])
         self.next, self.cpu = now + REPORT_MS, cpu
         self.lag = self.turn_ms = 0.0
         self.mail = self.turns = self.events = 0
--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -11,6 +11,7 @@
 
 from otterrudder.net.log import log
 
+ROOM_FIRST = 4 * 1024  # bytes of a new buffer: nearly all messages fit, and hundreds of peers are quiet
 GATHER_MOST = 256  # parts of one gathered write: below every system's bound of 1,024
 
 
@@ -22,10 +23,11 @@
 
 
 class Buffer:
-    """What was received and not yet taken. Codecs look at `data` from `start` to `end` and move `start`."""
+    """What was received and not yet taken. Codecs look at `data` from `start` to `end` and move `start`.
+    It grows up to its room with the longest message."""
 
     def __init__(self, room: int) -> None:
-        self.data = bytearray(room)
+        self.room, self.data = room, bytearray(min(room, ROOM_FIRST))
         self.start = self.end = self.seen = 0  # seen: up to there no line end was found
 
     def space(self) -> memoryview:
@@ -35,6 +37,8 @@
             self.data[:rest] = self.data[self.start : self.end]
             self.seen = max(self.seen - self.start, 0)
             self.start, self.end = 0, rest
+        if self.end == len(self.data) < self.room:
+            self.data += bytes(min(self.end, self.room - self.end))
         return memoryview(self.data)[self.end :]
 
     def line(self, mark: bytes) -> memoryview | None:
@@ -49,8 +53,13 @@
         self.start = self.seen = self.start + count
 
     def put(self, data: bytes) -> None:
-        self.space()[: len(data)] = data
-        self.end += len(data)
+        while data:
+            with self.space() as space:
+                if not space:
+                    raise Broken("a message that is too long")
+                count = min(len(space), len(data))
+                space[:count] = data[:count]
+            self.end, data = self.end + count, data[count:]
 
 
 class Stream:
