Make room sixteen connections at a time, so that gateways do not wait behind a full table

The log's 'room for others' came each 50 ms. At fault: gateways._make_room, which gave up at a young wordless peer with others long at rest, and the pause of 50 ms after each. The test takes over 4 s without the change.

--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -21,12 +21,16 @@
 PAUSE_S = 0.05  # s without accepting when there are too many connections, or no descriptor
 SPARE = 24  # descriptors kept for the runtime, registry, logs and the loop itself
 SWEEP_S = 0.1  # s between looks for connections that have to go
-GRACE_S = 1.0  # s after which an idle peer told `noMore` is closed from this side
+GRACE_MS = 1000.0  # ms after which an idle peer told `noMore` is closed from this side
 WORDLESS_MS = 1500.0  # ms after connecting by which something was answered or is open: half of what is owed
 HALF_MS = 1500.0  # ms that a message may stay half read: gateways write a message in one go
-CROWDED = 0.6  # share of the connections from which on quiet ones are left early: gateways need at most half
+CROWDED = 0.5  # share of the connections from which on quiet ones are left early: gateways need at most half
 QUIET_MS = 1000.0  # ms of quiet after which one is left early; gateways are back sooner or open another
 HUSHED_MS = 100.0  # ms without a word after which one may make room at once: gateways connect to ask
+RESTED_MS = 250.0  # ms of quiet after its answers after which one may: what crosses its close comes again
+ROOM_MADE = 16  # peers that make room in one go: looking for them costs a look at all
+ACCEPTED_MOST = 16  # connections accepted before others get their turn: hundreds come at once
+LEAVING_S = 0.002  # s without accepting while those that make room go
 WRONGS_MOST = 6  # wrong messages after which a peer is closed: a good gateway sends none
 COMPLAINTS_MOST = 5  # log lines a second on peers; past that they are counted
 IDLE = "idle"
@@ -129,11 +133,11 @@
             self.stream.flush()
             self.stream.end("too many wrong messages")
 
-    def sweep(self, now: float, idle_ms: float) -> None:
+    def sweep(self, now: float, idle_ms: float, wordless_ms: float, grace_ms: float) -> None:
         """An idle peer is told first: a txn on its way here still comes, and is answered."""
         if self.open or self.stream.why:
             return
-        if not self.worded and now - self.since > WORDLESS_MS:
+        if not self.worded and now - self.since > wordless_ms:
             self.stream.end("nothing to answer in time")
         elif self.stream.buffer.start < self.stream.buffer.end and now - self.half_since > HALF_MS:
             self.stream.end("half a message")
@@ -141,7 +145,7 @@
             return
         elif not self.told_no_more:
             self.no_more(now)
-        elif now - max(self.told_no_more, self.quiet_since) > GRACE_S * 1000:
+        elif now - max(self.told_no_more, self.quiet_since) > grace_ms:
             self.stream.end(IDLE)
 
     def no_more(self, now: float) -> None:
@@ -179,7 +183,7 @@
             accepting.start_soon(self._accept, group)
             await self.closing.wait()
             accepting.cancel_scope.cancel()
-        self._accept_all(group)  # what waits to be accepted would be reset with the listener
+        self._accept_some(group, self.most)  # what waits to be accepted would be reset with the listener
         self.sock.close()
         await anyio.lowlevel.checkpoint()
         for peer in self.peers:
@@ -192,41 +196,43 @@
     async def _accept(self, group: anyio.abc.TaskGroup) -> None:
         while True:
             await anyio.wait_readable(self.sock)
-            if not self._accept_all(group):
-                await anyio.sleep(PAUSE_S)
+            if pause := self._accept_some(group, ACCEPTED_MOST):
+                await anyio.sleep(pause)
 
-    def _accept_all(self, group: anyio.abc.TaskGroup) -> bool:
-        """False if there is no room for those that still wait: trying at once again would only spin."""
-        while len(self.peers) < self.most or self._make_room():
+    def _accept_some(self, group: anyio.abc.TaskGroup, most: int) -> float:
+        """Seconds to wait if there is no room for those that still wait: trying at once would only spin."""
+        for _ in range(min(most, self.most - len(self.peers))):
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
                 self.full = False
-                return True
+                return 0.0
             except OSError as trouble:
                 if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self._full(str(trouble))
-                    return False
+                    return PAUSE_S
                 continue  # that one connection went before it was taken
             peer = Peer(self, sock)
             self.peers.add(peer)
             group.start_soon(peer.run)
+        if len(self.peers) < self.most:
+            return 0.0
+        if self._make_room():
+            return LEAVING_S
         self._full("as many connections as the limit allows")
-        return False
+        return PAUSE_S
 
     def _make_room(self) -> bool:
-        """One goes at once: the longest wordless, else the longest quiet. Those ended count no more,
-        though each is gone only once its task has run."""
+        """Some go at once: the longest wordless, then the longest quiet. Whether any is on its way out."""
+        if any(peer.stream.why for peer in self.peers):
+            return True
         now = clock.monotonic()
-        open_still = [peer for peer in self.peers if not peer.stream.why]
-        if len(open_still) < self.most:
-            return len(self.peers) < self.most + SPARE // 2
-        idle = [peer for peer in open_still if not peer.open]
-        victim = min(idle, key=lambda peer: (peer.worded, peer.quiet_since), default=None)
-        if not victim or now - victim.quiet_since < (QUIET_MS if victim.worded else HUSHED_MS):
-            return False
-        victim.stream.end("room for others")
-        return len(self.peers) < self.most + SPARE // 2
+        rested = [peer for peer in self.peers if not peer.open
+                  and now - peer.quiet_since > (RESTED_MS if peer.worded else HUSHED_MS)]
+        rested.sort(key=lambda peer: (peer.worded, peer.quiet_since))
+        for peer in rested[:ROOM_MADE]:
+            peer.stream.end("room for others")
+        return bool(rested)
 
     def complain(self, why: str) -> None:
         second = int(clock.monotonic() / 1000)
@@ -251,6 +257,8 @@
         while True:
             await anyio.sleep(SWEEP_S)
             now = clock.monotonic()
-            idle_ms = min(self.idle_ms, QUIET_MS) if len(self.peers) > CROWDED * self.most else self.idle_ms
+            patience = (self.idle_ms, WORDLESS_MS, GRACE_MS)
+            if len(self.peers) > CROWDED * self.most:
+                patience = (min(self.idle_ms, QUIET_MS), RESTED_MS, HUSHED_MS)
             for peer in self.peers:
-                peer.sweep(now, idle_ms)
+                peer.sweep(now, *patience)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -451,6 +451,12 @@
         settles(runtime, gateway, A)
         many = [socket.create_connection(server.address) for _ in range(200)]
         settles(runtime, server.gateway(), B)  # though all came before it
+        began = time.monotonic()  # at the bound one once made room each 50 ms, and only after 1 s of quiet
+        asked = [server.gateway() for _ in range(160)]
+        for peer in asked:
+            peer.ask("check")
+        settles(runtime, server.gateway(), C)
+        assert time.monotonic() - began < 4
         for sock in many:
             sock.close()
 
