--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -174,6 +174,19 @@
     old_registry.close()
 
 
+def test_new_configurations_may_come_early_and_in_a_row(server: Server) -> None:
+    server.gateway()
+    server.runtime(ready="")  # the link stands, the runtime is not up
+    server.move().close()
+    runtime = server.runtime()
+    runtime.idle(2)
+    settles(runtime, server.gateway(), A)
+    server.move().close(), server.move().close()  # nobody answers the last question, nor in between
+    new = server.runtime()
+    new.idle(2)
+    settles(new, server.gateway(), B)
+
+
 def test_a_runtime_that_comes_up_late_refuses_the_gauges_and_starts_cold(server: Server) -> None:
     # A restarted server once ran nothing: its question for the end of the replay came before `ready`.
     gateway = server.gateway()
