--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -45,6 +45,16 @@
     assert fed([data[n : n + 1] for n in range(len(data))], READERS[data]) == whole
 
 
+def test_a_buffer_begins_small_and_grows_to_its_room_and_no_further() -> None:
+    line = b'{"jsonrpc":"2.0","id":7,"method":"look","params":{"x":"%s"}}\n' % (b"y" * 9000)
+    assert fed([line[:5000], line[5000:]], READERS[GATEWAY], 16384)[0][2] == {"x": "y" * 9000}
+    buffer = Buffer(16384)
+    assert len(buffer.data) == 4096
+    with pytest.raises(Broken):
+        buffer.put(b"z" * 20000)
+    assert len(buffer.data) == 16384
+
+
 def test_messages_are_what_was_said() -> None:
     assert fed([GATEWAY], READERS[GATEWAY])[0] == (7, "look", {"call": "00000000000000aa"})
     said = fed([RUNTIME], READERS[RUNTIME])
@@ -255,6 +265,8 @@
             elif what == 13:
                 news = bench.step(the_core.ring, ms=40.0)
             out = news
+        told = the_core.beliefs()
+        assert told["in_hand"] == told["runs"]  # the module's count and the wire's agree
     bench.step(the_core.retire, 1500.0)
     bench.step(lambda: None, ms=1500.0)
     assert bench.words("close") and all(txn.answered for txn in the_core.txns.values())
