--- a/otterrudder/__main__.py
+++ b/otterrudder/__main__.py
@@ -14,7 +14,8 @@
 def main(context: click.Context) -> None:
     """A server with session-based admission and scheduling, behind other people's gateways.
 
-    Without a command it serves. The environment's NODE_CONFIG names the configuration file (JSON)."""
+    Without a command it serves. The environment's NODE_CONFIG names the configuration file (JSON).
+    SIGHUP takes new addresses from it while service goes on; run check on a new file first."""
     if context.invoked_subcommand is None:
         context.invoke(serve_command)
 
@@ -37,7 +38,7 @@
 
 @main.command()
 def check() -> None:
-    """Read the configuration and say what is wrong with it; worth doing before SIGHUP."""
+    """Say what is wrong with the configuration, if anything."""
     told = _configuration()
     click.echo(f"{told['name']}: the configuration is good: {len(told['settings']['classes'])} products")
 
