One digest a referenced txn, one gathered write, and marks freed where they always were

Read over the whole change; behaviour as it was. core: the digest of method and body was made twice for each new reference (on arrival and again at its keep), now it stays with the txn; a start that was never made frees its mark by the existing _forget; the words sent to the runtime name 'leave'. sockets: flush repeated the writer's sendmsg, both call _push. records: no copy of the links for a look that removes none.

--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -6,7 +6,7 @@
     peer        ("settled", rpc, body, load)  ("declined", rpc, terminal, stay_away_ms, load)
                 ("voided", rpc, why, load)  ("rejected", rpc, why)  ("health", rpc, good, load)
     RUNTIME     ("start", call, product, body)  ("give", call, body)  ("stop", call)  ("omit", call)
-                ("gauges", tag)
+                ("gauges", tag)  ("leave", tag)
     RECORDS     ("call", call, wait_ms, body)  ("hang up", call)
     GATEWAYS    ("idle", ms)  ("close",)
     HELM        ("wake", ms)  ("log", text, facts)
@@ -50,13 +50,13 @@
 class Txn:
     """A txn that is owed an answer, or whose run is not over."""
 
-    __slots__ = ("number", "call", "peer", "rpc", "product", "body", "mark", "answered", "started", "proof",
-                 "wants", "given", "calling", "waits_on")
+    __slots__ = ("number", "call", "peer", "rpc", "product", "body", "mark", "what", "answered", "started",
+                 "proof", "wants", "given", "calling", "waits_on")
 
     def __init__(self, number: int, call: str, peer: Hashable, rpc: int, product: int, body: bytes,
-                 mark: str) -> None:
+                 mark: str, what: bytes) -> None:
         self.number, self.call, self.peer, self.rpc, self.product = number, call, peer, rpc, product
-        self.body, self.mark = body, mark
+        self.body, self.mark, self.what = body, mark, what
         self.answered = self.started = self.calling = False
         self.proof: float = UNSENT  # the gauges whose answer proves that its start or reply was read
         self.wants: bytes | None = None  # the body of the call it stands at
@@ -119,7 +119,7 @@
             self.out.append((peer, "declined", rpc, False, 0.0, self.load))
             return
         spec = self.products[product]
-        mark, known = dedupe if spec.effect is Effect.REFERENCED else "", None
+        mark, known, asked = dedupe if spec.effect is Effect.REFERENCED else "", None, b""
         if mark:
             asked = what(product, body)
             known = self.references.get(mark) or self.fresh.get(mark)
@@ -127,7 +127,7 @@
                 self.out.append((peer, "rejected", rpc, "this mark came with another body or method"))
                 return
         self.numbered += 1
-        txn = Txn(self.numbered, call, peer, rpc, product, body, mark)
+        txn = Txn(self.numbered, call, peer, rpc, product, body, mark, asked)
         self.txns[txn.number] = self.calls[call] = txn
         if mark and not known:
             self.fresh[mark] = Reference(txn.number, asked)
@@ -331,7 +331,7 @@
     def _keep(self, txn: Txn, span_ms: float) -> None:
         known = self.references.get(txn.mark)
         if not known:
-            known = self.references[txn.mark] = Reference(txn.number, what(txn.product, txn.body))
+            known = self.references[txn.mark] = Reference(txn.number, txn.what)
             heapq.heappush(self.lapses, (self.now + span_ms, txn.mark))
         elif known.holder != txn.number:
             known.holder, known.over, known.result = txn.number, False, None
@@ -376,7 +376,7 @@
         if known and known.holder == txn.number:
             known.over, known.result = True, body if outcome is Outcome.OK else None
             if outcome is Outcome.MOOT:  # nothing was started, so the mark is free
-                del self.references[txn.mark]
+                self._forget(txn)
         if outcome in (Outcome.OK, Outcome.ERROR):
             self._answer(txn, outcome, body)
         if txn.calling:
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -158,5 +158,5 @@
             while True:
                 await anyio.sleep(SWEEP_S)
                 now = clock.monotonic()
-                for link in list(self.links):
+                for link in self.links:
                     link.sweep(now)
--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -101,7 +101,7 @@
         """Writes what the socket takes at once: an end right after it drops the rest."""
         with contextlib.suppress(OSError):
             while self.parts and not self.why:
-                self._sent(self.sock.sendmsg(list(islice(self.parts, GATHER_MOST))))
+                self._push()
 
     def end(self, why: str) -> None:
         if not self.why:
@@ -137,7 +137,7 @@
         while not self.why:
             try:
                 if self.parts:
-                    self._sent(self.sock.sendmsg(list(islice(self.parts, GATHER_MOST))))
+                    self._push()
                 else:
                     self.wake = anyio.Event()
                     await self.wake.wait()
@@ -152,7 +152,9 @@
                 self.end("closed while it was written to")
         scope.cancel()
 
-    def _sent(self, count: int) -> None:
+    def _push(self) -> None:
+        """One gathered write, and what it took is gone."""
+        count = self.sock.sendmsg(list(islice(self.parts, GATHER_MOST)))
         self.unsent -= count
         while count:
             part = self.parts.popleft()
