Levels of reduced service: a pure ladder, its table, and the module's stage that enforces it

Need: under 110% demand form-submit is to be answered well rather than everything badly, without a node that flips between modes.

Change: otterrudder/levels holds the ladder (entry on a mean, exit on a longer calm window, least stays, damping of returns, trials), the TOML table checked whole, and the watch that a core holds. The module gains one stage, Levels, behind Repeats, so what has run is never declined by a level; facts() tells the ladder how things stand. CLI commands have files of their own; the configuration is a checked msgspec reading. Off unless a table is named.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 # What CI, README and a developer use alike.
 PY = .venv/bin/python
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run demo clean
 
 build: .venv/dev  ## the environment, with what tests and lint need
 
-.venv/dev: requirements.txt requirements-dev.txt
+.venv/dev: requirements.txt requirements-lab.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	.venv/bin/pip -q install -r requirements-dev.txt
 	touch .venv/dev
 
 test: build  ## scenarios, codecs, core, and the program on sockets
@@ -15,9 +15,13 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/mypy
 
 run: build  ## serve; NODE_CONFIG names the configuration
 	$(PY) -m otterrudder serve
 
+demo: build  ## a short evening that crosses the levels, in simulated time: no configuration, no network
+	$(PY) -m otterrudder lab demo
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache
--- a/otterrudder/__init__.py
+++ b/otterrudder/__init__.py
@@ -1,3 +1,3 @@
 """Session-based admission and scheduling for servers behind other people's gateways."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- /dev/null
+++ b/otterrudder/cli/serve.py
@@ -0,0 +1,49 @@
+"""serve and check: the server and its configuration."""
+
+import os
+import sys
+from typing import Any
+
+import click
+
+from otterrudder.cli.common import give_up
+from otterrudder.net import log
+from otterrudder.net import serve as server
+from otterrudder.net.configuration import BadConfiguration, read_configuration
+
+LEVELS = click.option("--levels", "levels", envvar="OTTERRUDDER_LEVELS", metavar="FILE",
+                      help="TOML table of levels of reduced service (or OTTERRUDDER_LEVELS). Absent: off.")
+
+
+def configuration() -> tuple[dict[str, Any], str | None]:
+    """The configuration that NODE_CONFIG names, and its path; ends the process if it is no good."""
+    path = os.environ.get("NODE_CONFIG")
+    try:
+        return read_configuration(path), path
+    except BadConfiguration as trouble:
+        give_up(trouble)
+
+
+@click.command()
+@LEVELS
+def serve(levels: str | None = None) -> None:
+    """Serve until SIGTERM, then drain and end. SIGHUP takes new addresses and levels from their files."""
+    told, path = configuration()
+    log.set_up(told["name"])
+    try:
+        sys.exit(server.run(told, server.Files(path, levels)))
+    except BadConfiguration as trouble:
+        give_up(trouble)
+
+
+@click.command()
+@LEVELS
+def check(levels: str | None) -> None:
+    """Say what is wrong with the configuration (and the levels, if given), if anything."""
+    told, path = configuration()
+    try:
+        table = server.Files(path, levels).read_levels(told["settings"])
+    except BadConfiguration as trouble:
+        give_up(trouble)
+    click.echo(f"{told['name']}: the configuration is good: {len(told['settings']['classes'])} products"
+               + (f", {len(table.rungs)} levels" if table else ""))
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -13,6 +13,7 @@
     ("close",)                                         the drain is over: all is answered, so leave
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -68,6 +69,37 @@
     share: float
 
 
+class Cut(Enum):
+    """What a level of reduced service does with what it trims, the mildest first."""
+
+    OMIT = "omit"  # it runs without its call
+    SHARE = "share"  # a share of it is admitted
+    ESTABLISHED = "established"  # newcomers are declined
+    DECLINE = "decline"  # all of it is declined
+
+
+@dataclass(frozen=True, slots=True)
+class Trim:
+    cut: Cut
+    share: float = 0.0  # of those that come, admitted
+    rank: float = math.inf  # only what ranks below this
+    tenants: frozenset[int] | None = None  # only what these send
+
+    def fits(self, txn: "Txn") -> bool:
+        return txn.rank < self.rank and (self.tenants is None or txn.tenant in self.tenants)
+
+
+@dataclass(frozen=True, slots=True)
+class Relief:
+    """A level of reduced service as the module is told it; full service is one that trims nothing."""
+
+    name: str
+    trims: tuple[tuple[Trim, ...], ...] = ()  # by product, the strongest first; empty: nothing is trimmed
+    answers_held: bool = False  # what is held and would be declined is answered when the level starts
+    keeps_away: bool = False  # callers are asked to stay away until the level may end
+    stay_ms: float = 0.0  # how long it lasts at the least, from when it is told
+
+
 class Place(Enum):
     HELD = "held"
     FOLLOWS = "follows"  # held behind an earlier try that is held itself
@@ -85,6 +117,7 @@
         self.arrived = now - age
         self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
         self.tenant = self.key = self.earlier = 0
+        self.rank = 1.0  # 0 to 1: how dear it is to its caller
         self.kb = self.unit = 1.0  # memory while held; what one unit of cost stands for, 1 without a hint
         self.cost = 0.0  # expected ms on the cores, fixed when held
         self.retry = self.old = self.queued = self.ran = self.answered = self.settled = self.calling = False
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -1,11 +1,12 @@
 """All decisions of otterrudder: SBOC, session-based overload control, and the guards around it.
 
 An adapter (otterrudder/drill, otterrudder/net) makes one Rudder for each server process. It says
-the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire or ring, and carries
-out, in order, the steps that done returns. Plain types and the words of the steps: otterrudder/interface.py.
+the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire, reduce or ring, and
+carries out, in order, the steps that done returns. Plain types and the words of the steps:
+otterrudder/interface.py.
 
-A txn passes a chain of stages: Expiry, Repeats, Memory, Sessions, Holds, Slots, Calls. Each may pass it on,
-keep it or end it; what becomes of it runs back through the chain in reverse. docs/design.md says why.
+A txn passes a chain of stages: Expiry, Repeats, Sessions, Levels, Memory, Holds, Slots, Calls. Each may pass
+it on, keep it or end it; what becomes of it runs back through the chain in reverse. docs/design.md says why.
 """
 
 import heapq
@@ -14,7 +15,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
-from otterrudder.interface import Effect, Outcome, Place, Product, Step, Tenant, Txn
+from otterrudder.interface import Cut, Effect, Outcome, Place, Product, Relief, Step, Tenant, Trim, Txn
 
 # Constants: unit and reason. None is a site's figure.
 TICK_MS = 40.0  # ms; the periodic timer: half of the tightest slack after expiry that we know, 25 rings/s;
@@ -62,6 +63,7 @@
 LINK_WORTH_MS = 4000.0  # ms between a caller's txns up to which keeping its connection is worth its place
 OPENINGS_MOST = 0.75  # connections opening a core, over which a full table does better than more of them
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
+DEMAND_MS = 2000.0  # ms over which the work asked for is meant: some thirty arrivals of a small server
 STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
 
 
@@ -253,6 +255,63 @@
             self.table.popitem(last=False)
 
 
+class Levels(Stage):
+    """Reduced service: while a level is in force, what it trims is declined ahead of the holds, or loses its
+    call. What has run, or whose earlier try has, never gets here (Repeats). SBOC orders all that passes."""
+
+    def __init__(self, rudder: "Rudder") -> None:
+        self.rudder = rudder
+        self.relief: Relief | None = None  # as last told; None: nobody watches, so nothing is counted
+        self.asked, self.counted = 0.0, rudder.now  # expected ms on the cores of first tries, since when
+        self.demand = 0.0  # recent work asked for over what the limit takes, whatever became of it
+        self.due = 0.0  # share of each trim of the level that is owed to those that come next
+        self.until = 0.0  # when the level may be left at the earliest
+
+    def take(self, relief: Relief | None) -> None:
+        self.relief, self.due = relief, 0.0
+        self.until = self.rudder.now + relief.stay_ms if relief else 0.0
+        holds = self.rudder.holds
+        for txn in [*holds.new, *holds.old] if relief and relief.answers_held else ():
+            trim = self._trim(txn)
+            if txn.queued and trim and trim.cut is not Cut.SHARE and self._cuts(txn, trim):
+                self._refuse(txn)
+
+    def arrive(self, txn: Txn) -> bool:
+        if not self.relief:
+            return True
+        # Further tries ask for no new work. What the level turns away counts, or shedding would read as calm.
+        self.asked += 0.0 if txn.retry else self.rudder.slots.expect(txn)[0]
+        trim = self._trim(txn)
+        return not (trim and self._cuts(txn, trim)) or self._refuse(txn)
+
+    def omits(self, txn: Txn) -> bool:
+        trim = self._trim(txn) if self.relief and txn.spec.omit_value else None
+        return trim is not None and trim.cut is Cut.OMIT
+
+    def turn(self) -> None:
+        span = self.rudder.now - self.counted
+        if self.relief and span > 0:
+            rate = self.asked / span / self.rudder.slots.limit
+            self.demand += min(span / DEMAND_MS, 1.0) * (rate - self.demand)
+        self.asked, self.counted = 0.0, self.rudder.now
+
+    def _trim(self, txn: Txn) -> Trim | None:
+        """The strongest that fits; a level states them so, by product."""
+        fits = (t for t in self.relief.trims[txn.product] if t.fits(txn)) if self.relief.trims else ()
+        return next(iter(fits), None)
+
+    def _cuts(self, txn: Txn, trim: Trim) -> bool:
+        if trim.cut is Cut.SHARE:  # by count, not by chance: the share is exact, and no burst of luck gets in
+            self.due += trim.share
+            self.due -= (passes := self.due >= 1.0)
+            return not passes
+        return trim.cut is Cut.DECLINE or trim.cut is Cut.ESTABLISHED and not txn.old
+
+    def _refuse(self, txn: Txn) -> bool:
+        away = max(self.until - self.rudder.now, STAY_AWAY_MS) if self.relief.keeps_away else 0.0
+        return self.rudder.refuse(txn, away_ms=away)
+
+
 class Holds(Stage):
     """The two bounded FIFO holds: old first, newcomers once it is empty; they bind while the limit is full.
     Their bound is time, not count: a txn is held if the work ahead of it leaves it its SLA time."""
@@ -333,6 +392,7 @@
         self.away: list[float] = [0.0] * len(products)  # ms off the cores
         self.pace = 1.0  # recent latency over the mean, all products together: a slowdown shows in it first
         self.stretch = 1.0  # recent latency over the lowest
+        self.given_up = 0.0  # share of recent runs that were of no use: they ended without settling in time
 
     def warmth(self) -> float:
         share = (self.rudder.now - self.born) / self.cold_ms if self.cold_ms else 1.0
@@ -376,6 +436,7 @@
             self.on_cores(txn)  # what it spent at the call it ended at is no time on the cores
         self.running -= 1
         # One cut short tells the least it takes; without it only the quick ones would be counted.
+        self.given_up += GAIN * ((not txn.settled or self.rudder.now > txn.in_time) - self.given_up)
         spent = self.rudder.now - txn.started - txn.away
         if txn.settled or spent > self.mean[txn.product] * txn.unit:
             self._learn(txn, spent)
@@ -430,7 +491,8 @@
     def pump(self) -> None:
         while self.queue:
             txn = self.queue[0]
-            allowed, needed = self._allowed(), txn.place is Place.CALLS and not txn.answered
+            needed = txn.place is Place.CALLS and not txn.answered
+            allowed = self._allowed() and not self.rudder.levels.omits(txn)
             if needed and not allowed and not txn.spec.omit_value:
                 return
             self.queue.popleft()
@@ -482,7 +544,7 @@
         self.retries = 0.0  # share of further tries among recent arrivals
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
-    def advice(self, room: bool, retry: bool) -> tuple[bool, float]:
+    def advice(self, room: bool, retry: bool, away_ms: float | None) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
         If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
         the others are full as well, for callers spread their load: a further try would only cost a read."""
@@ -491,6 +553,7 @@
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
         crowded = retry or self.retries > RETRIES_MOST
         away = math.inf if self.retries > STORM else STAY_AWAY_MS
+        away = away if away_ms is None else away_ms  # a level knows how long it lasts at the least
         return room and not alone or crowded, min(away, self.away_max)
 
     def arrived(self, retry: bool) -> None:
@@ -548,7 +611,8 @@
                            cold_ms if fresh else 0.0, cold_from, now - up_ms)
         self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
         self.holds = Holds(self, self.sessions, self.slots, self.calls)
-        self.chain: list[Stage] = [self.expiry, self.repeats, self.memory, self.sessions]
+        self.levels = Levels(self)
+        self.chain: list[Stage] = [self.expiry, self.repeats, self.sessions, self.levels, self.memory]
         self.chain += [self.holds, self.slots, self.calls]
         self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms)
 
@@ -567,10 +631,10 @@
 
     def arrive(self, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
                age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, hint_ms: float = 0.0,
-               retry: bool = False) -> None:
+               retry: bool = False, rank: float = 1.0) -> None:
         txn = self.txns[ident] = Txn(ident, product, self.products[product], self.now, age_ms)
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
-        txn.retry, txn.unit = retry, hint_ms**HINT_TRUST or 1.0
+        txn.retry, txn.rank, txn.unit = retry, rank, hint_ms**HINT_TRUST or 1.0
         self.memory.txns_kb += txn.kb
         self.signals.arrived(retry)
         self.expiry.times(txn, left_ms)
@@ -605,8 +669,21 @@
         self.steps += [("health", False), ("log", log)]
         self.expiry.retire(left_ms)
 
+    def reduce(self, relief: Relief | None) -> None:
+        """The level of reduced service in force from now on; None: there are no levels."""
+        self.levels.take(relief)
+
+    def facts(self) -> dict[str, float]:
+        """What a ladder of levels goes by. With nothing in hand there is no run to be slow or late."""
+        slots, signals = self.slots, self.signals
+        stretch, given_up = (slots.stretch, slots.given_up) if slots.in_hand else (1.0, 0.0)
+        memory = self.memory.used / max(self.memory.run_room / MEMORY_RUN, 1.0)
+        return dict(pressure=signals.pressure, waits=signals.waits, retries=signals.retries, stretch=stretch,
+                    given_up=given_up, memory=memory, busy=slots.busy, demand=self.levels.demand)
+
     def ring(self, busy: float = 1.0, on_cores: float = 0.0) -> None:
         self.slots.turn(busy, on_cores, self.sessions.held)
+        self.levels.turn()
         self.holds.refill()
         self.calls.pump()
         self.repeats.unrun = (set(), self.repeats.unrun[0])
@@ -643,12 +720,12 @@
         elif self.may_stop and txn.place is Place.RUNS and not txn.effectful:
             self.steps.append(("stop", txn.ident))
 
-    def refuse(self, txn: Txn, room: bool = True) -> bool:
+    def refuse(self, txn: Txn, room: bool = True, away_ms: float | None = None) -> bool:
         """Declined if no try of it has run, else voided: rule two."""
         if txn.ran:
             return self.void(txn)
         if not txn.answered:
-            self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry)))
+            self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry, away_ms)))
             self._end(txn)
         return False
 
--- /dev/null
+++ b/otterrudder/net/configuration.py
@@ -0,0 +1,74 @@
+"""The platform's configuration file: read, checked as far as a start needs it, and handed on as it came.
+
+It is the platform's own form: names beyond those checked here are passed over, and the settings are read by
+boot.py."""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from otterrudder.boot import products_of
+
+MOVABLE = ("runtime", "records", "registry")  # what a new configuration changes without a restart
+_Above0 = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class BadConfiguration(Exception):
+    """What is wrong, in one line."""
+
+
+class _Limits(msgspec.Struct):
+    sockets: _Above0
+    memory_mb: _Above0
+
+
+class _Settings(msgspec.Struct):
+    classes: Annotated[list[dict[str, Any]], msgspec.Meta(min_length=1)]
+
+
+class _Configuration(msgspec.Struct):
+    name: str
+    listen: str
+    runtime: str
+    registry: str
+    seed: Annotated[str, msgspec.Meta(pattern="^[0-9a-fA-F]+$")]
+    stop_ms: _Above0
+    limits: _Limits
+    settings: _Settings
+    records: str | None = None
+
+
+def read_configuration(path: str | None) -> dict[str, Any]:
+    """The whole configuration as the file has it; BadConfiguration names the file and the field."""
+    if not path:
+        raise BadConfiguration("NODE_CONFIG is not set: it names the configuration file")
+    try:
+        told = msgspec.json.decode(Path(path).read_bytes())
+    except OSError as trouble:
+        raise BadConfiguration(f"cannot read the configuration: {trouble}") from None
+    except ValueError as trouble:
+        raise BadConfiguration(f"the configuration {path} is not JSON: {trouble}") from None
+    try:
+        checked = msgspec.convert(told, _Configuration)
+        for name in ("listen", *MOVABLE):
+            if (value := getattr(checked, name)) is not None:
+                address(value, name)
+        products_of(told["settings"])
+    except msgspec.ValidationError as trouble:
+        what, _, at = str(trouble).partition(" - at `$.")
+        where = at.rstrip("`")
+        raise BadConfiguration(f"the configuration {path}: {f'{where}: ' if where else ''}{what}") from None
+    except (TypeError, ValueError, AttributeError) as trouble:
+        raise BadConfiguration(f"the configuration {path}: settings: {trouble}") from None
+    except BadConfiguration as trouble:
+        raise BadConfiguration(f"the configuration {path}: {trouble}") from None
+    return dict(told)
+
+
+def address(text: str, name: str = "address") -> tuple[str, int]:
+    """Host and port of `host:port`; `name`: the field it stands in."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadConfiguration(f"{name}: {text!r} is no address and port")
+    return host, int(port)
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -19,11 +19,14 @@
 import math
 from collections.abc import Callable, Hashable
 from hashlib import blake2b
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from otterrudder.interface import Effect, Outcome, Product, Step
 from otterrudder.logic import Rudder
 
+if TYPE_CHECKING:  # a server without levels does not carry them
+    from otterrudder.levels import News, Table, Watch
+
 RUNTIME, RECORDS, GATEWAYS, HELM = "runtime", "records", "gateways", "helm"
 # Of what was sent to the runtime, beside the number of gauges. In doubt: a lost link may have swallowed it,
 # and no gauges on a later link say anything of it.
@@ -65,8 +68,11 @@
 
 
 class Core:
-    def __init__(self, boot: Callable[..., Rudder], products: list[Product], gauges: list[str]) -> None:
-        """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms)."""
+    def __init__(self, boot: Callable[..., Rudder], products: list[Product], gauges: list[str],
+                 levels: "Watch | None" = None) -> None:
+        """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms). `levels`:
+        the ladder of reduced service, if there is one."""
+        self.levels = levels
         self.boot, self.products, self.gauges = boot, products, gauges
         self.names = {product.name: n for n, product in enumerate(products)}
         self.rudder: Rudder | None = None
@@ -111,7 +117,8 @@
     # From the gateways.
 
     def arrive(self, peer: Hashable, rpc: int, product: int, *, call: str, recv: float, ttl: float | None,
-               kb: float, tenant: int, key: int, retry: bool, dedupe: str, body: bytes) -> None:
+               kb: float, tenant: int, key: int, retry: bool, dedupe: str, body: bytes,
+               rank: float = 1.0) -> None:
         if call in self.calls:
             self.out.append((peer, "rejected", rpc, "this call is open already"))
             return
@@ -134,7 +141,7 @@
         age = max(self.unix - recv, 0.0)
         left = 0.0 if ttl is None else max(ttl - age, 1e-3)  # 0 would say that nothing is known
         self.rudder.arrive(txn.number, product, tenant=tenant, key=key, kb=kb, age_ms=age, left_ms=left,
-                           earlier=known.holder if known else 0, retry=retry)
+                           earlier=known.holder if known else 0, retry=retry, rank=rank)
 
     def left(self, call: str) -> None:
         """Its caller waits no more, or its connection has gone: no answer is owed."""
@@ -152,6 +159,8 @@
     def begin(self, warm: bool, up_ms: float) -> None:
         """The runtime is up for the first time in this life of the process."""
         self.rudder = self.boot(self.now, warm, up_ms)
+        if self.levels:
+            self.rudder.reduce(self.levels.relief)
 
     def linked(self) -> None:
         """A link stands and all that the runtime told meanwhile was heard: what it shows to be missing goes
@@ -236,13 +245,31 @@
         if self.is_linked:
             self.out.append((RUNTIME, "gauges", self.asked))
 
-    def ring(self) -> None:
-        """Without gauges that answer the last question the module keeps to what it takes to be safe."""
+    def ring(self, late_ms: float = 0.0) -> None:
+        """Without gauges that answer the last question the module keeps to what it takes to be safe, and the
+        ladder of levels takes the cores' use for unknown. `late_ms`: how late this ring itself is."""
         told, self.told = self.told, {}
         self.told_cores = told.get("on_cores", -1.0)
         self.rudder.ring(**told)
-
-    def beliefs(self) -> dict[str, float]:
+        # a drain declines by its own rule, and nothing else moves in it
+        if self.levels and not self.retiring:
+            facts = self.rudder.facts() | {"late_ms": late_ms}
+            if "busy" not in told:
+                del facts["busy"]
+            self._tell_level(self.levels.step(self.now, facts))
+
+    def take_levels(self, table: "Table") -> None:
+        """Another table of levels, also while one is in force."""
+        if self.levels and not self.retiring:
+            self._tell_level(self.levels.take(table, self.now))
+
+    def _tell_level(self, news: "News | None") -> None:
+        if news and news.relief and self.rudder:
+            self.rudder.reduce(news.relief)
+        if news:
+            self.out.append((HELM, "log", news.text, news.facts))
+
+    def beliefs(self) -> dict[str, Any]:
         """What the module counts beside what is known here, for the log: they must agree."""
         if not self.rudder:
             return {}
@@ -250,7 +277,8 @@
         return dict(in_hand=slots.in_hand, running=slots.running, held=self.rudder.sessions.held,
                     runs=sum(txn.started for txn in self.txns.values()),
                     at_calls=sum(txn.wants is not None for txn in self.txns.values()),
-                    on_cores=self.told_cores, gauges_behind=self.asked - self.heard, load=self.load)
+                    on_cores=self.told_cores, gauges_behind=self.asked - self.heard, load=self.load,
+                    **(self.levels.beliefs(self.now) if self.levels else {}))
 
     def retire(self, left_ms: float) -> None:
         if self.rudder and not self.retiring:
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -64,9 +64,10 @@
             self.ask_at = float("inf")
             self._try(self.core.ask)
         if now >= self.ring_at:
-            self.watch.late(now - self.ring_at)
+            late = now - self.ring_at
+            self.watch.late(late)
             self.ring_at = float("inf")
-            self._try(self.core.ring)
+            self._try(self.core.ring, late)
         for address, *message in self._try(self.core.done) or ():
             if address:  # else its caller has gone
                 self._try(self.addresses.get(address, address).tell, *message)
--- a/otterrudder/net/jsonrpc.py
+++ b/otterrudder/net/jsonrpc.py
@@ -95,9 +95,8 @@
         raise ValueError("dedupe is missing or too long")
     if params.get("rep", 1) != 1:
         raise ValueError("rep is not 1")
-    for name in ("src", "crit"):  # nothing hangs on these two here, but a good gateway knows its own
-        if name in params:
-            number(params, name, 0, 1e9 if name == "src" else 1)
+    if "src" in params:  # nothing hangs on it here, but a good gateway knows its own
+        number(params, "src", 0, 1e9)
     kb = number(params, "heap", 0, KB_MOST)
     if not 0 < kb < KB_MOST:
         raise ValueError(f"heap is not above 0 and below {KB_MOST:g}")
@@ -119,6 +118,7 @@
         tenant=tenants.get(org, 0),
         key=int(row, 16) if row else 0,
         retry="rep" in params,
+        rank=number(params, "crit", 0, 1) if "crit" in params else 1.0,
         dedupe=mark,
         body=body,
     )
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -1,11 +1,12 @@
 """One server's life: its parts made in order, one task group, SIGTERM, the end."""
 
 import gc
-import json
 import os
 import signal
+import zlib
 from collections.abc import AsyncIterator
-from pathlib import Path
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -13,6 +14,7 @@
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
 from otterrudder.net import core
+from otterrudder.net.configuration import MOVABLE, BadConfiguration, address, read_configuration
 from otterrudder.net.gateways import Gateways
 from otterrudder.net.helm import Helm
 from otterrudder.net.log import log
@@ -20,69 +22,53 @@
 from otterrudder.net.registry import Registry
 from otterrudder.net.runtime import Runtime
 
-MOVABLE = ("runtime", "records", "registry")  # what a new configuration changes without a restart
+if TYPE_CHECKING:  # a server without levels does not carry them
+    from otterrudder.levels import Table
+
 RESULTS_SHARE = 0.4  # share of this process's memory that references with their results may take
 RESULT_BYTES = 5 * 1024  # bytes of a reference: the longest result, its mark and what both hang on
 
 
-class BadConfiguration(Exception):
-    """What is wrong, in one line."""
+@dataclass(frozen=True, slots=True)
+class Files:
+    """The files a start is told of; each is read again on SIGHUP, and one that is no good leaves the old in
+    force."""
 
+    configuration: str | None
+    levels: str | None = None
 
-def read_configuration(path: str | None) -> dict:
-    """The whole configuration, checked as far as the start needs it."""
-    if not path:
-        raise BadConfiguration("NODE_CONFIG is not set: it names the configuration file")
-    try:
-        told = json.loads(Path(path).read_bytes())
-    except OSError as trouble:
-        raise BadConfiguration(f"cannot read the configuration: {trouble}") from None
-    except ValueError as trouble:
-        raise BadConfiguration(f"the configuration {path} is not JSON: {trouble}") from None
-    try:
-        for name in ("name", "listen", "runtime", "registry", "seed"):
-            if not isinstance(told[name], str):
-                raise BadConfiguration(f"{name} in the configuration is no string")
-        for name in ("listen", "runtime", "registry", "records"):
-            if told.get(name) is not None:
-                address(told[name])
-        int(told["seed"], 16)
-        for value in (told["stop_ms"], told["limits"]["sockets"], told["limits"]["memory_mb"]):
-            if type(value) not in (int, float) or value <= 0:
-                raise BadConfiguration(f"{value!r} in the configuration is no number above 0")
-        if not told["settings"]["classes"] or not products_of(told["settings"]):
-            raise BadConfiguration("the settings name no classes")
-    except KeyError as trouble:
-        raise BadConfiguration(f"the configuration lacks {trouble.args[0]}") from None
-    except (TypeError, ValueError, AttributeError) as trouble:
-        raise BadConfiguration(f"the configuration is not as it should be: {trouble}") from None
-    return told
-
-
-def address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise BadConfiguration(f"{text!r} is no address and port")
-    return host, int(port)
-
-
-def run(told: dict) -> int:
-    """Serves until the drain is over or SIGTERM comes before the runtime is up."""
+    def read_levels(self, settings: dict) -> "Table | None":
+        """The table of levels, None where there is no file; BadConfiguration says what is wrong with it."""
+        if not self.levels:
+            return None
+        from otterrudder import levels
+
+        try:
+            return levels.read(self.levels, products_of(settings), tenants_of(settings))
+        except levels.BadTable as trouble:
+            raise BadConfiguration(str(trouble)) from None
+
+
+def run(told: dict, files: Files) -> int:
+    """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
+    before that."""
+    levels = files.read_levels(told["settings"])
     try:
-        anyio.run(_serve, told)
+        anyio.run(_serve, told, files, levels)
     except OSError as trouble:  # before anything is served: the address is taken, or not ours
         log.error("cannot start", why=str(trouble))
         return 1
     return 0
 
 
-async def _serve(told: dict) -> None:
+async def _serve(told: dict, files: Files, levels: "Table | None") -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
-        await _live(told, signals)
+        await _live(told, files, levels, signals)
 
 
-async def _live(told: dict, signals: AsyncIterator[signal.Signals]) -> None:
+async def _live(told: dict, files: Files, levels: "Table | None",
+                signals: AsyncIterator[signal.Signals]) -> None:
     settings, seed = told["settings"], int(told["seed"], 16)
     products = products_of(settings)
     # A reference outlives its window by an expiry, see core.py.
@@ -95,7 +81,14 @@
                     ref_kb=0.0, refs_most=refs_most)  # results lie here, not in the runtime's memory
 
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
-    the_core = core.Core(make, products, gauge_names(settings))
+    # A fleet shares one table: each server's own lag keeps them from leaving a level together.
+    spread = zlib.crc32(f"{told['name']}/levels".encode()) / 2**32
+    watch = None
+    if levels:
+        from otterrudder.levels import Watch
+
+        watch = Watch(levels, spread)
+    the_core = core.Core(make, products, gauge_names(settings), watch)
     helm = Helm(the_core)
     runtime = Runtime(helm, address(told["runtime"]))
     sockets_most = int(told["limits"]["sockets"])
@@ -104,12 +97,15 @@
     registry = Registry(told["name"], address(told["registry"]))
     helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
     log.info("listening", address=told["listen"], pid=os.getpid())
+    if watch:
+        names = [rung.name for rung in levels.rungs]
+        log.info("levels", service=watch.name, shadow=watch.is_shadow, of=names)
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked through again and again
     async with anyio.create_task_group() as group:
         for actor in (helm, runtime, records, registry):
             group.start_soon(actor.run)
-        group.start_soon(_watch, signals, told, helm, runtime, records, registry, gateways)
+        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, gateways)
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
@@ -119,11 +115,12 @@
     return address(told["records"]) if told.get("records") else None
 
 
-async def _watch(signals: AsyncIterator[signal.Signals], told: dict, helm: Helm, runtime: Runtime,
-                 records: Records, registry: Registry, gateways: Gateways) -> None:
+async def _watch(signals: AsyncIterator[signal.Signals], told: dict, files: Files, helm: Helm,
+                 runtime: Runtime, records: Records, registry: Registry, gateways: Gateways) -> None:
     async for number in signals:
         if number == signal.SIGHUP:
-            told = _reload(told, runtime, records, registry)
+            told = _reload(told, files, runtime, records, registry)
+            _reload_levels(told, files, helm)
             continue
         if not helm.core.rudder:
             gateways.closing.set()
@@ -131,10 +128,10 @@
         helm.post(helm.core.retire, told["stop_ms"])
 
 
-def _reload(told: dict, runtime: Runtime, records: Records, registry: Registry) -> dict:
+def _reload(told: dict, files: Files, runtime: Runtime, records: Records, registry: Registry) -> dict:
     """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
     try:
-        new = read_configuration(os.environ.get("NODE_CONFIG"))
+        new = read_configuration(files.configuration)
     except BadConfiguration as trouble:
         log.error("configuration not taken", why=str(trouble))
         return told
@@ -150,3 +147,12 @@
     if fixed:
         log.warning("a restart is needed for what else has changed", names=sorted(fixed))
     return told | {name: new.get(name) for name in MOVABLE}
+
+
+def _reload_levels(told: dict, files: Files, helm: Helm) -> None:
+    """Takes the table of levels anew; whether there are levels at all is settled at the start."""
+    try:
+        if table := files.read_levels(told["settings"]):
+            helm.post(helm.core.take_levels, table)
+    except BadConfiguration as trouble:
+        log.error("levels not taken", why=str(trouble))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
     tenant north 0.5
     at 10 arrive a pay key=7        a call at 10 ms, after all due rings; a1..a9: nine txns; *: all running
     at 50 finished a ok             also: needs a, called a full, left a, retire 5000; or nothing
+    at 60 reduce - look=decline     a level in force; also =share:0.5, =omit, held, away, stay=5000
       sees run a                    a step since the last `at`, by its first words (<3: less); `sees 2 run`
       lacks decline a               no such step
     memory 100                      what the server may use now, in kB, by its own count, is no more than this
@@ -23,7 +24,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from otterrudder.interface import Effect, Outcome, Product, Tenant
+from otterrudder.interface import Cut, Effect, Outcome, Product, Relief, Tenant, Trim
 from otterrudder.logic import Rudder
 
 ROOT = Path(__file__).parent.parent
@@ -91,6 +92,9 @@
             number = [p.name for p in self.products].index(rest[0])
             rudder.arrive(ident, number, **{"kb": 10.0, **more})
             return
+        if verb == "reduce":
+            rudder.reduce(self.relief(rest))
+            return
         if verb == "finished" and ident in self.running:
             self.running.remove(ident)
         calls = {
@@ -99,6 +103,15 @@
         }  # fmt: skip
         calls[verb](ident, *map(Outcome, rest[:1]))
 
+    def relief(self, words: list[str]) -> Relief:
+        told = dict(word.split("=") for word in words if "=" in word)
+        stay = float(told.pop("stay", 1000))
+        trims = []
+        for product in self.products:
+            cut, _, share = told.get(product.name, "").partition(":")
+            trims.append((Trim(Cut(cut), float(share or 0)),) if cut else ())
+        return Relief("level", tuple(trims), "held" in words, "away" in words, stay)
+
     def line(self, text: str) -> None:
         word, *rest = text.split()
         if word == "server":
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -554,3 +554,31 @@
         done = subprocess.run(["/bin/sh", "-c", f"{RUN} {word}"], cwd=ROOT, capture_output=True, timeout=60,
                               env=os.environ | {"NODE_CONFIG": str(server.configuration)})
         assert done.returncode == 0 and told in done.stdout
+
+
+def test_levels_are_read_at_the_start_and_on_sighup(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    table = ('version = 1\nstart = "{start}"\n[[level]]\nname = "{start}"\nleast_stay_s = 60\n'
+             'entry = {{ for_s = 1, pressure = 0.9 }}\nexit = {{ for_s = 9, pressure = 0.1 }}\n'
+             'cut = [{{ do = "decline", products = ["{product}"] }}]\n')
+    file = tmp_path / "levels.toml"
+    file.write_text(table.format(start="no-look", product="look"))
+    monkeypatch.setenv("OTTERRUDDER_LEVELS", str(file))
+    with Server(tmp_path) as server:
+        runtime, gateway = server.up()
+        gateway.txn(A)
+        error = gateway.answer()["error"]
+        assert error["code"] == -32014
+        gateway.txn(B, "pay", dedupe=MARK), runtime.expect("start", B, "pay")
+        file.write_text("version = 1\nlevel = 7")
+        server.process.send_signal(signal.SIGHUP)
+        server.until("levels not taken", lambda: runtime.idle(1))
+        file.write_text(table.format(start="no-pay", product="pay"))
+        server.process.send_signal(signal.SIGHUP)
+        server.until("entered=no-pay", lambda: runtime.idle(1))
+        gateway.txn(A), runtime.expect("start", A, "look")
+        gateway.txn(C, "pay", dedupe=MARK, rep=1)  # what runs is never declined by a level
+        runtime.idle()
+        runtime.ends(B, b"paid")
+        assert gateway.result() == gateway.result() == b"paid"
+        gateway.txn("00000000000000dd", "pay", dedupe="d" * 32)
+        assert gateway.answer()["error"]["code"] == -32014
