--- /dev/null
+++ b/benchmarks/levels.py
@@ -0,0 +1,59 @@
+"""What levels of reduced service cost a txn: a core without them, with them idle, with one in force.
+
+    .venv/bin/python benchmarks/levels.py            # pyperf; --fast for a quick look
+"""
+
+import time
+from pathlib import Path
+
+import pyperf
+
+from otterrudder.interface import Outcome
+from otterrudder.lab.site import Site, load_toml, site_of
+from otterrudder.levels import Table, Watch, read
+from otterrudder.net.core import Core
+
+ROOT = Path(__file__).parent.parent
+PER_RING = 8  # txns between rings: 200 a second at 25 rings, what a server of the platform gets
+TABLE_OF = {"no levels": "", "levels, full service": "full", "levels, one in force": "checks-when-free"}
+
+
+def served(loops: int, site: Site, table: Table | None, start: str) -> float:
+    """Seconds for `loops` txns from arrival to answer, one in hand at a time, rings between."""
+    watch = Watch(Table(table.rungs, table.damping, False, start), 0.0) if table else None
+    core = Core(site.boot(1, 1), site.products, ["busy", "on_cores"], watch)
+    now = 0.0
+    core.at(now + 1e12, now)
+    core.begin(True, 1e6)
+    core.linked()
+    core.done()
+    began = time.perf_counter()
+    for n in range(loops):
+        now += 5.0
+        call = f"{n:016x}"
+        core.at(now + 1e12, now)
+        core.arrive("peer", n + 1, 0, call=call, recv=now + 1e12, ttl=2000.0, kb=20.0, tenant=0,
+                    key=n % 997 + 1, retry=False, dedupe="", body=b"body")
+        core.done()
+        core.at(now + 1e12, now + 2.0)
+        core.ended(call, Outcome.OK, b"result")
+        core.done()
+        if n % PER_RING == 0:
+            core.at(now + 1e12, now + 3.0)
+            core.ask()
+            core.gauged(core.asked, [0.9, 2.0])
+            core.ring(0.1)
+            core.done()
+    return time.perf_counter() - began
+
+
+def main() -> None:
+    site = site_of(load_toml(ROOT / "experiments/sites/intake.toml"), "intake.toml")
+    table = read(ROOT / "deploy/levels.toml", site.products, site.tenants)
+    runner = pyperf.Runner()
+    for name, start in TABLE_OF.items():
+        runner.bench_time_func(name, served, site, table if start else None, start)
+
+
+if __name__ == "__main__":
+    main()
--- a/otterrudder/lab/plan.py
+++ b/otterrudder/lab/plan.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from otterrudder import logic
 from otterrudder.lab.shapes import Part
 from otterrudder.lab.site import BadInput, Site, convert, load_toml, site_of
 from otterrudder.lab.troubles import Trouble
@@ -39,6 +40,7 @@
     levels: str = ""  # a table's file, beside the experiment's; none: no levels
     bare: bool = False  # its thresholds without windows, stays and damping
     site: dict[str, Any] = {}  # what differs from the site, as in its file
+    module: dict[str, float] = {}  # constants of the module, by name: what another value would have done
 
 
 class CasePart(_Strict, kw_only=True):
@@ -100,6 +102,7 @@
     troubles: list[Trouble]
     levels: Table | None
     bare: bool
+    module: tuple[tuple[str, float], ...]
     length_s: float
 
 
@@ -118,6 +121,10 @@
     path = Path(path)
     where = path.name
     told: _Experiment = convert(load_toml(path), _Experiment, where)
+    for variant in told.variant:
+        for constant in variant.module:
+            if not isinstance(getattr(logic, constant, None), float):
+                raise BadInput(f"{where}: variant {variant.name}: the module has no constant {constant!r}")
     whole = load_toml(path.parent / told.site)
     site_where = Path(told.site).name
     site_of(whole, site_where)
@@ -184,6 +191,7 @@
                 troubles,
                 levels,
                 variant.bare,
+                tuple(variant.module.items()),
                 length_s,
             )
 
--- a/tests/lab/test_models.py
+++ b/tests/lab/test_models.py
@@ -148,6 +148,7 @@
     ("seeds = [7]", "seed = [7]", "seed"),
     ('name = "levels"', 'nme = "levels"', "variant"),
     ("sites/intake", "sites/none", "cannot read"),
+    ('name = "none"', 'name = "none"\nmodule = { HOLDWAIT = 1 }', "variant none: the module has no constant"),
     ('"../deploy/levels.toml"', '"../deploy/balancer.toml"', "variant levels: balancer.toml"),
     ('shape = "ramp"', 'shape = "slope"', "case[1].load"),
     ("at = 0.7", 'at = "$low"', "the grid has no 'low'"),
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -267,6 +267,7 @@
     runtime, gateway = server.up()
     server.runtimes.close()
     runtime.close()
+    server.until("runtime link lost")  # a start on a link that dies unseen is in doubt, which is another test
     gateway.txn(A, "pay", dedupe=MARK)
     gateway.ask("check")
     assert gateway.answer()["result"]["pass"] is True  # it has read the txn before
