--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -3,17 +3,20 @@
     .venv/bin/python benchmarks/levels.py            # pyperf; --fast for a quick look
 """
 
+import sys
 import time
 from pathlib import Path
 
 import pyperf
 
-from otterrudder.interface import Outcome
-from otterrudder.lab.site import Site, load_toml, site_of
-from otterrudder.levels import Table, Watch, read
-from otterrudder.net.core import Core
-
 ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))  # pyperf's workers start in an environment of their own
+
+from otterrudder.interface import Outcome  # noqa: E402
+from otterrudder.lab.site import Site, load_toml, site_of  # noqa: E402
+from otterrudder.levels import Table, Watch, read  # noqa: E402
+from otterrudder.net.core import Core  # noqa: E402
+
 PER_RING = 8  # txns between rings: 200 a second at 25 rings, what a server of the platform gets
 TABLE_OF = {"no levels": "", "levels, full service": "full", "levels, one in force": "checks-when-free"}
 
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -101,6 +101,22 @@
     stay_ms: float = 0.0  # how long it lasts at the least, from when it is told
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """The txns that are served or not together: of these products, or of these tenants; None: of all."""
+
+    products: frozenset[int] | None = None
+    tenants: frozenset[int] | None = None
+
+    def fits(self, txn: "Txn") -> bool:
+        mine = self.products is None or txn.product in self.products
+        return mine and (self.tenants is None or txn.tenant in self.tenants)
+
+    @property
+    def is_all(self) -> bool:
+        return self.products is None and self.tenants is None
+
+
 class Place(Enum):
     HELD = "held"
     FOLLOWS = "follows"  # held behind an earlier try that is held itself
--- a/otterrudder/lab/day.py
+++ b/otterrudder/lab/day.py
@@ -226,12 +226,14 @@
         if not self.site.session_mean:
             return {}
         over = [session for session in self.books.sessions.values() if session.is_over]
+        begun = [session for session in over if session.settled]  # one that never got in is not broken
         ended = sum(not session.is_broken for session in over)
-        error = 1 - ended / len(over) if over else 0.0
+        error = 1 - ended / len(begun) if begun else 0.0
         time_s = float(np.mean(self.books.times)) / 1000 if self.books.times else float("inf")
         throughput = ended / length_s
         return dict(
             session_throughput=throughput,
+            session_refused=1 - len(begun) / len(over) if over else 0.0,
             session_error=error,
             response_s=time_s,
             power=throughput / time_s * (1 - error),
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -1,9 +1,9 @@
 """All decisions of otterrudder: SBOC, session-based overload control, and the guards around it.
 
 An adapter (otterrudder/drill, otterrudder/net) makes one Rudder for each server process. It says
-the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire, reduce or ring, and
-carries out, in order, the steps that done returns. Plain types and the words of the steps:
-otterrudder/interface.py.
+the time with at, calls begin, arrive, finished, needs_call, call_ended, left, retire, step_down, step_up,
+reduce or ring, and carries out, in order, the steps that done returns. Plain types and the words of the
+steps: otterrudder/interface.py.
 
 A txn passes a chain of stages: Expiry, Repeats, Sessions, Levels, Memory, Holds, Slots, Calls. Each may pass
 it on, keep it or end it; what becomes of it runs back through the chain in reverse. docs/design.md says why.
@@ -15,9 +15,10 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
-from otterrudder.interface import Cut, Effect, Outcome, Place, Product, Relief, Step, Tenant, Trim, Txn
+from otterrudder.interface import Cut, Effect, Outcome, Part, Place, Product, Relief, Step, Tenant, Trim, Txn
 
 # Constants: unit and reason. None is a site's figure.
+RETIRED = "retired"  # the drain that has no way back
 TICK_MS = 40.0  # ms; the periodic timer: half of the tightest slack after expiry that we know, 25 rings/s;
 # an answer due at expiry is given at the next ring at the latest, and half of the slack is left for a stall
 STOP_EARLY_MS = 250.0  # ms ahead of the stop at which all is answered: a freeze of that length does no harm
@@ -96,17 +97,20 @@
 
 
 class Expiry(Stage):
-    """Due times and the drain. Guards: no txn lost, safe drains."""
+    """Due times, the drain, and drains with a way back. Guards: no txn lost, safe drains."""
 
     def __init__(self, rudder: "Rudder", drain_grace_ms: float) -> None:
         self.rudder, self.grace = rudder, drain_grace_ms
-        self.last_arrival = self.stop = math.inf
+        self.shut: dict[object, tuple[Part, float, float]] = {}  # a part left, last arrival to run, the stop
 
     def arrive(self, txn: Txn) -> bool:
         now = self.rudder.now
         txn.ran = txn.earlier != 0 and txn.effectful  # until Repeats knows better: it may not be declined
-        if txn.due <= now + LEAST_MS or now >= self.stop or txn.arrived > self.last_arrival - TICK_MS:
+        if txn.due <= now + LEAST_MS:
             return self.rudder.refuse(txn)
+        for part, last_arrival, stop in self.shut.values():
+            if part.fits(txn) and (now >= stop or txn.arrived > last_arrival - TICK_MS):
+                return self.rudder.refuse(txn, gone=True)
         self.rudder.agenda.at(txn.due, lambda: self.rudder.refuse(txn))
         return True
 
@@ -117,15 +121,21 @@
         txn.due = txn.arrived + wait  # not earlier: where tries are short, many runs end in the last moments
         txn.in_time = min(txn.arrived + txn.spec.sla_ms - spent, txn.due)
 
-    def retire(self, left_ms: float) -> None:
-        self.last_arrival = self.rudder.now + self.grace
-        self.stop = self.rudder.now + max(left_ms - STOP_EARLY_MS, 0.0)
-        self.rudder.agenda.at(self.stop, self._close)
+    def is_shut(self) -> bool:
+        return any(part.is_all for part, _, _ in self.shut.values())
+
+    def step_down(self, part: Part, left_ms: float, key: object) -> None:
+        stop = self.rudder.now + max(left_ms - STOP_EARLY_MS, 0.0)
+        self.shut[key] = (part, self.rudder.now + self.grace, stop)
+        self.rudder.agenda.at(stop, lambda: self._hand_over(key))
 
-    def _close(self) -> None:
-        for txn in list(self.rudder.txns.values()):
-            self.rudder.refuse(txn)
-        self.rudder.steps.append(("close",))
+    def _hand_over(self, key: object) -> None:
+        part, _, stop = self.shut.get(key, (Part(), 0.0, math.inf))
+        if self.rudder.now >= stop:  # else it was taken back, or begun anew
+            for txn in [txn for txn in self.rudder.txns.values() if part.fits(txn)]:
+                self.rudder.refuse(txn, gone=True)
+            if key == RETIRED:
+                self.rudder.steps.append(("close",))
 
 
 class Repeats(Stage):
@@ -405,8 +415,13 @@
         self.given_up = 0.0  # share of recent runs that were of no use: they ended without settling in time
 
     def warmth(self) -> float:
-        share = (self.rudder.now - self.born) / self.cold_ms if self.cold_ms else 1.0
-        return min(self.cold_from + (1 - self.cold_from) * share, 1.0)
+        share = min((self.rudder.now - self.born) / self.cold_ms, 1.0) if self.cold_ms else 1.0
+        return self.cold_from + (1 - self.cold_from) * share
+
+    def cool(self) -> None:
+        """Cold as after a start: what was learned is a first guess, and what still runs still counts."""
+        self.born, self.limit, self.pace, self.stretch = self.rudder.now, float(self.cores), 1.0, 1.0
+        self.seen = [min(count, 1) for count in self.seen]
 
     def crowd(self) -> float:
         """The most that may be in hand: everything that may be on the cores together."""
@@ -548,17 +563,17 @@
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float,
                  idle_max_ms: float) -> None:
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
-        self.idle_max, self.draining = idle_max_ms, False
+        self.idle_max = idle_max_ms
         self.gap, self.last = GAP_GUESS_MS, rudder.now  # mean ms between arrivals
         self.told: dict[str, float | None] = {"advertise": None, "idle": idle_max_ms}
         self.retries = 0.0  # share of further tries among recent arrivals
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
-    def advice(self, room: bool, retry: bool, away_ms: float | None) -> tuple[bool, float]:
+    def advice(self, room: bool, retry: bool, away_ms: float | None, gone: bool) -> tuple[bool, float]:
         """Whether the caller should not try elsewhere, and how long it should keep away.
         If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
         the others are full as well, for callers spread their load: a further try would only cost a read."""
-        if self.draining:
+        if gone or self.rudder.expiry.is_shut():
             return False, self.away_max
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
         crowded = retry or self.retries > RETRIES_MOST
@@ -618,7 +633,7 @@
         self.memory = Memory(self, memory_kb, run_factor, refs_most)
         self.sessions = Sessions(self, tenants)
         self.slots = Slots(self, self.memory, self.repeats, products, cores, crowd_per_core,
-                           cold_ms if fresh else 0.0, cold_from, now - up_ms)
+                           cold_ms, cold_from, now - up_ms if fresh else -math.inf)
         self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
         self.holds = Holds(self, self.sessions, self.slots, self.calls)
         self.levels = Levels(self)
@@ -674,10 +689,9 @@
             self._end(txn)
 
     def retire(self, left_ms: float) -> None:
-        self.signals.draining = True
         log = f"draining: {len(self.txns)} in hand, {left_ms:.0f} ms to the stop"
         self.steps += [("health", False), ("log", log)]
-        self.expiry.retire(left_ms)
+        self.expiry.step_down(Part(), left_ms, RETIRED)
 
     def reduce(self, relief: Relief | None) -> None:
         """The level of reduced service in force from now on; None: there are no levels."""
@@ -694,6 +708,18 @@
             del told["demand"]
         return told
 
+    def step_down(self, part: Part, left_ms: float) -> None:
+        """Another serves this part now: a drain with a way back. All read of it is answered in left_ms."""
+        self.expiry.step_down(part, left_ms, part)
+        self.steps.append(("health", not self.expiry.is_shut()))
+
+    def step_up(self, part: Part) -> None:
+        """This part is served here again, from cold. What was started before is still in doubt, and
+        counts."""
+        if self.expiry.shut.pop(part, None):
+            self.slots.cool()
+            self.steps.append(("health", not self.expiry.is_shut()))
+
     def ring(self, busy: float = 1.0, on_cores: float = 0.0) -> None:
         self.slots.turn(busy, on_cores, self.sessions.held)
         self.levels.turn()
@@ -733,12 +759,12 @@
         elif self.may_stop and txn.place is Place.RUNS and not txn.effectful:
             self.steps.append(("stop", txn.ident))
 
-    def refuse(self, txn: Txn, room: bool = True, away_ms: float | None = None) -> bool:
+    def refuse(self, txn: Txn, room: bool = True, away_ms: float | None = None, gone: bool = False) -> bool:
         """Declined if no try of it has run, else voided: rule two."""
         if txn.ran:
             return self.void(txn)
         if not txn.answered:
-            self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry, away_ms)))
+            self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry, away_ms, gone)))
             self._end(txn)
         return False
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
     tenant north 0.5
     at 10 arrive a pay key=7        a call at 10 ms, after all due rings; a1..a9: nine txns; *: all running
     at 50 finished a ok             also: needs a, called a full, left a, retire 5000; or nothing
+    at 55 stepdown pay 2000         a product (-: all) is left with so long to answer; stepup pay
     at 60 reduce - look=decline     a level in force; also =share:0.5, =omit, held, away, stay=5000
       sees run a                    a step since the last `at`, by its first words (<3: less); `sees 2 run`
       lacks decline a               no such step
@@ -24,7 +25,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from otterrudder.interface import Cut, Effect, Outcome, Product, Relief, Tenant, Trim
+from otterrudder.interface import Cut, Effect, Outcome, Part, Product, Relief, Tenant, Trim
 from otterrudder.logic import Rudder
 
 ROOT = Path(__file__).parent.parent
@@ -95,6 +96,11 @@
         if verb == "reduce":
             rudder.reduce(self.relief(rest))
             return
+        if verb in ("stepdown", "stepup"):
+            names = [product.name for product in self.products]
+            part = Part(None if ident == "-" else frozenset({names.index(ident)}))
+            rudder.step_down(part, float(rest[0])) if rest else rudder.step_up(part)
+            return
         if verb == "finished" and ident in self.running:
             self.running.remove(ident)
         calls = {
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -81,13 +81,13 @@
 
 
 def test_a_run_past_the_grace_of_a_drain_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    retire = Expiry.retire
+    step_down = Expiry.step_down
 
-    def never_stops_taking(self: Expiry, left_ms: float) -> None:
-        retire(self, left_ms)
-        self.last_arrival = float("inf")
+    def never_stops_taking(self: Expiry, part, left_ms: float, key) -> None:
+        step_down(self, part, left_ms, key)
+        self.shut[key] = (part, float("inf"), self.shut[key][2])
 
-    monkeypatch.setattr(Expiry, "retire", never_stops_taking)
+    monkeypatch.setattr(Expiry, "step_down", never_stops_taking)
     late = msgspec.structs.replace(SITE.gateways, notice_ms=9000.0)
     site = msgspec.structs.replace(SITE, gateways=late)
     found = day([Trouble(kind="release", at_s=8, for_s=1)], site=site).broken
