VRRP: speaker, gate and groups in the server, a local control socket, vrrp commands

Need: a node may admit only as master, and must hand over what it read when it is not.

Change: the speaker plays machines, seals and gates on one UDP socket, ahead of each turn of the helm; groups and keys are TOML files checked whole; SIGHUP takes other keys; 'vrrp show' asks a running server by a Unix socket of mode 0600. Off unless a file is named. Not yet shown by model search or over sockets.

--- a/otterrudder/cli/__init__.py
+++ b/otterrudder/cli/__init__.py
@@ -1,4 +1,5 @@
-"""The command line: serve (also the bare command) and check, levels, lab, version; a file for each group.
+"""The command line: serve (also the bare command) and check, levels, vrrp, lab, version; a file for each
+group.
 
 A group's module is imported when it is called for: `serve` pays nothing for the lab's libraries, nor needs
 them."""
@@ -15,6 +16,7 @@
     "serve": ("serve", "Serve until SIGTERM, then drain and end."),
     "check": ("serve", "Say what is wrong with the configuration, if anything."),
     "levels": ("levels", "Tables of reduced service: check and show them."),
+    "vrrp": ("vrrp", "VRRP groups: show, check, decode, keygen."),
     "lab": ("lab", "Experiments in simulated time (needs the extra 'lab')."),
 }
 
--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -19,6 +19,14 @@
     help="TOML table of levels of reduced service (or OTTERRUDDER_LEVELS). Absent: off.",
 )
 
+VRRP = click.option(
+    "--vrrp",
+    "vrrp",
+    envvar="OTTERRUDDER_VRRP",
+    metavar="FILE",
+    help="TOML file of VRRP groups (or OTTERRUDDER_VRRP). Absent: off.",
+)
+
 
 def configuration() -> tuple[dict[str, Any], str | None]:
     """The configuration that NODE_CONFIG names, and its path; ends the process if it is no good."""
@@ -31,26 +39,30 @@
 
 @click.command()
 @LEVELS
-def serve(levels: str | None = None) -> None:
+@VRRP
+def serve(levels: str | None, vrrp: str | None) -> None:
     """Serve until SIGTERM, then drain and end. SIGHUP takes new addresses and levels from their files."""
     told, path = configuration()
     log.set_up(told["name"])
     try:
-        sys.exit(server.run(told, server.Files(path, levels)))
+        sys.exit(server.run(told, server.Files(path, levels, vrrp)))
     except BadConfiguration as trouble:
         give_up(trouble)
 
 
 @click.command()
 @LEVELS
-def check(levels: str | None) -> None:
-    """Say what is wrong with the configuration (and the levels, if given), if anything."""
+@VRRP
+def check(levels: str | None, vrrp: str | None) -> None:
+    """Say what is wrong with the configuration (and the other files, if given), if anything."""
     told, path = configuration()
     try:
-        table = server.Files(path, levels).read_levels(told["settings"])
+        files = server.Files(path, levels, vrrp)
+        table, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
     except BadConfiguration as trouble:
         give_up(trouble)
     click.echo(
         f"{told['name']}: the configuration is good: {len(told['settings']['classes'])} products"
         + (f", {len(table.rungs)} levels" if table else "")
+        + (f", {len(groups.groups)} VRRP groups" if groups else "")
     )
--- a/otterrudder/lab/day.py
+++ b/otterrudder/lab/day.py
@@ -202,6 +202,7 @@
             level_mean=float(heights.mean()),
             reach_s=self._first(up=True),
             home_s=self._home(),
+            home_spread_s=self._home_spread(),
         )
 
     def _first(self, up: bool) -> float:
@@ -221,6 +222,15 @@
             times.append((mine[-1].at_s if mine else 0.0) if is_home else self.length_ms / 1000)
         return max(times)
 
+    def _home_spread(self) -> float:
+        """s between the first and the last of the servers that came back to full service for good; 0 for
+        none."""
+        times = []
+        for n in range(len(self.servers)):
+            mine = [m for m in self.moves if m.server == n]
+            times += [mine[-1].at_s] if mine and mine[-1].entered == "full" else []
+        return max(times, default=0.0) - min(times, default=0.0)
+
     def _of_sessions(self, length_s: float) -> dict[str, float]:
         """Of whole sessions, as the source counts: its equation 2 is `power`."""
         if not self.site.session_mean:
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -21,7 +21,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
-from otterrudder.interface import Effect, Outcome, Product, Step
+from otterrudder.interface import Effect, Outcome, Part, Product, Step
 from otterrudder.logic import Rudder
 
 if TYPE_CHECKING:  # a server without levels does not carry them
@@ -73,6 +73,7 @@
         """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms). `levels`:
         the ladder of reduced service, if there is one."""
         self.levels = levels
+        self.left_parts: list[Part] = []  # served by another, as the gate last said
         self.boot, self.products, self.gauges = boot, products, gauges
         self.names = {product.name: n for n, product in enumerate(products)}
         self.rudder: Rudder | None = None
@@ -161,6 +162,8 @@
         self.rudder = self.boot(self.now, warm, up_ms)
         if self.levels:
             self.rudder.reduce(self.levels.relief)
+        for part in self.left_parts:
+            self.rudder.step_down(part, 0.0)
 
     def linked(self) -> None:
         """A link stands and all that the runtime told meanwhile was heard: what it shows to be missing goes
@@ -280,6 +283,15 @@
                     on_cores=self.told_cores, gauges_behind=self.asked - self.heard, load=self.load,
                     **(self.levels.beliefs(self.now) if self.levels else {}))
 
+    def serve_part(self, part: Part, is_up: bool, left_ms: float) -> None:
+        """A part of the txns is served here from now on, or left with so long to answer what was read of it.
+        Before the runtime is up nothing is; what is left by then is told to the module as it starts."""
+        self.left_parts = [p for p in self.left_parts if p != part] + ([] if is_up else [part])
+        if self.rudder and is_up:
+            self.rudder.step_up(part)
+        elif self.rudder:
+            self.rudder.step_down(part, left_ms)
+
     def retire(self, left_ms: float) -> None:
         if self.rudder and not self.retiring:
             self.retiring = True
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -4,6 +4,7 @@
 they free is there for those that come), then one `done`."""
 
 import gc
+import math
 import resource
 from collections.abc import Callable, Hashable
 from pathlib import Path
@@ -15,6 +16,8 @@
 from otterrudder.net.log import log
 
 ASK_AHEAD_MS = 6.0  # ms before a ring at which gauges are asked for: a round trip and a busy loop
+LATE_MS = 40.0  # ms of lateness of a ring from which on this process is short of CPU: a whole ring
+LATE_FOR_MS = 1000.0  # ms for which such a ring makes it a late one
 REPORT_MS = 10_000.0  # ms between lines on how this process does
 
 
@@ -32,6 +35,7 @@
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
         self.watch = _Watch()
+        self.ahead: Callable[[float], None] | None = None  # what may not wait for a turn: it is played first
 
     def post(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
         """Puts a call of the core into the mailbox; `of` names the txn that is voided if it fails."""
@@ -55,6 +59,8 @@
 
     def turn(self) -> None:
         now = clock.monotonic()
+        if self.ahead:
+            self._try(self.ahead, now)
         urgent, self.urgent = self.urgent, []
         arrivals, self.arrivals = self.arrivals, []
         self._try(self.core.at, clock.unix(), now)
@@ -104,11 +110,18 @@
     def __init__(self) -> None:
         self.next = clock.monotonic() + REPORT_MS
         self.lag = self.turn_ms = 0.0
+        self.late_at = -math.inf
         self.mail = self.turns = self.events = 0
         self.cpu = 0.0
 
     def late(self, ms: float) -> None:
         self.lag = max(self.lag, ms)
+        if ms > LATE_MS:
+            self.late_at = clock.monotonic()
+
+    def is_late(self) -> bool:
+        """Whether a ring of late was so late that answers at expiry may be."""
+        return clock.monotonic() - self.late_at < LATE_FOR_MS
 
     def turned(self, began: float, mail: int, of: core.Core) -> None:
         now = clock.monotonic()
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -66,6 +66,8 @@
         except OSError as trouble:
             why = str(trouble)
         finally:
+            if not self.stream:
+                self.records.is_refused = True
             if self.calls:
                 log.warning("records connection lost" if self.stream else "records service refuses", why=why,
                             calls=len(self.calls))
@@ -75,6 +77,7 @@
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
         self.heard = clock.monotonic()
+        self.records.is_refused = False
         for words, body in lines.messages(buffer, lines.records_body):
             outcome = lines.REPLIES.get(words[1]) if len(words) > 1 else None
             if outcome is None:
@@ -105,6 +108,7 @@
         self.idle: list[Link] = []  # the last used at the end
         self.on: dict[str, Link] = {}  # where a call is out
         self.group: anyio.abc.TaskGroup | None = None
+        self.is_refused = False  # the last that was heard of the service is a connection that was not made
 
     def tell(self, word: str, call: str, *rest: object) -> None:
         if word == "call":
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -13,7 +13,7 @@
 from otterrudder.boot import boot, gauge_names, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
-from otterrudder.net import core
+from otterrudder.net import clock, core
 from otterrudder.net.configuration import MOVABLE, BadConfiguration, address, read_configuration
 from otterrudder.net.gateways import Gateways
 from otterrudder.net.helm import Helm
@@ -24,6 +24,9 @@
 
 if TYPE_CHECKING:  # a server without levels does not carry them
     from otterrudder.levels import Table
+    from otterrudder.vrrp.gate import Order
+    from otterrudder.vrrp.group import Groups
+    from otterrudder.vrrp.speaker import Speaker
 
 RESULTS_SHARE = 0.4  # share of this process's memory that references with their results may take
 RESULT_BYTES = 5 * 1024  # bytes of a reference: the longest result, its mark and what both hang on
@@ -36,6 +39,7 @@
 
     configuration: str | None
     levels: str | None = None
+    vrrp: str | None = None
 
     def read_levels(self, settings: dict) -> "Table | None":
         """The table of levels, None where there is no file; BadConfiguration says what is wrong with it."""
@@ -48,26 +52,38 @@
         except levels.BadTable as trouble:
             raise BadConfiguration(str(trouble)) from None
 
+    def read_vrrp(self, settings: dict) -> "Groups | None":
+        """The VRRP groups with their keys, None where there is no file; BadConfiguration says what is
+        wrong."""
+        if not self.vrrp:
+            return None
+        from otterrudder.vrrp.group import BadGroups, read_groups
+
+        try:
+            return read_groups(self.vrrp, products_of(settings), tenants_of(settings))
+        except BadGroups as trouble:
+            raise BadConfiguration(str(trouble)) from None
+
 
 def run(told: dict, files: Files) -> int:
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
-    levels = files.read_levels(told["settings"])
+    levels, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
     try:
-        anyio.run(_serve, told, files, levels)
+        anyio.run(_serve, told, files, levels, groups)
     except OSError as trouble:  # before anything is served: the address is taken, or not ours
         log.error("cannot start", why=str(trouble))
         return 1
     return 0
 
 
-async def _serve(told: dict, files: Files, levels: "Table | None") -> None:
+async def _serve(told: dict, files: Files, levels: "Table | None", groups: "Groups | None") -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
-        await _live(told, files, levels, signals)
+        await _live(told, files, levels, groups, signals)
 
 
-async def _live(told: dict, files: Files, levels: "Table | None",
+async def _live(told: dict, files: Files, levels: "Table | None", groups: "Groups | None",
                 signals: AsyncIterator[signal.Signals]) -> None:
     settings, seed = told["settings"], int(told["seed"], 16)
     products = products_of(settings)
@@ -96,6 +112,7 @@
     gateways = Gateways(helm, address(told["listen"]), sockets_most - records.most, tenants)
     registry = Registry(told["name"], address(told["registry"]))
     helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
+    speaker = _speaker(groups, helm, runtime, records, registry) if groups else None
     log.info("listening", address=told["listen"], pid=os.getpid())
     if watch:
         names = [rung.name for rung in levels.rungs]
@@ -105,25 +122,61 @@
     async with anyio.create_task_group() as group:
         for actor in (helm, runtime, records, registry):
             group.start_soon(actor.run)
-        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, gateways)
+        if speaker:
+            from otterrudder.net.control import Control
+
+            speaker.begin()
+            group.start_soon(speaker.run)
+            group.start_soon(Control(told["name"], {"vrrp": speaker.shown}).run)
+        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, gateways, speaker)
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
+def _speaker(groups: "Groups", helm: Helm, runtime: Runtime, records: Records,
+             registry: Registry) -> "Speaker":
+    """VRRP's actor, its socket taken: what it orders goes to the core by the helm, ahead of what arrives."""
+    from otterrudder.vrrp.speaker import Speaker
+
+    def order(told: "Order") -> None:
+        helm.post(helm.core.serve_part, told.part, told.is_up, told.left_ms)
+
+    def facts() -> dict[str, bool]:
+        core = helm.core
+        return dict(runtime=not core.is_linked, records=records.is_refused, late=helm.watch.is_late(),
+                    level=core.levels is not None and core.levels.name != "full",
+                    unhealthy=bool(core.rudder) and not core.healthy and not core.left_parts)
+
+    def changed() -> None:
+        registry.draining = helm.core.retiring or not speaker.is_serving
+
+    speaker = Speaker(groups, int(clock.unix()), order, facts)
+    speaker.changed = changed
+    speaker.bind()
+    registry.draining = True
+    helm.ahead = speaker.pulse
+    return speaker
+
+
 def _records(told: dict) -> tuple[str, int] | None:
     return address(told["records"]) if told.get("records") else None
 
 
 async def _watch(signals: AsyncIterator[signal.Signals], told: dict, files: Files, helm: Helm,
-                 runtime: Runtime, records: Records, registry: Registry, gateways: Gateways) -> None:
+                 runtime: Runtime, records: Records, registry: Registry, gateways: Gateways,
+                 speaker: "Speaker | None") -> None:
     async for number in signals:
         if number == signal.SIGHUP:
             told = _reload(told, files, runtime, records, registry)
             _reload_levels(told, files, helm)
+            if speaker:
+                _reload_keys(told, files, speaker)
             continue
         if not helm.core.rudder:
             gateways.closing.set()
+        if speaker:  # priority 0 first, so that another takes over while this one drains
+            speaker.retire()
         registry.draining = True
         helm.post(helm.core.retire, told["stop_ms"])
 
@@ -149,6 +202,16 @@
     return told | {name: new.get(name) for name in MOVABLE}
 
 
+def _reload_keys(told: dict, files: Files, speaker: "Speaker") -> None:
+    """Other keys for VRRP; groups are settled at the start."""
+    try:
+        if groups := files.read_vrrp(told["settings"]):
+            speaker.take_keys(groups.keys)
+            log.info("vrrp keys taken", keys=sorted(groups.keys.by_number), signs=groups.keys.signs)
+    except BadConfiguration as trouble:
+        log.error("vrrp keys not taken", why=str(trouble))
+
+
 def _reload_levels(told: dict, files: Files, helm: Helm) -> None:
     """Takes the table of levels anew; whether there are levels at all is settled at the start."""
     try:
--- a/otterrudder/vrrp/gate.py
+++ b/otterrudder/vrrp/gate.py
@@ -114,7 +114,7 @@
             return [Order(self.part, True)]
         if before is Door.OPEN and door is Door.DRAINING:
             return [Order(self.part, False, self.hand_over)]
-        # held, closed and draining all are left already, and a retired one is the module's own drain's
+        # held, closed and draining are left already, and a retired one is the module's own drain's
         return []
 
     def _note_return(self, now: float) -> None:
@@ -132,7 +132,8 @@
 
 def table() -> str:
     """The moves as a Markdown table, for the docs."""
-    lines = ["| door | " + " | ".join(event.value for event in Event) + " |", "| --- |" + " --- |" * len(Event)]
+    lines = ["| door | " + " | ".join(event.value for event in Event) + " |"]
+    lines.append("| --- |" + " --- |" * len(Event))
     for door in Door:
         moves = (MOVES[door, event].value for event in Event)
         lines.append(f"| {door.value} | " + " | ".join(moves) + " |")
