--- a/otterrudder/cli/vrrp.py
+++ b/otterrudder/cli/vrrp.py
@@ -3,6 +3,7 @@
 import json
 import os
 import secrets
+import sys
 import tomllib
 from ipaddress import ip_address
 from pathlib import Path
@@ -100,7 +101,7 @@
 @click.option("--destination", default="224.0.0.18", help="And the one it was sent to.")
 def decode(data: str, source: str, destination: str) -> None:
     """Say in words what an advert says: DATA in hex, sealed or not ('-': bytes of standard input)."""
-    raw = click.get_binary_stream("stdin").read() if data == "-" else _hex(data)
+    raw = sys.stdin.buffer.read() if data == "-" else _hex(data)
     try:
         ends: list[packet.Address] = [ip_address(end) for end in (source, destination)]
     except ValueError as trouble:
--- /dev/null
+++ b/tests/vrrp/test_search.py
@@ -0,0 +1,86 @@
+"""The search finds no order of events that breaks VRRP's promises, and finds each fault that is put in."""
+
+import math
+
+import pytest
+
+from otterrudder.lab.search import machine_of, search
+from otterrudder.vrrp import gate
+from otterrudder.vrrp.gate import Door, Event, Gate
+from otterrudder.vrrp.machine import Action, Machine, Timer
+
+
+@pytest.mark.parametrize(("priorities", "depth"), [
+    ((200, 100), 12), ((100, 100), 11), ((200, 150, 100), 6)])
+def test_no_order_of_events_breaks_a_promise(priorities: tuple[int, ...], depth: int) -> None:
+    found = search(priorities, depth)
+    assert found.broken is None and found.depth == depth
+    assert found.worlds > 1000
+
+
+def test_without_preemption_one_master_stays() -> None:
+    assert search((200, 100), 7, lambda n, p: machine_of(n, p, preempts=False)).broken is None
+
+
+class Deaf(Machine):
+    """Does not step down for a better master."""
+
+    def _hear_as_master(self, now, priority, interval_ms, sender) -> list[Action]:
+        return []
+
+
+class Tied(Machine):
+    """Breaks no tie."""
+
+    def _hear_as_master(self, now, priority, interval_ms, sender) -> list[Action]:
+        return [] if priority == self.priority else super()._hear_as_master(now, priority, interval_ms, sender)
+
+
+class Patient(Machine):
+    """Waits for ever once a master has left."""
+
+    def _hear_as_backup(self, now, priority, interval_ms) -> list[Action]:
+        return [self._arm(math.inf)] if priority == 0 else super()._hear_as_backup(now, priority, interval_ms)
+
+
+class Shy(Machine):
+    """As a backup obeys whoever speaks."""
+
+    def _hear_as_backup(self, now, priority, interval_ms) -> list[Action]:
+        self.interval = interval_ms
+        return [self._arm(now + self.down_interval)]
+
+
+@pytest.mark.parametrize(("fault", "priorities", "says"), [
+    (Deaf, (200, 100), "in peace the masters are [0, 1]"), (Tied, (100, 100), "in peace the masters are [0, 1]"),
+    (Shy, (200, 100), "and one of priority 200 should be")])
+def test_a_fault_in_the_machine_is_found(fault: type[Machine], priorities: tuple[int, ...], says: str) -> None:
+    def make(n: int, priority: int) -> Machine:
+        twin = machine_of(n, priority)
+        return fault(twin.address, twin.priority, twin.base_interval)
+
+    found = search(priorities, 8, make)
+    assert found.broken and says in found.broken.what and found.broken.trail
+
+
+def test_a_master_that_leaves_and_is_waited_for_is_found() -> None:
+    machine = Patient(machine_of(0, 100).address, 100, 1000.0)
+    machine.start(0.0)
+    told = machine.hear(10.0, 0, 1000.0, machine_of(1, 200).address)
+    assert told == [Timer(math.inf, machine.number)]  # what the search calls waiting for nothing
+
+
+@pytest.mark.parametrize(("move", "leads", "says"), [
+    ((Door.OPEN, Event.BACKUP), Door.OPEN, "the open doors are"),
+    ((Door.HELD, Event.DUE), Door.HELD, "in peace"),
+    ((Door.DRAINING, Event.DUE), Door.OPEN, "the open doors are")])
+def test_a_fault_in_the_gate_is_found(monkeypatch, move, leads, says) -> None:
+    monkeypatch.setitem(gate.MOVES, move, leads)
+    found = search((200, 100), 9, worlds_most=60_000)
+    assert found.broken and says in found.broken.what
+
+
+def test_each_door_has_a_move_for_each_event_and_the_docs_show_them() -> None:
+    assert set(gate.MOVES) == {(door, event) for door in Door for event in Event}
+    assert all(gate.MOVES[Door.RETIRED, event] is Door.RETIRED for event in Event)
+    assert gate.table().count("\n") == 6 and isinstance(Gate, type)
