A failure in VRRP's speaker is lived through; a hold-down that forgets at once is refused

Cause: forget_ms = 0 passed the check and was divided by, which ended the server at its first return to mastership; found while failover times were measured.

Change: the check wants 1 ms or more; the speaker's events are guarded, and what failed is tried again after 10 ms.

--- a/otterrudder/net/control.py
+++ b/otterrudder/net/control.py
@@ -5,6 +5,7 @@
 In $TMPDIR, mode 0600, so nobody but the server's own user reads it. Bounded in connections, bytes and
 time."""
 
+import contextlib
 import json
 import os
 import socket
@@ -82,7 +83,10 @@
                 data = b""
                 while b"\n" not in data and len(data) < REQUEST_MOST:
                     await anyio.wait_readable(sock)
-                    more = sock.recv(REQUEST_MOST - len(data))
+                    try:
+                        more = sock.recv(REQUEST_MOST - len(data))
+                    except BlockingIOError:  # woken for nothing
+                        continue
                     if not more:
                         break
                     data += more
@@ -96,7 +100,8 @@
     async def _send(self, sock: socket.socket, data: bytes) -> None:
         while data:
             await anyio.wait_writable(sock)
-            data = data[sock.send(data) :]
+            with contextlib.suppress(BlockingIOError):
+                data = data[sock.send(data) :]
 
     def _reply(self, data: bytes) -> bytes:
         try:
--- a/otterrudder/vrrp/group.py
+++ b/otterrudder/vrrp/group.py
@@ -136,8 +136,8 @@
         raise BadGroups(f"{where}: group: from 1 to {GROUPS_MOST} are wanted, not {len(whole.group)}")
     held = _converted(whole.hold_down, _HoldDown, f"{where}: hold_down")
     hold_down = HoldDown(*msgspec.structs.astuple(held))
-    for name in ("first_ms", "most_ms", "forget_ms"):
-        _within(getattr(hold_down, name), 0.0, 3.6e6, f"{where}: hold_down.{name}")
+    for name, least in (("first_ms", 0.0), ("most_ms", 0.0), ("forget_ms", 1.0)):  # it is divided by the last
+        _within(getattr(hold_down, name), least, 3.6e6, f"{where}: hold_down.{name}")
     groups: list[Group] = []
     for n, part in enumerate(whole.group, 1):
         groups.append(_group(part, f"{where}: group[{n}]", products, tenants))
--- a/otterrudder/vrrp/speaker.py
+++ b/otterrudder/vrrp/speaker.py
@@ -34,6 +34,7 @@
 IP_RECVTTL = 12  # Linux's number; the standard library has no name for it
 DATAGRAM_MOST = 2048  # bytes: the largest advert with its trailer is under 400
 HEARD_MOST = 64  # datagrams read in one go, and others get their turn: a flood must not hold the loop
+FAILED_MS = 10.0  # ms until what failed is tried again: it must not spin
 TRACK_MS = 100.0  # ms between looks at the facts that lower priorities
 LATE_KEPT = 4096  # latenesses of adverts kept for the figures: minutes of them
 
@@ -134,18 +135,27 @@
     async def _hear_on(self, sock: socket.socket) -> None:
         while True:
             await anyio.wait_readable(sock)
-            self._hear(clock.monotonic())
+            self._safely(self._hear)
             await anyio.lowlevel.checkpoint()
 
     async def _keep_time(self) -> None:
         while True:
-            now = clock.monotonic()
-            self.pulse(now)
+            went = self._safely(self.pulse)
             wait = min(min(member.due for member in self.members), self._track_at) - clock.monotonic()
+            wait = wait if went else max(wait, FAILED_MS)
             self._wake = anyio.Event()
             with anyio.move_on_after(max(wait, 0.0) / 1000):
                 await self._wake.wait()
 
+    def _safely(self, act: Callable[[float], None]) -> bool:
+        """A failure here is logged, and the server lives: it goes on as it stood. Whether there was none."""
+        try:
+            act(clock.monotonic())
+        except Exception:
+            log.exception("vrrp: an event failed")
+            return False
+        return True
+
     def pulse(self, now: float) -> None:
         """All that is heard and due by `now`; cheap when nothing is. Called by the helm ahead of its turns
         too."""
--- a/tests/vrrp/test_failover.py
+++ b/tests/vrrp/test_failover.py
@@ -193,6 +193,9 @@
             assert time.monotonic() < ends
             runtime.idle(1)
     assert sorted(gateway.told) == sorted(rpcs)  # each once, none twice
+    counts = control.ask("n3", "vrrp")["vrrp"][0]["counts"]
+    print(f"{len(rpcs)} requests, became master {counts['became master']}, backup {counts['became backup']}")
+    assert counts["became master"] > TURNS // 2
 
 
 def _either(server: Server, runtime: Runtime, gateway: Gateway) -> tuple[list[str], bytes]:
--- a/tests/vrrp/test_pure.py
+++ b/tests/vrrp/test_pure.py
@@ -226,6 +226,7 @@
     ("lowers = 100", "lowers = 0", "track[1].lowers: 0"),
     ("first_ms = 1000 ", "first_ms = -1 ", "hold_down.first_ms: -1"),
     ('# products = ["form-submit"]', 'products = ["lok"]', "group[1].products: there is no 'lok'"),
+    ("forget_ms = 30000 ", "forget_ms = 0 ", "hold_down.forget_ms: 0 is not from 1"),
     ("[hold_down]", "group = []\n[hold_down]", "group"),
     ('keys = "vrrp-keys.toml"', 'keys = "none.toml"', "cannot read"),
     (GOOD, GOOD + SECOND, "group[2]: serves what group[1] serves"),
