One grouping of moves by server in the lab's figures; dead state removed

Found in a read-over: three figures grouped the moves by server each for themselves, a parameter, a counter and an attribute were never read.

--- a/otterrudder/lab/day.py
+++ b/otterrudder/lab/day.py
@@ -18,6 +18,7 @@
 from otterrudder.lab.streams import Streams
 from otterrudder.lab.troubles import Notice, Timeline, Trouble
 from otterrudder.levels import Bound, Damping, Ladder, Rung, Table
+from otterrudder.levels.ladder import FULL
 
 SWEEP_MS = 1000.0  # ms between looks of the checker for what is overdue
 AFTER_MS = 12_000.0  # ms played past the last arrival: longer than any expiry, so that nothing is left open
@@ -190,8 +191,8 @@
             return dict(moves_per_min=0.0, stay_breaks=0.0, level_mean=0.0)
         stays = {rung.name: rung.stay_ms / 1000 for rung in self.levels.rungs}
         breaks = 0
-        for n in range(len(self.servers)):
-            mine = [move for move in self.moves if move.server == n and move.why != "table"]
+        for moves in self._by_server():
+            mine = [move for move in moves if move.why != "table"]
             for before, after in zip(mine, mine[1:], strict=False):
                 least = stays.get(before.entered, stays.get(after.entered, 0.0))
                 breaks += after.at_s - before.at_s < least - 1e-6
@@ -200,35 +201,29 @@
             moves_per_min=len(self.moves) / len(self.servers) / (length_s / 60),
             stay_breaks=float(breaks),
             level_mean=float(heights.mean()),
-            reach_s=self._first(up=True),
+            reach_s=self._first(),
             home_s=self._home(),
             home_spread_s=self._home_spread(),
         )
 
-    def _first(self, up: bool) -> float:
+    def _by_server(self) -> list[list[Move]]:
+        return [[move for move in self.moves if move.server == n] for n in range(len(self.servers))]
+
+    def _first(self) -> float:
         """s at which the last of the servers first left full service; the day's length if one never did."""
-        times = []
-        for n in range(len(self.servers)):
-            times.append(next((m.at_s for m in self.moves if m.server == n), self.length_ms / 1000))
-        return max(times)
+        return max(mine[0].at_s if mine else self.length_ms / 1000 for mine in self._by_server())
 
     def _home(self) -> float:
         """s at which the last of the servers was back at full service for good; the day's length if one was
         not."""
-        times = []
-        for n in range(len(self.servers)):
-            mine = [m for m in self.moves if m.server == n]
-            is_home = not mine or mine[-1].entered == "full"
-            times.append((mine[-1].at_s if mine else 0.0) if is_home else self.length_ms / 1000)
-        return max(times)
+        ends = [mine[-1] if mine else None for mine in self._by_server()]
+        return max(0.0 if end is None else end.at_s if end.entered == FULL else self.length_ms / 1000
+                   for end in ends)
 
     def _home_spread(self) -> float:
         """s between the first and the last of the servers that came back to full service for good; 0 for
         none."""
-        times = []
-        for n in range(len(self.servers)):
-            mine = [m for m in self.moves if m.server == n]
-            times += [mine[-1].at_s] if mine and mine[-1].entered == "full" else []
+        times = [mine[-1].at_s for mine in self._by_server() if mine and mine[-1].entered == FULL]
         return max(times, default=0.0) - min(times, default=0.0)
 
     def _of_sessions(self, length_s: float) -> dict[str, float]:
--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -28,12 +28,11 @@
 class Run:
     """A started txn on the cores or at a call."""
 
-    __slots__ = ("calls_left", "job", "part", "sort")
+    __slots__ = ("calls_left", "job", "part")
 
     def __init__(self, part: float, calls: int) -> None:
         self.part, self.calls_left = part, calls  # ms of work between two calls
         self.job: Job | None = None
-        self.sort = ""
 
 
 class Server:
--- a/otterrudder/levels/watch.py
+++ b/otterrudder/levels/watch.py
@@ -27,7 +27,6 @@
         """`spread`: 0 to 1, this instance's own, see Ladder; `kind`: a baseline's, in the lab."""
         self._ladder = kind(table.rungs, table.damping, spread=spread, start=table.start)
         self.is_shadow = table.is_shadow
-        self.moves = 0
 
     @property
     def relief(self) -> Relief:
@@ -58,7 +57,6 @@
     def _news(self, move: Move | None, now: float) -> News | None:
         if move is None:
             return None
-        self.moves += 1
         told: dict[str, object] = dict(left=move.left, entered=move.entered, why=move.why.value)
         for reading in move.readings:
             told[reading.fact] = round(reading.value, 3)
