Txns with an effect count as established also where they name a user

Cause: Sessions.arrive took a txn with an effect for the paper's paying step only where it carries no key, as a referenced one does.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -235,9 +235,9 @@
         self.held = 0
 
     def arrive(self, txn: Txn) -> bool:
-        # A referenced txn names no user. One with an effect stands for the paper's paying step, which an
-        # established session must not lose (up to a share, see below); any other without a key is a newcomer.
-        txn.old = self.table.get(txn.key, 0.0) > self.rudder.now if txn.key else txn.effectful
+        # One with an effect stands for the paper's paying step, which an established session must not lose (up
+        # to a share, see below), whether or not it names its user; any other without a key is a newcomer.
+        txn.old = txn.effectful or self.table.get(txn.key, 0.0) > self.rudder.now
         return True
 
     def over_share(self, txn: Txn) -> bool:
