Hold bounds follow what a txn may earn a ms; tenants are held against the share they are told

Holds.arrive gave every newcomer the same bound, whatever it earns. Now a txn is worth its value times the part of its tenant's recent txns that the share covers, and the bound of a hold shrinks with worth a ms below the newcomers' mean. The heavy-key rule stays; the same rule for tenants goes, since the share is told.

--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -34,7 +34,11 @@
 
 
 def tenants_of(settings: dict) -> list[Tenant]:
-    return [Tenant(r.get("name") or "", r.get("share") or 0.0) for r in settings.get("realms") or []]
+    servers = max(settings.get("servers") or 1, 1)
+    return [
+        Tenant(r.get("name") or "", r.get("share") or 0.0, (r.get("allowancePerS") or 0.0) / 1000 / servers)
+        for r in settings.get("realms") or []
+    ]
 
 
 def gauge_names(settings: dict) -> list[str]:
@@ -68,6 +72,7 @@
         calls_share=info.get("callsOut") or 0.0,
         calls_span_ms=_ms(info, "depWindowUs"),
         linger_ms=_ms(info, "lingerUs"),
+        over_value=settings.get("overShareWorth") or 0.0,
     )
     rudder = Rudder(now, instance=instance, seed=seed, **(facts | told))
     rudder.begin()
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -67,6 +67,7 @@
 class Tenant:
     name: str
     share: float
+    per_ms: float = 0.0  # txns of its share that are one server's part; 0: nobody says
 
 
 class Cut(Enum):
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -32,7 +32,7 @@
 HOPELESS = 0.45  # share of the expected time that must still fit, or a txn has no chance here: estimates err
 OLD_LEAVE = 0.1  # least share of the starts taken to be left to newcomers: keeps the estimate finite
 GROUP_ROOM = 0.25  # share of the holds one key, or all keyless txns, may take before they count as newcomers
-GROUP_SLACK = 1.5  # times its share that a tenant may hold before it counts as a newcomer
+ASKED_MS = 5000.0  # ms over which a tenant's txns are counted: its surges last longer, one txn weighs little
 GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
 LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
@@ -226,35 +226,43 @@
 class Sessions(Stage):
     """SBOC's table of established keys, entered when a txn settles."""
 
-    def __init__(self, rudder: "Rudder", tenants: list[Tenant]) -> None:
+    def __init__(self, rudder: "Rudder", tenants: list[Tenant], over_value: float) -> None:
         self.rudder = rudder
         self.table: OrderedDict[int, float] = OrderedDict()
-        whole = sum(t.share for t in tenants) or 1.0
-        self.shares = [t.share / whole * GROUP_SLACK for t in tenants]
-        self.groups: dict[tuple[str, int], int] = {}  # txns held of each key and tenant
+        self.tenants, self.over_value = tenants, over_value
+        self.asked = [(rudder.now, 0.0)] * len(tenants)  # recent txns of each, as of when
+        self.groups: dict[int, int] = {}  # txns held of each key
         self.held = 0
 
     def arrive(self, txn: Txn) -> bool:
         # One with an effect stands for the paper's paying step, which an established session must not lose (up
         # to a share, see below), whether or not it names its user; any other without a key is a newcomer.
         txn.old = txn.effectful or self.table.get(txn.key, 0.0) > self.rudder.now
+        if txn.tenant < len(self.tenants) and not txn.retry:
+            since, asked = self.asked[txn.tenant]
+            asked *= math.exp((since - self.rudder.now) / ASKED_MS)
+            self.asked[txn.tenant] = (self.rudder.now, asked + 1)
         return True
 
     def over_share(self, txn: Txn) -> bool:
-        """One rule for heavy keys and tenants: beyond its share of the holds a group's txns are newcomers."""
-        return any(self.groups.get(group, 0) >= max(GROUP_FREE, share * self.held)
-                   for group, share in self._groups(txn))
-
-    def _groups(self, txn: Txn) -> list[tuple[tuple[str, int], float]]:
-        key = [(("key", txn.key), GROUP_ROOM)] if txn.key or txn.effectful else []
-        return key + [(("tenant", txn.tenant), share) for share in self.shares[txn.tenant : txn.tenant + 1]]
+        """Beyond its part of the holds a heavy key's txns are newcomers, and keyless ones together likewise."""
+        grouped = txn.key or txn.effectful
+        return bool(grouped) and self.groups.get(txn.key, 0) >= max(GROUP_FREE, GROUP_ROOM * self.held)
 
     def count(self, txn: Txn, by: int) -> None:
         self.held += by
-        for group, _ in self._groups(txn):
-            self.groups[group] = self.groups.get(group, 0) + by
-            if not self.groups[group]:
-                del self.groups[group]
+        if left := self.groups.get(txn.key, 0) + by:
+            self.groups[txn.key] = left
+        else:
+            del self.groups[txn.key]
+
+    def worth(self, txn: Txn) -> float:
+        """What it may be expected to earn: nobody says which of its tenant's txns are beyond the share, but
+        here is counted how many come, and told how many a server's part of the share is."""
+        if txn.tenant >= len(self.tenants) or not (part := self.tenants[txn.tenant].per_ms):
+            return txn.spec.value
+        inside = min(part * ASKED_MS / max(self.asked[txn.tenant][1], LEAST_MS), 1.0)
+        return txn.spec.value * (inside + (1 - inside) * self.over_value)
 
     def back(self, txn: Txn) -> None:
         if txn.settled and txn.key:
@@ -336,6 +344,7 @@
     def __init__(self, rudder: "Rudder", sessions: Sessions, slots: "Slots", calls: "Calls") -> None:
         self.rudder, self.sessions, self.slots, self.calls = rudder, sessions, slots, calls
         self.old, self.new = deque[Txn](), deque[Txn]()
+        self.worth = 0.0  # recent mean of what newcomers may earn for a ms on the cores
         self.old_starts = 0.0  # share of recent starts from the holds that were established
         self.work = [0.0, 0.0]  # expected ms on the cores of what is held: new, old
 
@@ -348,13 +357,17 @@
         if self.is_free(txn):
             self.rudder.signals.hear(txn, 0.0)
             return True
+        worth = self.sessions.worth(txn) / txn.cost
+        if not txn.old:
+            self.worth += GAIN * (worth - self.worth) if self.worth else worth
         over = self.sessions.over_share(txn)
         crowding, txn.old = over and not txn.old, txn.old and not over
         # Established txns still to come go ahead of a newcomer: their share of the starts stretches its wait.
         wait = self.work[True] if txn.old else sum(self.work) / max(1 - self.old_starts, OLD_LEAVE)
         wait /= self.slots.limit
         self.rudder.signals.hear(txn, wait)
-        if crowding or wait > (txn.in_time - self.rudder.now - whole) * HOLD_WAIT:
+        part = HOLD_WAIT * min(worth / (self.worth or worth or 1.0), 1.0)
+        if crowding or wait > (txn.in_time - self.rudder.now - whole) * part:
             return self.rudder.refuse(txn)
         (self.old if txn.old else self.new).append(txn)
         self.work[txn.old] += txn.cost
@@ -622,7 +635,8 @@
                  ref_kb: float, crowd_per_core: float, fresh: bool, cold_from: float, cold_ms: float,
                  drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float,
                  idle_max_ms: float, may_stop: bool, below: str, calls_share: float, calls_span_ms: float,
-                 linger_ms: float, up_ms: float = 0.0, refs_most: float = math.inf) -> None:
+                 linger_ms: float, up_ms: float = 0.0, refs_most: float = math.inf,
+                 over_value: float = 0.0) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
         self.counter = seed
         self.steps: list[Step] = []
@@ -631,7 +645,7 @@
         self.expiry = Expiry(self, drain_grace_ms)
         self.repeats = Repeats(self, ref_kb, tick_ms)
         self.memory = Memory(self, memory_kb, run_factor, refs_most)
-        self.sessions = Sessions(self, tenants)
+        self.sessions = Sessions(self, tenants, over_value)
         self.slots = Slots(self, self.memory, self.repeats, products, cores, crowd_per_core,
                            cold_ms, cold_from, now - up_ms if fresh else -math.inf)
         self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
