Unmarked later tries have a stand-in: the share declined; few costly runs no longer read as slow

Ruled out: idle times (probes before). Now a run counts at most threefold in the pace, declines stand in for later tries where none are marked, and what was read too late for any server is told so.

--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -72,6 +72,7 @@
         calls_share=info.get("callsOut") or 0.0,
         calls_span_ms=_ms(info, "depWindowUs"),
         linger_ms=_ms(info, "lingerUs"),
+        marks_retry=(settings.get("clients") or {}).get("marksRetry") is not False,
         over_value=settings.get("overShareWorth") or 0.0,
     )
     rudder = Rudder(now, instance=instance, seed=seed, **(facts | told))
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -47,6 +47,7 @@
 CALLS_ROOM = 0.5  # share of a full span of our calls that may be used ahead: others may use theirs at once
 MEAN_GAIN = 1 / 64  # weight of a new run in the mean that the pace is held against: some ten seconds of work
 PACE_GAIN = 1 / 8  # weight of a new run in the pace: follows a slowdown within a second
+PACE_MOST = 3.0  # most that one run counts in the pace: a few costly txns are no slow server
 CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again, as much longer with each try
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
 BREAK_MS = 500.0  # ms between single trials while it is open
@@ -353,7 +354,9 @@
         txn.cost, whole = self.slots.expect(txn)
         if self._hopeless(txn, whole):
             self.rudder.signals.hear(txn, self.slots.away[txn.product])
-            return self.rudder.refuse(txn, room=False)
+            # Read so late that a server at the usual pace would not be in time either, it is told no other may.
+            late = txn.in_time - self.rudder.now < whole * HOPELESS / max(self.slots.pace, 1.0)
+            return self.rudder.refuse(txn, room=late)
         if self.is_free(txn):
             self.rudder.signals.hear(txn, 0.0)
             return True
@@ -483,7 +486,7 @@
         n, took = txn.product, max(spent, LEAST_MS) / txn.unit
         self.seen[n] += 1
         gain = max(MEAN_GAIN, 1 / self.seen[n])
-        self.pace += PACE_GAIN * (took / (self.mean[n] or took) - self.pace)
+        self.pace += PACE_GAIN * (min(took / (self.mean[n] or took), PACE_MOST) - self.pace)
         self.mean[n] += gain * (took - self.mean[n])
         self.away[n] += gain * (txn.away - self.away[n]) * txn.settled
         self.low[n] = min(self.low[n] * LOW_LEAK, took)
@@ -574,12 +577,13 @@
     """What callers are told: health, the free value, when to stay away. One timer an instance renews it."""
 
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float,
-                 idle_max_ms: float) -> None:
+                 idle_max_ms: float, marks: bool) -> None:
+        self.marks = marks  # whether later tries are marked
         self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
         self.idle_max = idle_max_ms
         self.gap, self.last = GAP_GUESS_MS, rudder.now  # mean ms between arrivals
         self.told: dict[str, float | None] = {"advertise": None, "idle": idle_max_ms}
-        self.retries = 0.0  # share of further tries among recent arrivals
+        self.retries = 0.0  # share of later tries among recent arrivals, or of declined ones (see refuse)
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
     def advice(self, room: bool, retry: bool, away_ms: float | None, gone: bool) -> tuple[bool, float]:
@@ -636,7 +640,7 @@
                  drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float,
                  idle_max_ms: float, may_stop: bool, below: str, calls_share: float, calls_span_ms: float,
                  linger_ms: float, up_ms: float = 0.0, refs_most: float = math.inf,
-                 over_value: float = 0.0) -> None:
+                 over_value: float = 0.0, marks_retry: bool = True) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
         self.counter = seed
         self.steps: list[Step] = []
@@ -653,7 +657,7 @@
         self.levels = Levels(self)
         self.chain: list[Stage] = [self.expiry, self.repeats, self.sessions, self.levels, self.memory]
         self.chain += [self.holds, self.slots, self.calls]
-        self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms)
+        self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms, marks_retry)
 
     def at(self, now: float) -> None:
         self.now = now
@@ -778,6 +782,8 @@
         if txn.ran:
             return self.void(txn)
         if not txn.answered:
+            # Where later tries are not marked, what is declined stands in: most of it comes back somewhere.
+            self.signals.retries += 0.0 if self.signals.marks else GAIN
             self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry, away_ms, gone)))
             self._end(txn)
         return False
