Late runs that earn nothing are stopped, paused ones count as stopped; connections kept for 15 s

A run past its SLA time of a product without late value kept its slot to its end. And at 12 to 20 gateways a pair of gateway and server meets every 5 s, just over LINK_WORTH_MS, so connections that cost 25 to 51 ms of work were closed between any two txns, at tables a fifth full.

--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -67,7 +67,7 @@
         say=_SAY.get(info.get("say"), ""),
         stay_away_max_ms=_ms(limits, "maxRetryAfterUs") if limits.get("retryAfter") else 0.0,
         idle_max_ms=_ms(info, "callerIdleUs"),
-        may_stop=info.get("stopMode") == "drop",
+        may_stop=info.get("stopMode") in ("drop", "pause"),
         below=_BELOW.get(info.get("below"), ""),
         calls_share=info.get("callsOut") or 0.0,
         calls_span_ms=_ms(info, "depWindowUs"),
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -62,7 +62,7 @@
 RETRIES_MOST = 0.15  # share of later tries among arrivals over which others are taken to be full as well
 STORM = 0.5  # share of later tries among arrivals from which callers are asked to keep off at length
 GAP_GUESS_MS = 100.0  # ms between arrivals before any are seen: ten txns a second
-LINK_WORTH_MS = 4000.0  # ms between a caller's txns up to which keeping its connection is worth its place
+LINK_WORTH_MS = 15_000.0  # ms between a caller's txns up to which its connection is kept: half of the longest idle time known
 OPENINGS_MOST = 0.75  # connections opening a core, over which a full table does better than more of them
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
 DEMAND_MS = 2000.0  # ms over which the work asked for is meant: some thirty arrivals of a small server
@@ -458,8 +458,15 @@
         self.memory.run(txn)
         self.rudder.steps.append(("run", txn.ident))
         self.repeats.started(txn)
+        if self.rudder.may_stop and not txn.effectful and not txn.spec.late_value:
+            self.rudder.agenda.at(max(txn.in_time, self.rudder.now), lambda: self._give_up(txn))
         return True
 
+    def _give_up(self, txn: Txn) -> None:
+        """Late, it earns nothing: where work can be stopped its place goes to one that still may."""
+        if self.rudder.sessions.held and txn.place in (Place.RUNS, Place.CALLS):
+            self.rudder.void(txn)
+
     def off_cores(self, txn: Txn) -> None:
         txn.place, txn.off_cores = Place.CALLS, self.rudder.now
         self.running -= 1
