The limit rises at once while a core stands idle and txns are held: runs wait for disks too

Cause: Slots.turn took a run for something on a core: past 1.34 runs a core the limit gained one run a core in two seconds. The gauge on_cores says what wants a core, so it decides.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -508,7 +508,8 @@
         self.busy = busy
         self.openings += GAIN * (on_cores - self.running - self.cores - self.openings)
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
-            self.limit += 1 if self.limit + 1 <= EASY_RUNS * self.cores else self.cores * TICK_MS / ROOM_MS
+            easy = self.limit + 1 <= EASY_RUNS * self.cores or on_cores < self.cores
+            self.limit += 1 if easy else self.cores * TICK_MS / ROOM_MS
         self.limit = min(self.limit, max(self.crowd(), self.cores))
 
 
