--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -29,6 +29,7 @@
 MEMORY_RUN = 0.92  # share up to which runs start: held before, so only this server's own steps fill it
 CROWD = 0.5  # share of the survivable crowd taken as the cap: the crowd is a ceiling, not a target
 HOLD_WAIT = 0.4  # share of the SLA time left that a hold may use up: one below and errors need theirs
+HOLD_MOST = 0.8  # the same for what earns most: estimates err, and a late answer earns little
 HOPELESS = 0.45  # share of the expected time that must still fit, or a txn has no chance here: estimates err
 OLD_LEAVE = 0.1  # least share of the starts taken to be left to newcomers: keeps the estimate finite
 GROUP_ROOM = 0.25  # share of the holds one key, or all keyless txns, may take before they count as newcomers
@@ -369,7 +370,7 @@
         wait = self.work[True] if txn.old else sum(self.work) / max(1 - self.old_starts, OLD_LEAVE)
         wait /= self.slots.limit
         self.rudder.signals.hear(txn, wait)
-        part = HOLD_WAIT * min(worth / (self.worth or worth or 1.0), 1.0)
+        part = min(HOLD_WAIT * worth / (self.worth or worth or 1.0), HOLD_MOST)
         if crowding or wait > (txn.in_time - self.rudder.now - whole) * part:
             return self.rudder.refuse(txn)
         (self.old if txn.old else self.new).append(txn)
