Against a tenant's share counts what was served, not what came; small shares save up three txns

So Sessions.worth keeps a balance of the even part of each share, spent by runs; beyond it a txn is worth overShareWorth. With the bare part and no floor a small share's balance is empty by chance (anfa-courtage: one txn in five seconds a server), hence 1.3 times the part and three txns at least.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -33,7 +33,9 @@
 HOPELESS = 0.45  # share of the expected time that must still fit, or a txn has no chance here: estimates err
 OLD_LEAVE = 0.1  # least share of the starts taken to be left to newcomers: keeps the estimate finite
 GROUP_ROOM = 0.25  # share of the holds one key, or all keyless txns, may take before they count as newcomers
-ASKED_MS = 5000.0  # ms over which a tenant's txns are counted: its surges last longer, one txn weighs little
+SHARE_SLACK = 1.3  # times a server's even part of a share that counts as within it: callers spread unevenly
+SHARE_LEAST = 3.0  # txns of it that any tenant may save up: a small one's come in ones and twos
+SHARE_MS = 5000.0  # ms of its share that a tenant may save up: its surges last longer, one txn weighs little
 GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
 LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
@@ -232,7 +234,7 @@
         self.rudder = rudder
         self.table: OrderedDict[int, float] = OrderedDict()
         self.tenants, self.over_value = tenants, over_value
-        self.asked = [(rudder.now, 0.0)] * len(tenants)  # recent txns of each, as of when
+        self.left = [(rudder.now, SHARE_LEAST) for _ in tenants]  # txns left of each share, as of when
         self.groups: dict[int, int] = {}  # txns held of each key
         self.held = 0
 
@@ -240,10 +242,6 @@
         # One with an effect stands for the paper's paying step, which an established session must not lose (up
         # to a share, see below), whether or not it names its user; any other without a key is a newcomer.
         txn.old = txn.effectful or self.table.get(txn.key, 0.0) > self.rudder.now
-        if txn.tenant < len(self.tenants) and not txn.retry:
-            since, asked = self.asked[txn.tenant]
-            asked *= math.exp((since - self.rudder.now) / ASKED_MS)
-            self.asked[txn.tenant] = (self.rudder.now, asked + 1)
         return True
 
     def over_share(self, txn: Txn) -> bool:
@@ -259,12 +257,18 @@
             del self.groups[txn.key]
 
     def worth(self, txn: Txn) -> float:
-        """What it may be expected to earn: nobody says which of its tenant's txns are beyond the share, but
-        here is counted how many come, and told how many a server's part of the share is."""
-        if txn.tenant >= len(self.tenants) or not (part := self.tenants[txn.tenant].per_ms):
-            return txn.spec.value
-        inside = min(part * ASKED_MS / max(self.asked[txn.tenant][1], LEAST_MS), 1.0)
-        return txn.spec.value * (inside + (1 - inside) * self.over_value)
+        """What it may be expected to earn: within a share is what is served up to it, whoever comes first."""
+        known = txn.tenant < len(self.tenants) and self.tenants[txn.tenant].per_ms
+        return txn.spec.value * (self.over_value if known and self._left(txn.tenant) < 1 else 1.0)
+
+    def _left(self, tenant: int) -> float:
+        since, left = self.left[tenant]
+        per_ms = self.tenants[tenant].per_ms * SHARE_SLACK
+        return min(left + (self.rudder.now - since) * per_ms, max(per_ms * SHARE_MS, SHARE_LEAST))
+
+    def started(self, txn: Txn) -> None:
+        if txn.tenant < len(self.tenants):
+            self.left[txn.tenant] = (self.rudder.now, max(self._left(txn.tenant) - 1, 0.0))
 
     def back(self, txn: Txn) -> None:
         if txn.settled and txn.key:
@@ -459,6 +463,7 @@
         self.memory.run(txn)
         self.rudder.steps.append(("run", txn.ident))
         self.repeats.started(txn)
+        self.rudder.sessions.started(txn)
         if self.rudder.may_stop and not txn.effectful and not txn.spec.late_value:
             self.rudder.agenda.at(max(txn.in_time, self.rudder.now), lambda: self._give_up(txn))
         return True
