What was read late is not told to stay here: the stand-in for retries makes it needless

The scenario hopeless.txt showed it wrong: a server that learned to be slow took its own slowness for a late read and kept what a quicker one could have served. Also: migrate, a command that makes a configuration of the new shape, and the checks of settings newly read.

--- a/otterrudder/cli/__init__.py
+++ b/otterrudder/cli/__init__.py
@@ -16,6 +16,7 @@
     "serve": ("serve", "Serve until SIGTERM, then drain and end."),
     "check": ("serve", "Say what is wrong with the configuration, if anything."),
     "levels": ("levels", "Tables of reduced service: check and show them."),
+    "migrate": ("migrate", "A configuration of the old shape made into one of the new."),
     "vrrp": ("vrrp", "VRRP groups: show, check, decode, keygen."),
     "lab": ("lab", "Experiments in simulated time (needs the extra 'lab')."),
 }
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -35,7 +35,7 @@
 GROUP_ROOM = 0.25  # share of the holds one key, or all keyless txns, may take before they count as newcomers
 SHARE_SLACK = 1.3  # times a server's even part of a share that counts as within it: callers spread unevenly
 SHARE_LEAST = 3.0  # txns of it that any tenant may save up: a small one's come in ones and twos
-SHARE_MS = 5000.0  # ms of its share that a tenant may save up: its surges last longer, one txn weighs little
+SHARE_MS = 5000.0  # ms of its share that a tenant may save up: its surges last longer, one txn is little
 GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
 LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
@@ -65,7 +65,7 @@
 RETRIES_MOST = 0.15  # share of later tries among arrivals over which others are taken to be full as well
 STORM = 0.5  # share of later tries among arrivals from which callers are asked to keep off at length
 GAP_GUESS_MS = 100.0  # ms between arrivals before any are seen: ten txns a second
-LINK_WORTH_MS = 15_000.0  # ms between a caller's txns up to which its connection is kept: half of the longest idle time known
+LINK_WORTH_MS = 15_000.0  # ms between a caller's txns up to which its connection is kept: an opening may be dear
 OPENINGS_MOST = 0.75  # connections opening a core, over which a full table does better than more of them
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
 DEMAND_MS = 2000.0  # ms over which the work asked for is meant: some thirty arrivals of a small server
@@ -245,7 +245,7 @@
         return True
 
     def over_share(self, txn: Txn) -> bool:
-        """Beyond its part of the holds a heavy key's txns are newcomers, and keyless ones together likewise."""
+        """Beyond its part of the holds a heavy key's txns are newcomers, and the keyless ones' likewise."""
         grouped = txn.key or txn.effectful
         return bool(grouped) and self.groups.get(txn.key, 0) >= max(GROUP_FREE, GROUP_ROOM * self.held)
 
@@ -359,9 +359,7 @@
         txn.cost, whole = self.slots.expect(txn)
         if self._hopeless(txn, whole):
             self.rudder.signals.hear(txn, self.slots.away[txn.product])
-            # Read so late that a server at the usual pace would not be in time either, it is told no other may.
-            late = txn.in_time - self.rudder.now < whole * HOPELESS / max(self.slots.pace, 1.0)
-            return self.rudder.refuse(txn, room=late)
+            return self.rudder.refuse(txn, room=False)
         if self.is_free(txn):
             self.rudder.signals.hear(txn, 0.0)
             return True
--- a/otterrudder/net/configuration.py
+++ b/otterrudder/net/configuration.py
@@ -4,7 +4,7 @@
 boot.py."""
 
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -12,6 +12,7 @@
 
 MOVABLE = ("runtime", "records", "registry")  # what a new configuration changes without a restart
 _Above0 = Annotated[float, msgspec.Meta(gt=0)]
+_NotBelow0 = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class BadConfiguration(Exception):
@@ -23,8 +24,36 @@
     memory_mb: _Above0
 
 
+class _Class(msgspec.Struct):
+    promiseUs: _Above0 | None = None
+    hardLimitUs: _Above0 | None = None
+    lateWorth: _NotBelow0 | None = None
+    worth: _NotBelow0 | None = None
+
+
+class _Realm(msgspec.Struct):
+    share: _NotBelow0 | None = None
+    allowancePerS: _NotBelow0 | None = None
+
+
+class _Clients(msgspec.Struct):
+    marksRetry: bool | None = None
+
+
+class _FamilyInfo(msgspec.Struct):
+    stopMode: Literal["silent", "drop", "pause"] | None = None
+    callsOut: _NotBelow0 | None = None
+
+
 class _Settings(msgspec.Struct):
-    classes: Annotated[list[dict[str, Any]], msgspec.Meta(min_length=1)]
+    """The platform's names. What is absent is taken as boot.py says; what is there has to be of its kind."""
+
+    classes: Annotated[list[_Class], msgspec.Meta(min_length=1)]
+    realms: list[_Realm] | None = None
+    clients: _Clients | None = None
+    familyInfo: _FamilyInfo | None = None
+    servers: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    overShareWorth: _NotBelow0 | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -43,12 +72,21 @@
     """The whole configuration as the file has it; BadConfiguration names the file and the field."""
     if not path:
         raise BadConfiguration("NODE_CONFIG is not set: it names the configuration file")
+    return check_configuration(decode_file(path), path)
+
+
+def decode_file(path: str) -> Any:
+    """What a JSON file holds; BadConfiguration names it."""
     try:
-        told = msgspec.json.decode(Path(path).read_bytes())
+        return msgspec.json.decode(Path(path).read_bytes())
     except OSError as trouble:
         raise BadConfiguration(f"cannot read the configuration: {trouble}") from None
     except ValueError as trouble:
         raise BadConfiguration(f"the configuration {path} is not JSON: {trouble}") from None
+
+
+def check_configuration(told: Any, path: str) -> dict[str, Any]:
+    """The same, if it is a configuration that a server could start with."""
     try:
         checked = msgspec.convert(told, _Configuration)
         for name in ("listen", *MOVABLE):
