--- a/otterrudder/cli/migrate.py
+++ b/otterrudder/cli/migrate.py
@@ -27,7 +27,9 @@
 )
 
 
-def migrate_settings(old: dict[str, Any], shape: dict[str, Any]) -> tuple[dict[str, Any], list[str], list[str]]:
+def migrate_settings(
+    old: dict[str, Any], shape: dict[str, Any]
+) -> tuple[dict[str, Any], list[str], list[str]]:
     """The settings of the new shape, what was restated and what could not be carried over. `shape`: what the
     operator states of the new deployment; it goes before everything else."""
     new, restated, left = json.loads(json.dumps(old)), [], []
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
     server cores=2 crowd=4          what the server is told at its start (names: SERVER)
     product pay referenced sla=1000 expiry=3000 window=9000 value=3 calls
-    tenant north 0.5
+    tenant north 0.5 1.2            its share, and the txns/s of it that are one server's part, if known
     at 10 arrive a pay key=7        a call at 10 ms, after all due rings; a1..a9: nine txns; *: all running
     at 50 finished a ok             also: needs a, called a full, left a, retire 5000; or nothing
     at 55 stepdown pay 2000         a product (-: all) is left with so long to answer; stepup pay
@@ -34,6 +34,7 @@
     "cores": 2, "callers": 2, "memory": 1e6, "factor": 4, "ref": 10, "crowd": 4, "fresh": 0, "cold_from": 0.2,
     "cold": 10000, "grace": 1000, "tick": 4, "say": "", "away": 1000, "stop": 0, "below": "", "share": 0,
     "idle": 30000, "on_cores": 0, "span": 5000, "linger": 200, "busy": 1.0,
+    "over": 0.05, "marks": 1,
 }  # fmt: skip
 
 
@@ -62,7 +63,7 @@
             crowd_per_core=t["crowd"], fresh=bool(t["fresh"]), cold_from=t["cold_from"], cold_ms=t["cold"],
             drain_grace_ms=t["grace"], tick_ms=t["tick"], say=t["say"], stay_away_max_ms=t["away"],
             idle_max_ms=t["idle"], may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"],
-            calls_span_ms=t["span"], linger_ms=t["linger"],
+            calls_span_ms=t["span"], linger_ms=t["linger"], over_value=t["over"], marks_retry=bool(t["marks"]),
         )  # fmt: skip
         rudder.begin()
         self.take(now, rudder.done())
@@ -132,7 +133,7 @@
                 "calls" in rest, float(facts.get("omit", 0)),
             ))  # fmt: skip
         elif word == "tenant":
-            self.tenants.append(Tenant(rest[0], float(rest[1])))
+            self.tenants.append(Tenant(rest[0], float(rest[1]), float(rest[2]) / 1000 if rest[2:] else 0.0))
         elif word == "at":
             self.at(float(rest[0]), rest[1:])
         elif word == "memory":
