Tables of connections fill by degrees in a flood; hints and the weight, read nowhere now, are out

Now the idle time grows while over 0.7 of the arrivals are declined and shrinks below 0.4, by degrees.

--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -4,7 +4,7 @@
 from otterrudder.logic import Rudder
 
 _EFFECTS = {"safe": Effect.INQUIRY, "keyed": Effect.REFERENCED, "unsafe": Effect.ONCE}
-_SAY = {"min_rank": "rank", "tokens": "credit", "bias": "weight"}
+_SAY = {"min_rank": "rank", "tokens": "credit"}  # a bias is left unsaid: no deployment has it
 _GAUGES = {"core_use": "busy", "on_cores": "on_cores"}
 _BELOW = {"common": "shared", "next_hop": "tier"}
 
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -136,7 +136,7 @@
         self.due = self.in_time = 0.0  # when its answer is owed; until when it earns its full value
         self.tenant = self.key = self.earlier = 0
         self.rank = 1.0  # 0 to 1: how dear it is to its caller
-        self.kb = self.unit = 1.0  # memory while held; what one unit of cost stands for, 1 without a hint
+        self.kb = 1.0  # memory while held
         self.cost = 0.0  # expected ms on the cores, fixed when held
         self.retry = self.old = self.queued = self.ran = self.answered = self.settled = self.calling = False
         self.place = Place.HELD
--- a/otterrudder/lab/checker.py
+++ b/otterrudder/lab/checker.py
@@ -48,6 +48,12 @@
         self.counts["read late"] += now > due
         self.open[number] = Entry(life, recv, max(due, now), mark)
 
+    def thawed(self, now: float, life: int) -> None:
+        """Its process stood still: what fell due meanwhile is owed now, as nothing could be sent before."""
+        for entry in self.open.values():
+            if entry.life == life:
+                entry.due = max(entry.due, now)
+
     def left(self, number: int) -> None:
         if entry := self.open.get(number):
             entry.left = True
--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -260,6 +260,7 @@
         self.is_frozen = on
         self.cores.set_factor(0.0 if on else 1.0)
         if not on:
+            self.checker.thawed(self.engine.now, self.life)
             self.is_planned = False
             self._plan()
 
--- a/otterrudder/lab/site.py
+++ b/otterrudder/lab/site.py
@@ -66,7 +66,7 @@
     grace_ms: float = 2500.0  # of a drain: what arrives later is not run
     stop_ms: float = 5000.0  # from the notice to leave to the stop
     away_most_ms: float = 1000.0
-    say: Literal["", "credit", "weight", "rank"] = "credit"
+    say: Literal["", "credit", "rank"] = "credit"
 
 
 class BelowPart(_Strict, kw_only=True, frozen=True):
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -40,7 +40,6 @@
 LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
-HINT_TRUST = 0.7  # power of a cost hint in estimates: hints are rough, so they are drawn to the mean
 LEAST_MS = 0.1  # ms; a run is never taken for shorter, for latencies are divided by
 EASY_RUNS = 1.34  # runs a core up to which the limit gains one a ring while cores have room: no crowd yet
 ROOM_MS = 2000.0  # ms in which the limit gains a run a core beyond that: the gauge lags half a second
@@ -60,13 +59,14 @@
 PRESSURE_EASE = 0.5  # share of such a step lost while waits are short: callers all let go at once, so slowly
 CREDIT_TIMES = 8.0  # even shares of the limit a caller may have out at rest: a larger credit binds nobody
 RANK_MOST = 0.3  # highest rank callers are asked to hold back
-WEIGHT_LEAST = 0.2  # least chance of being chosen that callers are asked for: enough to hear of a recovery
 SLOW_PACE = 1.5  # pace at which a server takes itself for slow, and not just for full
 RETRIES_MOST = 0.15  # share of later tries among arrivals over which others are taken to be full as well
 STORM = 0.5  # share of later tries among arrivals from which callers are asked to keep off at length
 GAP_GUESS_MS = 100.0  # ms between arrivals before any are seen: ten txns a second
 LINK_WORTH_MS = 15_000.0  # ms between a caller's txns up to which its connection is kept: openings are dear
-OPENINGS_MOST = 0.75  # connections opening a core, over which a full table does better than more of them
+FLOOD, EBB = 0.7, 0.4  # shares of arrivals declined: over the one tables fill, under the other they empty
+SHED_GAIN = 1 / 40  # weight of an arrival in that share: some seconds, so that chance makes no flood
+IDLE_GROWS, IDLE_SHRINKS = 1.2, 0.95  # a ring: from the shortest to the longest in two seconds, back in five
 LINK_SHORT_MS = 100.0  # ms it may idle where its caller seldom comes back within that time
 DEMAND_MS = 2000.0  # ms over which the work asked for is meant: some thirty arrivals of a small server
 STAY_AWAY_MS = 200.0  # ms a caller is asked to keep off after a decline for want of room: a run or so
@@ -239,15 +239,15 @@
         self.held = 0
 
     def arrive(self, txn: Txn) -> bool:
-        # One with an effect stands for the paper's paying step, which an established session must not lose (up
-        # to a share, see below), whether or not it names its user; any other without a key is a newcomer.
+        # One with an effect stands for the paper's paying step, which an established session must not lose up
+        # to a share (see below), whether or not it names its user; any other without a key is a newcomer.
         txn.old = txn.effectful or self.table.get(txn.key, 0.0) > self.rudder.now
         return True
 
     def over_share(self, txn: Txn) -> bool:
         """Beyond its part of the holds a heavy key's txns are newcomers, and the keyless ones' likewise."""
-        grouped = txn.key or txn.effectful
-        return bool(grouped) and self.groups.get(txn.key, 0) >= max(GROUP_FREE, GROUP_ROOM * self.held)
+        held = self.groups.get(txn.key, 0)
+        return bool(txn.key or txn.effectful) and held >= max(GROUP_FREE, GROUP_ROOM * self.held)
 
     def count(self, txn: Txn, by: int) -> None:
         self.held += by
@@ -424,10 +424,9 @@
         self.born, self.limit = born, float(cores)
         self.running = self.in_hand = 0  # on the cores; those and all out on calls
         self.busy = 0.0  # share of the cores in use, as the server last told
-        self.openings = 0.0  # recent mean on the cores beside runs and reads: connections that open
         self.seen = [0] * len(products)
         self.low: list[float] = [math.inf] * len(products)
-        self.mean: list[float] = [0.0] * len(products)  # ms on the cores for one unit
+        self.mean: list[float] = [0.0] * len(products)  # ms on the cores
         self.away: list[float] = [0.0] * len(products)  # ms off the cores
         self.pace = 1.0  # recent latency over the mean, all products together: a slowdown shows in it first
         self.stretch = 1.0  # recent latency over the lowest
@@ -451,7 +450,7 @@
 
     def expect(self, txn: Txn) -> tuple[float, float]:
         """Expected ms on the cores, and in all."""
-        cost = self.mean[txn.product] * self.pace * txn.unit or 1.0
+        cost = self.mean[txn.product] * self.pace or 1.0
         return cost, cost + self.away[txn.product]
 
     def arrive(self, txn: Txn) -> bool:
@@ -490,11 +489,11 @@
         # One cut short tells the least it takes; without it only the quick ones would be counted.
         self.given_up += GAIN * ((not txn.settled or self.rudder.now > txn.in_time) - self.given_up)
         spent = self.rudder.now - txn.started - txn.away
-        if txn.settled or spent > self.mean[txn.product] * txn.unit:
+        if txn.settled or spent > self.mean[txn.product]:
             self._learn(txn, spent)
 
     def _learn(self, txn: Txn, spent: float) -> None:
-        n, took = txn.product, max(spent, LEAST_MS) / txn.unit
+        n, took = txn.product, max(spent, LEAST_MS)
         self.seen[n] += 1
         gain = max(MEAN_GAIN, 1 / self.seen[n])
         self.pace += PACE_GAIN * (min(took / (self.mean[n] or took), PACE_MOST) - self.pace)
@@ -510,7 +509,6 @@
 
     def turn(self, busy: float, on_cores: float, held: int) -> None:
         self.busy = busy
-        self.openings += GAIN * (on_cores - self.running - self.cores - self.openings)
         if held > 0 and busy < CORES_BUSY and self.running >= int(self.limit):
             easy = self.limit + 1 <= EASY_RUNS * self.cores or on_cores < self.cores
             self.limit += 1 if easy else self.cores * TICK_MS / ROOM_MS
@@ -590,12 +588,12 @@
 
     def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float,
                  idle_max_ms: float, marks: bool) -> None:
-        self.marks = marks  # whether later tries are marked
-        self.rudder, self.kind, self.callers, self.away_max = rudder, say, max(callers, 1), stay_away_max_ms
-        self.idle_max = idle_max_ms
+        self.rudder, self.marks, self.kind, self.idle_max = rudder, marks, say, idle_max_ms
+        self.callers, self.away_max = max(callers, 1), stay_away_max_ms
         self.gap, self.last = GAP_GUESS_MS, rudder.now  # mean ms between arrivals
-        self.told: dict[str, float | None] = {"advertise": None, "idle": idle_max_ms}
-        self.retries = 0.0  # share of later tries among recent arrivals, or of declined ones (see refuse)
+        self.told: float | None = None  # the value last advertised
+        self.idle, self.told_idle = (LINK_SHORT_MS if self.seldom() else idle_max_ms), idle_max_ms
+        self.shed = self.retries = 0.0  # shares of recent arrivals: declined here, and later tries
         self.pressure = self.waits = 0.0  # 0 to 1; recent mean part of its SLA time that a txn waits here
 
     def advice(self, room: bool, retry: bool, away_ms: float | None, gone: bool) -> tuple[bool, float]:
@@ -606,15 +604,21 @@
             return False, self.away_max
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
         crowded = retry or self.retries > RETRIES_MOST
-        away = math.inf if self.retries > STORM else STAY_AWAY_MS
-        away = away if away_ms is None else away_ms  # a level knows how long it lasts at the least
-        return room and not alone or crowded, min(away, self.away_max)
+        if away_ms is None:  # else a level is in force, and knows how long it lasts at the least
+            away_ms = math.inf if self.retries > STORM else STAY_AWAY_MS
+        return room and not alone or crowded, min(away_ms, self.away_max)
 
     def arrived(self, retry: bool) -> None:
-        self.retries += GAIN * (retry - self.retries)
+        # Where later tries are not marked, what is declined stands in: most of it comes back somewhere.
+        self.retries += GAIN * ((retry if self.marks else self.shed) - self.retries)
+        self.shed -= SHED_GAIN * self.shed
         self.gap += GAIN * (self.rudder.now - self.last - self.gap)
         self.last = self.rudder.now
 
+    def seldom(self) -> bool:
+        """A caller's next txn is far off where many share few: its connection would only fill the table."""
+        return self.gap * self.callers > LINK_WORTH_MS
+
     def hear(self, txn: Txn, wait_ms: float) -> None:
         # Time spent unread counts: a server that reads late is short of cores, whatever its holds say.
         part = min((self.rudder.now - txn.arrived + wait_ms) / txn.spec.sla_ms, 1.0)
@@ -629,18 +633,19 @@
             least = slots.limit / self.callers
             most = min(slots.crowd(), max(CREDIT_TIMES * least, 1.0))
             value = round(most * (least / most) ** self.pressure, 2)
-        elif self.kind == "weight":
-            value = round(1 - (1 - WEIGHT_LEAST) * self.pressure, 2)
         elif self.kind == "rank":
             value = round(RANK_MOST * self.pressure, 2)
-        # A caller's own next txn is far off where many share few: its connection would only fill the table.
-        # But when openings crowd the cores, a full table is the cheapest refusal there is.
-        seldom = self.gap * self.callers > LINK_WORTH_MS and slots.openings < OPENINGS_MOST * slots.cores
-        idle = min(LINK_SHORT_MS if seldom else math.inf, self.idle_max)
-        for word, wanted in (("idle", idle), ("advertise", value)):
-            if wanted != self.told[word]:
-                self.told[word] = wanted
-                self.rudder.steps.append((word, wanted))
+        # When most that is read is declined, a full table is the cheapest refusal there is: it fills and
+        # empties by degrees, for all let go at once would come back at once.
+        grows, shrinks = self.shed > FLOOD or not self.seldom(), self.shed < EBB
+        by = IDLE_GROWS if grows else IDLE_SHRINKS if shrinks else 1.0
+        self.idle = min(max(self.idle * by, LINK_SHORT_MS), self.idle_max)
+        if abs(self.idle - self.told_idle) > self.told_idle / 8:
+            self.told_idle = self.idle
+            self.rudder.steps.append(("idle", self.idle))
+        if value != self.told:
+            self.told = value
+            self.rudder.steps.append(("advertise", value))
 
 
 class Rudder:
@@ -685,11 +690,11 @@
         self.steps += [("health", True), ("wake", wake)]
 
     def arrive(self, ident: int, product: int, *, tenant: int = 0, key: int = 0, kb: float = 0.0,
-               age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, hint_ms: float = 0.0,
-               retry: bool = False, rank: float = 1.0) -> None:
+               age_ms: float = 0.0, left_ms: float = 0.0, earlier: int = 0, retry: bool = False,
+               rank: float = 1.0) -> None:
         txn = self.txns[ident] = Txn(ident, product, self.products[product], self.now, age_ms)
         txn.tenant, txn.key, txn.kb, txn.earlier = tenant, key, kb, earlier
-        txn.retry, txn.rank, txn.unit = retry, rank, hint_ms**HINT_TRUST or 1.0
+        txn.retry, txn.rank = retry, rank
         self.memory.txns_kb += txn.kb
         self.signals.arrived(retry)
         self.expiry.times(txn, left_ms)
@@ -794,8 +799,7 @@
         if txn.ran:
             return self.void(txn)
         if not txn.answered:
-            # Where later tries are not marked, what is declined stands in: most of it comes back somewhere.
-            self.signals.retries += 0.0 if self.signals.marks else GAIN
+            self.signals.shed += SHED_GAIN
             self.steps.append(("decline", txn.ident, *self.signals.advice(room, txn.retry, away_ms, gone)))
             self._end(txn)
         return False
