--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -540,14 +540,13 @@
         self.pump()
 
     def pump(self) -> None:
-        while self.queue:
-            txn = self.queue[0]
+        waiting, self.queue = self.queue, deque()
+        for txn in waiting:  # one that has to wait does not keep those behind it from going on without
             needed = txn.place is Place.CALLS and not txn.answered
             allowed = self._allowed() and not self.rudder.levels.omits(txn)
             if needed and not allowed and not txn.spec.omit_value:
-                return
-            self.queue.popleft()
-            if needed and not allowed:
+                self.queue.append(txn)
+            elif needed and not allowed:
                 self.rudder.steps.append(("omit", txn.ident))
                 self.rudder.slots.on_cores(txn)
             elif needed:
