--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -519,7 +519,7 @@
 
 
 def test_idle_connections_are_told_and_closed(tmp_path: Path) -> None:
-    rare = SETTINGS["familyInfo"] | {"callers": 100}  # none of them is back soon
+    rare = SETTINGS["familyInfo"] | {"callers": 1000}  # none of them is back soon
     with Server(tmp_path, settings=SETTINGS | {"familyInfo": rare}) as server:
         _, gateway = server.up()
         assert b"noMore" in gateway.line() and gateway.line() == b""
@@ -583,3 +583,23 @@
         assert gateway.result() == gateway.result() == b"paid"
         gateway.txn("00000000000000dd", "pay", dedupe="d" * 32)
         assert gateway.answer()["error"]["code"] == -32014
+
+
+@pytest.mark.parametrize(("mode", "is_stopped"), [("pause", True), ("silent", False)])
+def test_work_that_nobody_waits_for_is_stopped_where_it_can_be(
+    tmp_path: Path, mode: str, is_stopped: bool
+) -> None:
+    settings = SETTINGS | {"familyInfo": SETTINGS["familyInfo"] | {"stopMode": mode}}
+    with Server(tmp_path, settings=settings) as server:
+        runtime, gateway = server.up()
+        gateway.txn(A, "look")
+        runtime.expect("start", A)
+        gateway.close()
+        if is_stopped:
+            runtime.expect("stop", A)
+            runtime.ends(A, how="cancelled")
+        other = server.gateway()
+        other.txn(B, "look")
+        runtime.expect("start", B)  # the slot is free either way, and no stop came where none is allowed
+        runtime.ends(B)
+        assert other.result() == b"done"
