The server says nothing that its runtime has no word for: stops and omitted calls are off

Seen on reading the platform's protocol again: the runtime knows sync, start, give and gauges, and closes the link on anything else. With stopMode pause (or drop), or a classSkipWorth above 0, boot made the module send stop and omit, which serve.py passed on, so a migrated server would have lost its link at the first run that nobody waits for.

--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -66,3 +66,5 @@
         + (f", {len(table.rungs)} levels" if table else "")
         + (f", {len(groups.groups)} VRRP groups" if groups else "")
     )
+    for line in server.unsaid(told["settings"]):
+        click.echo(f"{told['name']}: {line}")
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -5,7 +5,7 @@
 import signal
 import zlib
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -65,6 +65,17 @@
             raise BadConfiguration(str(trouble)) from None
 
 
+def unsaid(settings: dict) -> list[str]:
+    """What the settings allow and the runtime's protocol has no word for: a line that is no command ends the
+    link, so the server keeps it off."""
+    info = settings.get("familyInfo") or {}
+    why = "the runtime's protocol has no word for it, so it is kept off"
+    stops = info.get("stopMode") in ("drop", "pause")
+    omits = any(product.omit_value for product in products_of(settings))
+    return [f"familyInfo.stopMode: work can't be stopped here: {why}"] * stops + [
+        f"familyInfo.classSkipWorth: no call is left out here: {why}"] * omits
+
+
 def run(told: dict, files: Files) -> int:
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
@@ -86,7 +97,7 @@
 async def _live(told: dict, files: Files, levels: "Table | None", groups: "Groups | None",
                 signals: AsyncIterator[signal.Signals]) -> None:
     settings, seed = told["settings"], int(told["seed"], 16)
-    products = products_of(settings)
+    products = [replace(product, omit_value=0.0) for product in products_of(settings)]  # see `unsaid`
     # A reference outlives its window by an expiry, see core.py.
     kept = [p for p in products if p.effect is Effect.REFERENCED]
     stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
@@ -94,6 +105,7 @@
 
     def make(now: float, warm: bool, up_ms: float) -> Rudder:
         return boot(now, settings.get("me") or 0, seed, settings, fresh=not warm, up_ms=up_ms,
+                    products=products, may_stop=False,
                     ref_kb=0.0, refs_most=refs_most)  # results lie here, not in the runtime's memory
 
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
