One reader, merge and converter for operators' files; copies of values, names and checks gone

Written again: a merge of nested tables (migrate, lab/plan), the reading of TOML (vrrp/group, lab/site), msgspec's errors by place (vrrp/group, vrrp/seal): otterrudder/files.py serves them. Names that a file's own tables use (cli/levels, cli/vrrp): cli/common. Whether work can be stopped (boot, serve): boot.can_stop. Copies: HoldDown and Weight are read as they are, with no twin to copy from; a site's memory and the figures of a lognormal have one place each; a session's next txn is the last one with what differs. migrate asks what stands at a place instead of collecting all places, and a table that is null no longer ends it with a traceback (tested). In the module: a due time needs no bound, and a comment spoke of tenants. Left as they are, for their messages differ: the converters of lab/site and levels/table.

--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -41,6 +41,11 @@
     ]
 
 
+def can_stop(settings: dict) -> bool:
+    """Whether running work can be stopped: a stop of an answered txn ends it where work is paused as well."""
+    return (settings.get("familyInfo") or {}).get("stopMode") in ("drop", "pause")
+
+
 def gauge_names(settings: dict) -> list[str]:
     """In the order in which a ring brings them; empty where the module has no use for one."""
     return [_GAUGES.get(name, "") for name in (settings.get("familyInfo") or {}).get("gauges") or []]
@@ -67,7 +72,7 @@
         say=_SAY.get(info.get("say"), ""),
         stay_away_max_ms=_ms(limits, "maxRetryAfterUs") if limits.get("retryAfter") else 0.0,
         idle_max_ms=_ms(info, "callerIdleUs"),
-        may_stop=info.get("stopMode") in ("drop", "pause"),
+        may_stop=can_stop(settings),
         below=_BELOW.get(info.get("below"), ""),
         calls_share=info.get("callsOut") or 0.0,
         calls_span_ms=_ms(info, "depWindowUs"),
--- a/otterrudder/cli/levels.py
+++ b/otterrudder/cli/levels.py
@@ -8,8 +8,8 @@
 import click
 
 from otterrudder.boot import products_of, tenants_of
-from otterrudder.cli.common import give_up
-from otterrudder.interface import Cut, Effect, Product, Tenant
+from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.interface import Cut, Product, Tenant
 from otterrudder.levels import BadTable, Ladder, Rung, Table, read
 from otterrudder.levels.table import FACTS
 from otterrudder.net.configuration import BadConfiguration, read_configuration
@@ -124,24 +124,11 @@
 
 
 def _named_in(file: str) -> tuple[list[Product], list[Tenant]]:
-    """Without a configuration every name that the table itself uses is taken for good."""
     try:
         whole = tomllib.loads(Path(file).read_text("utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as trouble:
         give_up(f"cannot read {file}: {trouble}")
-    names: dict[str, set[str]] = {"products": set(), "tenants": set()}
-    listed = whole.get("level")
-    for level in listed if isinstance(listed, list) else []:
-        cuts = level.get("cut") if isinstance(level, dict) else None
-        for cut in cuts if isinstance(cuts, list) else []:
-            for key, found in names.items():
-                told = cut.get(key) if isinstance(cut, dict) else None
-                found |= {name for name in told if isinstance(name, str)} if isinstance(told, list) else set()
-    products = [
-        Product(name, Effect.INQUIRY, 1.0, 1000.0, 1000.0, calls=True, omit_value=1.0)
-        for name in sorted(names["products"])
-    ]
-    return products, [Tenant(name, 1.0) for name in sorted(names["tenants"])]
+    return named_in(cut for level in tables_in(whole, "level") for cut in tables_in(level, "cut"))
 
 
 def _words(n: int, rung: Rung, products: list[Product], tenants: list[Tenant]) -> list[str]:
--- a/otterrudder/cli/migrate.py
+++ b/otterrudder/cli/migrate.py
@@ -1,5 +1,6 @@
 """migrate: a configuration file of the old shape made into one of the new."""
 
+import copy
 import json
 import os
 from pathlib import Path
@@ -8,8 +9,10 @@
 import click
 
 from otterrudder.cli.common import give_up
+from otterrudder.files import merged
 from otterrudder.net.configuration import BadConfiguration, check_configuration, decode_file
 
+ABSENT = object()  # not even null stands there
 # What the new shape states in another way: the place in the settings, the value there, and why.
 RESTATED: tuple[tuple[str, object, str], ...] = (
     ("familyInfo.below", "common", "every server calls one shared dependency, at the address `records`"),
@@ -32,8 +35,7 @@
 ) -> tuple[dict[str, Any], list[str], list[str]]:
     """The settings of the new shape, what was restated and what could not be carried over. `shape`: what the
     operator states of the new deployment; it goes before everything else."""
-    new, restated, left = json.loads(json.dumps(old)), [], []
-    stated = _places(shape)
+    new, restated, left = copy.deepcopy(old), [], []
     for n, product in enumerate(new.get("classes") or []):
         if product.get("effect") == "keyed":
             product["effect"] = "unsafe"
@@ -41,41 +43,30 @@
             if product.pop("windowUs", None):
                 left.append(f"classes[{n}].windowUs: a once-only txn has no window; no answer is reused")
     for place, value, why in RESTATED:
-        table, name = _table(new, place)
-        if place not in stated and table.get(name) != value:
-            restated.append(f"{place}: {json.dumps(table.get(name))} -> {json.dumps(value)}: {why}")
-            table[name] = value
+        before = _at(new, place, None)
+        if _at(shape, place, ABSENT) is ABSENT and before != value:
+            restated.append(f"{place}: {json.dumps(before)} -> {json.dumps(value)}: {why}")
+            new = _with(new, place, value)
     if new.get("tier") or len(new.get("tiers") or []) > 1:
         left.append("tiers: servers of a tier below are not told of here; only the one tier is kept")
         new["tiers"], new["tier"] = (new.get("tiers") or [])[:1], 0
-    _merge(new, shape)
-    left += [f"{place}: {why}" for place, why in UNKNOWN if place not in stated]
-    if "familyInfo.callsOut" not in stated:
-        new.setdefault("familyInfo", {})["callsOut"] = 0.0
-    return new, restated, left
+    left += [f"{place}: {why}" for place, why in UNKNOWN if _at(shape, place, ABSENT) is ABSENT]
+    return merged(_with(new, "familyInfo.callsOut", 0.0), shape), restated, left
 
 
-def _table(settings: dict[str, Any], place: str) -> tuple[dict[str, Any], str]:
-    *path, name = place.split(".")
-    for step in path:
-        settings = settings.setdefault(step, {})
-    return settings, name
+def _at(settings: object, place: str, absent: object) -> object:
+    """What stands at a place of nested tables."""
+    for step in place.split("."):
+        settings = settings.get(step, absent) if isinstance(settings, dict) else absent
+    return settings
 
 
-def _places(table: dict[str, Any], at: str = "") -> set[str]:
-    """Every place that a nested object states."""
-    found = set()
-    for name, value in table.items():
-        found |= _places(value, f"{at}{name}.") if isinstance(value, dict) else {at + name}
-    return found
-
-
-def _merge(into: dict[str, Any], shape: dict[str, Any]) -> None:
-    for name, value in shape.items():
-        if isinstance(value, dict) and isinstance(into.get(name), dict):
-            _merge(into[name], value)
-        else:
-            into[name] = value
+def _with(settings: dict[str, Any], place: str, value: object) -> dict[str, Any]:
+    """The settings with this value at a place of nested tables."""
+    change: Any = value
+    for step in reversed(place.split(".")):
+        change = {step: change}
+    return merged(settings, change)
 
 
 @click.command()
--- a/otterrudder/cli/vrrp.py
+++ b/otterrudder/cli/vrrp.py
@@ -11,8 +11,8 @@
 import click
 
 from otterrudder.boot import products_of, tenants_of
-from otterrudder.cli.common import give_up
-from otterrudder.interface import Effect, Product, Tenant
+from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.interface import Product, Tenant
 from otterrudder.net import control
 from otterrudder.net.configuration import BadConfiguration, read_configuration
 from otterrudder.vrrp import packet
@@ -83,16 +83,7 @@
     if path := os.environ.get("NODE_CONFIG"):
         settings = read_configuration(path)["settings"]
         return products_of(settings), tenants_of(settings)
-    listed = told.get("group")
-    names: dict[str, list[str]] = {"products": [], "tenants": []}
-    for group in listed if isinstance(listed, list) else []:
-        for key, found in names.items():
-            value = group.get(key) if isinstance(group, dict) else None
-            found += [name for name in value if isinstance(name, str)] if isinstance(value, list) else []
-    products = [
-        Product(name, Effect.INQUIRY, 1.0, 1000.0, 1000.0) for name in dict.fromkeys(names["products"])
-    ]
-    return products, [Tenant(name, 1.0) for name in dict.fromkeys(names["tenants"])]
+    return named_in(tables_in(told, "group"))
 
 
 @vrrp.command()
--- a/otterrudder/lab/arrivals.py
+++ b/otterrudder/lab/arrivals.py
@@ -1,13 +1,13 @@
 """All txns of a day, drawn beforehand: variants of the day meet the very same ones."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import numpy as np
 
 from otterrudder.lab.shapes import Shape
 from otterrudder.lab.site import Site
-from otterrudder.lab.streams import Streams
+from otterrudder.lab.streams import Streams, lognormal
 
 SLOT_MS = 50.0  # ms in which the rate is taken to be even
 TXNS_MOST = 2_000_000  # of a day: past that the file asks for something else than it means
@@ -93,23 +93,12 @@
         spec = self.site.product[product]
         if spec.cv < 1e-3:  # constant, as in the source's own model
             return spec.work_ms
-        sigma2 = float(np.log(1 + spec.cv * spec.cv))
-        return float(self._work.lognormal(float(np.log(spec.work_ms)) - sigma2 / 2, sigma2**0.5))
+        return float(self._work.lognormal(*lognormal(spec.work_ms, spec.cv)))
 
     def next_of(self, ask: Ask, now: float) -> Ask:
         """The next txn of a session, asked for as soon as the last has settled."""
         self._count += 1
-        return Ask(
-            self._count,
-            now,
-            ask.product,
-            ask.tenant,
-            ask.key,
-            ask.rank,
-            ask.gateway,
-            self._draw_work(ask.product),
-            ask.calls,
-            float("inf"),
-            ask.left - 1,
-            ask.session,
+        work = self._draw_work(ask.product)
+        return replace(
+            ask, number=self._count, at=now, work=work, patience=float("inf"), left=ask.left - 1
         )
--- a/otterrudder/lab/below.py
+++ b/otterrudder/lab/below.py
@@ -7,6 +7,7 @@
 
 from otterrudder.interface import Outcome
 from otterrudder.lab.engine import Engine
+from otterrudder.lab.streams import lognormal
 
 Reply = Callable[[Outcome], None]
 
@@ -26,8 +27,7 @@
         self.size = 1.0  # of a trouble: the share of the slots in use
         self.busy = self.calls = self.full = 0
         self._line: deque[Call] = deque()
-        sigma2 = float(np.log(1 + cv * cv))
-        self._mean, self._sigma = float(np.log(call_ms)) - sigma2 / 2, sigma2**0.5
+        self._mean, self._sigma = lognormal(call_ms, cv)
         self._chance = chance
 
     def call(self, reply: Reply) -> None:
--- a/otterrudder/lab/plan.py
+++ b/otterrudder/lab/plan.py
@@ -21,8 +21,9 @@
 import msgspec
 
 from otterrudder import logic
+from otterrudder.files import load_toml, merged
 from otterrudder.lab.shapes import Part
-from otterrudder.lab.site import BadInput, Site, convert, load_toml, site_of
+from otterrudder.lab.site import BadInput, Site, convert, site_of
 from otterrudder.lab.troubles import Trouble
 from otterrudder.levels import BadTable, Table, read
 
@@ -120,12 +121,12 @@
     """The experiment in a file, checked whole; BadInput names the file and the key."""
     path = Path(path)
     where = path.name
-    told: _Experiment = convert(load_toml(path), _Experiment, where)
+    told: _Experiment = convert(load_toml(path, BadInput), _Experiment, where)
     for variant in told.variant:
         for constant in variant.module:
             if not isinstance(getattr(logic, constant, None), float):
                 raise BadInput(f"{where}: variant {variant.name}: the module has no constant {constant!r}")
-    whole = load_toml(path.parent / told.site)
+    whole = load_toml(path.parent / told.site, BadInput)
     site_where = Path(told.site).name
     site_of(whole, site_where)
     variants = {variant.name: variant for variant in told.variant}
@@ -173,8 +174,8 @@
     if not load:
         raise BadInput(f"{place}.load: it is empty")
     for variant in variants:
-        merged = _merged(_merged(whole, _filled(case.site, values, f"{place}.site")), variant.site)
-        site = site_of(merged, f"{site_where} as {place} and {variant.name} change it")
+        changed = merged(merged(whole, _filled(case.site, values, f"{place}.site")), variant.site)
+        site = site_of(changed, f"{site_where} as {place} and {variant.name} change it")
         for k, trouble in enumerate(troubles, 1):
             if any(not 0 <= number < site.server.count for number in trouble.servers):
                 raise BadInput(f"{place}.trouble[{k}].servers: there are {site.server.count}, counted from 0")
@@ -223,15 +224,6 @@
     return told
 
 
-def _merged(base: dict[str, Any], change: dict[str, Any]) -> dict[str, Any]:
-    """`base` with what `change` says, table by table."""
-    merged = dict(base)
-    for key, value in change.items():
-        inner = base.get(key)
-        merged[key] = _merged(inner, value) if isinstance(inner, dict) and isinstance(value, dict) else value
-    return merged
-
-
 def _check_claims(told: _Experiment, runs: list[Run], where: str, quick: bool) -> None:
     names = {variant.name for variant in told.variant}
     for n, claim in enumerate(told.claim, 1):
--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -59,7 +59,7 @@
         self.is_up = self.is_frozen = self.is_draining = self.is_listed = False
         self.core: Core
         self.life = 0
-        self.memory_most = s.held_kb * s.run_factor * s.memory_runs * s.cores
+        self.memory_most = s.memory_kb
         self.memory_peak = self.crowd_peak = 0.0
 
     def spread(self) -> float:
--- a/otterrudder/lab/site.py
+++ b/otterrudder/lab/site.py
@@ -1,9 +1,7 @@
 """A site of the lab's own: what its TOML file says, checked whole, and what the module is told of it."""
 
 import math
-import tomllib
 from collections.abc import Callable
-from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -68,6 +66,10 @@
     away_most_ms: float = 1000.0
     say: Literal["", "credit", "rank"] = "credit"
 
+    @property
+    def memory_kb(self) -> float:
+        return self.held_kb * self.run_factor * self.memory_runs * self.cores
+
 
 class BelowPart(_Strict, kw_only=True, frozen=True):
     """The records tier: so many calls at a time, the rest wait in a bounded line."""
@@ -146,7 +148,6 @@
     def boot(self, instance: int, seed: int) -> Callable[[float, bool, float], Rudder]:
         """What a core makes its Rudder with: boot(now, warm, up_ms)."""
         s = self.server
-        memory = s.held_kb * s.run_factor * s.memory_runs * s.cores
 
         def make(now: float, warm: bool, up_ms: float) -> Rudder:
             rudder = Rudder(
@@ -157,7 +158,7 @@
                 tenants=self.tenants,
                 cores=s.cores,
                 callers=self.gateways.count,
-                memory_kb=memory,
+                memory_kb=s.memory_kb,
                 run_factor=s.run_factor,
                 ref_kb=s.ref_kb,
                 crowd_per_core=s.falls_at,
@@ -182,15 +183,6 @@
         return make
 
 
-def load_toml(path: Path) -> dict[str, Any]:
-    try:
-        return tomllib.loads(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError) as trouble:
-        raise BadInput(f"cannot read {path}: {trouble}") from None
-    except tomllib.TOMLDecodeError as trouble:
-        raise BadInput(f"{path.name}: not TOML: {trouble}") from None
-
-
 def convert(told: Any, kind: type[Any], where: str) -> Any:
     """`told` as `kind`; BadInput names the place as msgspec knows it."""
     try:
--- a/otterrudder/lab/streams.py
+++ b/otterrudder/lab/streams.py
@@ -12,3 +12,9 @@
     def of(self, source: str) -> np.random.Generator:
         """A fresh generator, the same for the same seed and source."""
         return np.random.Generator(np.random.PCG64([self.seed, zlib.crc32(source.encode())]))
+
+
+def lognormal(mean: float, cv: float) -> tuple[float, float]:
+    """The two figures that a generator's lognormal wants for this mean and coefficient of variation."""
+    sigma2 = float(np.log(1 + cv * cv))
+    return float(np.log(mean)) - sigma2 / 2, sigma2**0.5
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -36,7 +36,7 @@
 SHARE_SLACK = 1.3  # times a server's even part of a share that counts as within it: callers spread unevenly
 SHARE_LEAST = 3.0  # txns of it that any tenant may save up: a small one's come in ones and twos
 SHARE_MS = 5000.0  # ms of its share that a tenant may save up: surges last longer, one txn is little
-GROUP_FREE = 3  # txns any key or tenant may hold: shares of a near-empty hold mean nothing
+GROUP_FREE = 3  # txns any key may hold: shares of a near-empty hold mean nothing
 LOW_LEAK = 1.01  # growth of the lowest latency a run: one lucky run is forgotten in some hundred, seconds
 NEAR_LOW = 2.0  # times the lowest latency within which the limit may rise (the design's figure)
 FALL_LEAST = 0.9  # smallest factor by which the limit falls at once (the design's figure)
@@ -462,7 +462,7 @@
         self.repeats.started(txn)
         self.rudder.sessions.started(txn)
         if self.rudder.may_stop and not txn.effectful and not txn.spec.late_value:
-            self.rudder.agenda.at(max(txn.in_time, self.rudder.now), lambda: self._give_up(txn))
+            self.rudder.agenda.at(txn.in_time, lambda: self._give_up(txn))
         return True
 
     def _give_up(self, txn: Txn) -> None:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from otterrudder.boot import boot, gauge_names, products_of, tenants_of
+from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
 from otterrudder.net import clock, core
@@ -68,11 +68,9 @@
 def unsaid(settings: dict) -> list[str]:
     """What the settings allow and the runtime's protocol has no word for: a line that is no command ends the
     link, so the server keeps it off."""
-    info = settings.get("familyInfo") or {}
     why = "the runtime's protocol has no word for it, so it is kept off"
-    stops = info.get("stopMode") in ("drop", "pause")
     omits = any(product.omit_value for product in products_of(settings))
-    return [f"familyInfo.stopMode: work can't be stopped here: {why}"] * stops + [
+    return [f"familyInfo.stopMode: work can't be stopped here: {why}"] * can_stop(settings) + [
         f"familyInfo.classSkipWorth: no call is left out here: {why}"] * omits
 
 
--- a/otterrudder/vrrp/gate.py
+++ b/otterrudder/vrrp/gate.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from otterrudder.interface import Part
 from otterrudder.vrrp.machine import State
 
@@ -41,9 +43,8 @@
     left_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class HoldDown:
-    """How long one that flaps stays out."""
+class HoldDown(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How long one that flaps stays out; read from the operators' file as it is."""
 
     first_ms: float = 1000.0  # at the first return within forget_ms; doubled at each further one
     most_ms: float = 60_000.0
--- a/otterrudder/vrrp/group.py
+++ b/otterrudder/vrrp/group.py
@@ -1,7 +1,6 @@
 """The operators' file of groups: TOML to values, checked whole. Form: the commented deploy/vrrp.toml."""
 
 import math
-import tomllib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from ipaddress import IPv4Address, IPv6Address, ip_address
@@ -10,6 +9,7 @@
 
 import msgspec
 
+from otterrudder.files import convert, load_toml
 from otterrudder.interface import Part, Product, Tenant
 from otterrudder.vrrp.gate import HoldDown
 from otterrudder.vrrp.packet import ADDRESSES_MOST, CENTISECOND_MS, INTERVAL_MOST, Address
@@ -68,25 +68,11 @@
     pass
 
 
-class _HoldDown(_Strict, kw_only=True):
-    first_ms: float = 1000.0
-    most_ms: float = 60_000.0
-    forget_ms: float = 30_000.0
-
-
 class _Peer(_Strict, kw_only=True):
     address: str
     udp: str
 
 
-class _Track(_Strict, kw_only=True):
-    fact: str
-    lowers: int
-    fall_ms: float = 500.0
-    rise_ms: float = 3000.0
-    forget_ms: float = 60_000.0
-
-
 class _Group(_Strict, kw_only=True):
     name: str
     vrid: int
@@ -118,24 +104,17 @@
 def read_groups(path: str | Path, products: Sequence[Product], tenants: Sequence[Tenant]) -> Groups:
     """The groups in a file, with their keys; BadGroups says what is wrong."""
     path = Path(path)
-    try:
-        told = tomllib.loads(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError) as trouble:
-        raise BadGroups(f"cannot read {path}: {trouble}") from None
-    except tomllib.TOMLDecodeError as trouble:
-        raise BadGroups(f"{path.name}: not TOML: {trouble}") from None
-    return parse_groups(told, path, products, tenants)
+    return parse_groups(load_toml(path, BadGroups), path, products, tenants)
 
 
 def parse_groups(told: Any, path: Path, products: Sequence[Product], tenants: Sequence[Tenant]) -> Groups:
     where = path.name
-    whole = _converted(told, _File, where)
+    whole = convert(told, _File, where, BadGroups)
     if whole.version != VERSION:
         raise BadGroups(f"{where}: version: this program reads {VERSION}, not {whole.version}")
     if not 1 <= len(whole.group) <= GROUPS_MOST:
         raise BadGroups(f"{where}: group: from 1 to {GROUPS_MOST} are wanted, not {len(whole.group)}")
-    held = _converted(whole.hold_down, _HoldDown, f"{where}: hold_down")
-    hold_down = HoldDown(*msgspec.structs.astuple(held))
+    hold_down: HoldDown = convert(whole.hold_down, HoldDown, f"{where}: hold_down", BadGroups)
     for name, least in (("first_ms", 0.0), ("most_ms", 0.0), ("forget_ms", 1.0)):  # it is divided by the last
         _within(getattr(hold_down, name), least, 3.6e6, f"{where}: hold_down.{name}")
     groups: list[Group] = []
@@ -152,7 +131,7 @@
 
 
 def _group(told: Any, where: str, products: Sequence[Product], tenants: Sequence[Tenant]) -> Group:
-    group = _converted(told, _Group, where)
+    group = convert(told, _Group, where, BadGroups)
     address = _address(group.address, f"{where}.address")
     virtual = frozenset(_address(text, f"{where}.virtual") for text in group.virtual)
     if not 1 <= len(group.virtual) <= ADDRESSES_MOST or len(virtual) != len(group.virtual):
@@ -188,19 +167,19 @@
 
 
 def _peer(told: Any, where: str) -> Peer:
-    peer = _converted(told, _Peer, where)
+    peer = convert(told, _Peer, where, BadGroups)
     return Peer(_address(peer.address, f"{where}.address"), udp_address(peer.udp, f"{where}.udp"))
 
 
 def _weight(told: Any, where: str) -> Weight:
-    track = _converted(told, _Track, where)
+    track: Weight = convert(told, Weight, where, BadGroups)
     if track.fact not in FACTS:
         raise BadGroups(f"{where}.fact: no such fact; there are {', '.join(sorted(FACTS))}")
     if not 1 <= track.lowers <= 253:
         raise BadGroups(f"{where}.lowers: {track.lowers} is not from 1 to 253")
     for name in ("fall_ms", "rise_ms", "forget_ms"):
         _within(getattr(track, name), 0.0, 3.6e6, f"{where}.{name}")
-    return Weight(track.fact, track.lowers, track.fall_ms, track.rise_ms, track.forget_ms)
+    return track
 
 
 def _check_apart(groups: list[Group], where: str) -> None:
@@ -221,14 +200,6 @@
     return one is None or other is None or bool(one & other)
 
 
-def _converted(told: Any, kind: type[Any], where: str) -> Any:
-    try:
-        return msgspec.convert(told, kind)
-    except msgspec.ValidationError as trouble:
-        what, _, at = str(trouble).partition(" - at `$")
-        raise BadGroups(f"{where}{at.rstrip('`')}: {what}") from None
-
-
 def _within(value: float, least: float, most: float, key: str) -> float:
     if not least <= value <= most or math.isnan(value):
         raise BadGroups(f"{key}: {value:g} is not from {least:g} to {most:g}")
--- a/otterrudder/vrrp/seal.py
+++ b/otterrudder/vrrp/seal.py
@@ -25,6 +25,7 @@
 
 import msgspec
 
+from otterrudder.files import convert
 from otterrudder.vrrp.packet import BadPacket, Flaw
 
 MAC = 16  # bytes of the MAC: half of SHA-256's, as is usual on small messages
@@ -88,11 +89,11 @@
 
 def parse_keys(told: Any, name: str) -> Keys:
     """The keys in a decoded table."""
-    whole = _converted(told, _KeyFile, name)
+    whole = convert(told, _KeyFile, name, BadKeys)
     found: dict[int, Key] = {}
     for n, part in enumerate(whole.key, 1):
         where = f"{name}: key[{n}]"
-        key = _converted(part, _KeyPart, where)
+        key = convert(part, _KeyPart, where, BadKeys)
         if not 1 <= key.number <= 255 or key.number in found:
             raise BadKeys(f"{where}.number: {key.number} is taken or not from 1 to 255")
         try:
@@ -107,14 +108,6 @@
     return Keys(found, whole.signs)
 
 
-def _converted(told: Any, kind: type[Any], where: str) -> Any:
-    try:
-        return msgspec.convert(told, kind)
-    except msgspec.ValidationError as trouble:  # names keys and types, never values
-        what, _, at = str(trouble).partition(" - at `$")
-        raise BadKeys(f"{where}{at.rstrip('`')}: {what}") from None
-
-
 @dataclass(slots=True)
 class _Heard:
     """What was heard of one sender."""
--- a/otterrudder/vrrp/track.py
+++ b/otterrudder/vrrp/track.py
@@ -7,7 +7,8 @@
 priority goes out."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 RISE_MOST = 16.0  # the largest factor on `rise_ms`
 LEAST = 1  # the lowest priority that still takes part: 0 says that the master goes
@@ -16,9 +17,8 @@
 FACTS = frozenset({"runtime", "records", "late", "level", "unhealthy"})
 
 
-@dataclass(frozen=True, slots=True)
-class Weight:
-    """By how much a bad fact lowers the priority."""
+class Weight(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """By how much a bad fact lowers the priority; read from the operators' file as it is."""
 
     fact: str
     lowers: int
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -5,12 +5,13 @@
 import pytest
 
 from otterrudder import logic
+from otterrudder.files import load_toml
 from otterrudder.interface import Outcome
 from otterrudder.lab.day import Bare, Day
 from otterrudder.lab.plan import read_experiment
 from otterrudder.lab.runner import perform, play
 from otterrudder.lab.shapes import Part
-from otterrudder.lab.site import load_toml, site_of
+from otterrudder.lab.site import BadInput, site_of
 from otterrudder.lab.troubles import Trouble
 from otterrudder.levels import read
 from otterrudder.logic import Expiry, Holds, Repeats, Slots
@@ -19,7 +20,7 @@
 
 from helpers import ROOT  # isort: skip
 
-SITE = site_of(load_toml(ROOT / "experiments/sites/intake.toml"), "intake.toml")
+SITE = site_of(load_toml(ROOT / "experiments/sites/intake.toml", BadInput), "intake.toml")
 TABLE = read(ROOT / "deploy/levels.toml", SITE.products, SITE.tenants)
 HARD = [Part(shape="constant", at=1.0), Part(shape="step", at=0.5, from_s=10, to_s=30)]
 RELEASE = [Trouble(kind="release", at_s=8, for_s=1, gap_s=9)]
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -146,3 +146,8 @@
     once, restated, _ = migrate_settings(OLD, {})
     twice, again, _ = migrate_settings(once, {})
     assert restated and not again and twice == once
+
+
+def test_a_table_that_is_null_is_one_that_is_absent() -> None:
+    settings = migrate_settings(OLD | {"report": None, "clients": None}, {})[0]
+    assert settings["report"] == {"source": "pull"} and settings["clients"] == {"marksRetry": False}
