levels show knows the cut spare, and shows the example table again

Found on trying the command of the README: since spare came in, levels show deploy/levels.toml ended with a KeyError, as its words had none for the new cut. The test shows the deployed example and fails without.

--- a/otterrudder/cli/levels.py
+++ b/otterrudder/cli/levels.py
@@ -24,6 +24,7 @@
 
 _DOES = {
     Cut.OMIT: "runs without its call",
+    Cut.SPARE: "runs where a slot is free, and is never held",
     Cut.ESTABLISHED: "newcomers are declined",
     Cut.DECLINE: "declined",
 }
--- a/tests/levels/test_table.py
+++ b/tests/levels/test_table.py
@@ -166,6 +166,8 @@
     file.write_text(table(SHARE, NONE))
     assert "good: 2 levels, enforced" in cli("check", str(file)).stdout
     assert "addr-lookup: admits 50%" in cli("show", str(file)).stdout
+    done = cli("show", str(ROOT / "deploy/levels.toml"))  # each cut has its words
+    assert done.returncode == 0 and "form-check: runs where a slot is free" in done.stdout, done.stderr
     with facts.open("w", newline="") as out:
         rows = csv.writer(out)
         rows.writerow(["at_ms", "pressure", "demand"])
