--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 build: .venv/dev  ## the environment, with what tests and lint need
 
-.venv/dev: requirements.txt requirements-lab.txt requirements-dev.txt
+.venv/dev: requirements.txt requirements-lab.txt requirements-fleet.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt
 	touch .venv/dev
--- a/otterrudder/cli/__init__.py
+++ b/otterrudder/cli/__init__.py
@@ -18,6 +18,7 @@
     "levels": ("levels", "Tables of reduced service: check and show them."),
     "migrate": ("migrate", "A configuration of the old shape made into one of the new."),
     "vrrp": ("vrrp", "VRRP groups: show, check, decode, keygen."),
+    "fleet": ("fleet", "A fleet: its members, and a change of policy everywhere or nowhere."),
     "lab": ("lab", "Experiments in simulated time (needs the extra 'lab')."),
 }
 
--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -28,6 +28,15 @@
 )
 
 
+FLEET = click.option(
+    "--fleet",
+    "fleet",
+    envvar="OTTERRUDDER_FLEET",
+    metavar="FILE",
+    help="TOML file of the fleet that this server is of (or OTTERRUDDER_FLEET). Absent: off.",
+)
+
+
 def configuration() -> tuple[dict[str, Any], str | None]:
     """The configuration that NODE_CONFIG names, and its path; ends the process if it is no good."""
     path = os.environ.get("NODE_CONFIG")
@@ -40,12 +49,13 @@
 @click.command()
 @LEVELS
 @VRRP
-def serve(levels: str | None, vrrp: str | None) -> None:
+@FLEET
+def serve(levels: str | None, vrrp: str | None, fleet: str | None) -> None:
     """Serve until SIGTERM, then drain and end. SIGHUP takes new addresses and levels from their files."""
     told, path = configuration()
     log.set_up(told["name"])
     try:
-        sys.exit(server.run(told, server.Files(path, levels, vrrp)))
+        sys.exit(server.run(told, server.Files(path, levels, vrrp, fleet)))
     except BadConfiguration as trouble:
         give_up(trouble)
 
@@ -53,18 +63,21 @@
 @click.command()
 @LEVELS
 @VRRP
-def check(levels: str | None, vrrp: str | None) -> None:
+@FLEET
+def check(levels: str | None, vrrp: str | None, fleet: str | None) -> None:
     """Say what is wrong with the configuration (and the other files, if given), if anything."""
     told, path = configuration()
     try:
-        files = server.Files(path, levels, vrrp)
+        files = server.Files(path, levels, vrrp, fleet)
         table, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
+        of = files.read_fleet()
     except BadConfiguration as trouble:
         give_up(trouble)
     click.echo(
         f"{told['name']}: the configuration is good: {len(told['settings']['classes'])} products"
         + (f", {len(table.rungs)} levels" if table else "")
         + (f", {len(groups.groups)} VRRP groups" if groups else "")
+        + (f", of the fleet {of.name}" if of else "")
     )
     for line in server.unsaid(told["settings"]):
         click.echo(f"{told['name']}: {line}")
--- a/otterrudder/durable/folder.py
+++ b/otterrudder/durable/folder.py
@@ -63,6 +63,10 @@
             return None
         return unseal(data, str(self.path / name))
 
+    def set_aside(self, name: str) -> None:
+        """A file that is not believed is kept under another name, for whoever looks into it."""
+        os.replace(self.path / name, self.path / f"{name}.bad")
+
     def write(self, name: str, data: bytes) -> None:
         """Once it returns, the file outlives a loss of power. OSError: it is as it was before."""
         beside = self.path / f"{name}.new"
--- /dev/null
+++ b/otterrudder/fleet/agent.py
@@ -0,0 +1,218 @@
+"""The fleet's actor in a server: carries out what the member wants, and tells the helm what follows from
+it.
+
+The helm's turn asks it first (`pulse`), so what is decided on the member's standing is decided by the clock
+of the very turn that admits: a process that was frozen finds out before its first admission after waking. No
+txn ever waits for the store: requests run in tasks of their own, one a lane, each with its deadline, and the
+folder is written by a thread.
+
+Owners: the store's channel and the folder are given back in `run`, on every way out."""
+
+import contextlib
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.to_thread
+import msgspec
+
+from otterrudder.durable import BadState, Folder
+from otterrudder.fleet.change import Settler
+from otterrudder.fleet.configuration import Fleet
+from otterrudder.fleet.member import Member, Policy, Record, Standing
+from otterrudder.fleet.points import reached
+from otterrudder.fleet.records import Keys, Live
+from otterrudder.fleet.store import Store, StoreAway
+from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.net import clock
+from otterrudder.net.log import log
+
+STATE = "member"  # the file in the folder
+WATCH_AGAIN_MS = 500.0  # ms until a watch that ended is begun again
+LEAVE_MS = 500.0  # ms that the way out may take: the name is free at once for the next life
+NAP_MS = 1000.0  # ms of sleep at the most where nothing is due
+
+
+@dataclass(frozen=True, slots=True)
+class Orders:
+    """What the server is to do; each is called in the helm's turn, ahead of what arrives."""
+
+    take: Callable[[str], None]  # a policy's text is in force; "": none is
+    stand_aside: Callable[[bool], None]
+
+
+class Agent:
+    def __init__(self, fleet: Fleet, store: Store, name: str, live: Live, judge: Callable[[str], str],
+                 orders: Orders, folder: Folder | None, record: Record | None) -> None:
+        """`record`: what the folder holds, see `open_folder`."""
+        keys, epoch = Keys(fleet.name), secrets.token_hex(8)
+        self.timeout = fleet.timeout_ms
+        self.store, self.folder, self.orders = store, folder, orders
+        place = record.folder if record else secrets.token_hex(8)
+        self.member = Member(clock.monotonic(), keys, name, epoch, place, fleet.rules, judge, record=record,
+                             has_disk=folder is not None, live=msgspec.structs.replace(live, epoch=epoch))
+        self.settler = Settler(keys, name)
+        self.wake = anyio.Event()
+        self.standing: Standing | None = None
+        self.taken: Policy | None = None
+        self.counts = {"asked": 0, "unanswered": 0, "hints": 0, "asides": 0}
+        self.worst_ms = 0.0  # longest wait for an answer since it was last shown
+
+    # In the helm's turn.
+
+    def pulse(self, now: float) -> None:
+        """Ahead of what arrives: which policy is in force, and whether this server admits."""
+        member = self.member
+        if self.taken is not member.known:
+            self.taken = member.known
+            self.orders.take(member.known.text)
+            log.info("policy in force", version=member.known.version, digest=member.known.digest,
+                     change=member.known.change)
+        standing = member.standing(now)
+        if standing is self.standing:
+            return
+        before, self.standing = self.standing, standing
+        if before is None or before.admits is not standing.admits:
+            self.orders.stand_aside(not standing.admits)
+            self.counts["asides"] += not standing.admits
+        log.info("fleet standing", now=standing.name.lower(), before=before.name.lower() if before else "",
+                 admits=standing.admits, version=member.known.version, why=member.why or standing.value)
+
+    # Its own tasks.
+
+    async def run(self) -> None:
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch)
+                while True:
+                    self.wake = anyio.Event()
+                    now = clock.monotonic()
+                    for want in self._wants(now):
+                        group.start_soon(self._carry_out, want, now)
+                    due = min(self.member.due(), self.settler.due())
+                    with anyio.move_on_after(min(max(due - clock.monotonic(), 1.0), NAP_MS) / 1000):
+                        await self.wake.wait()
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(LEAVE_MS / 1000):
+                await self._leave()
+
+    def shown(self) -> dict[str, object]:
+        """For the control socket."""
+        member, now = self.member, clock.monotonic()
+        standing = member.standing(now)
+        worst, self.worst_ms = self.worst_ms, 0.0
+        return dict(fleet=member.keys.fleet, name=member.name, epoch=member.epoch, folder=member.folder,
+                    standing=standing.name.lower(), admits=standing.admits, why=member.why or standing.value,
+                    version=member.known.version, digest=member.known.digest,
+                    head=member.head, pledged=member.pledge.change if member.pledge else "",
+                    registered=bool(member.registered), duty=member.on_duty, absent=member.rules.absent,
+                    lease_left_ms=round(max(member.lease_until - now, 0.0), 1),
+                    worst_answer_ms=round(worst, 1), counts=self.counts)
+
+    def _wants(self, now: float) -> list[Want]:
+        member, seen = self.member, self.member.seen
+        wants = member.wants(now)
+        change = seen.open.id if seen and seen.open else ""
+        duty = bool(seen and seen.has_duty)
+        settle = self.settler.wants(now, change, member.on_duty, duty, member.lease, member.registered)
+        return [*wants, settle] if settle else wants
+
+    async def _carry_out(self, want: Want, sent: float) -> None:
+        """One want to its outcome; what follows from a settler's reading is carried out as well."""
+        name = want.what if isinstance(want, Commit) else type(want).__name__.lower()
+        reached(f"before {name}")
+        outcome = await self._outcome(want)
+        reached(f"after {name}")
+        now = clock.monotonic()
+        self.worst_ms = max(self.worst_ms, now - sent)
+        if want.lane is Lane.SETTLE:
+            if isinstance(want, Commit):
+                self.member.hint()
+            more = self.settler.told(now, want, outcome)
+            if more:
+                log.info("settling a change", change=self.settler.change, how=more.what)
+                await self._carry_out(more, now)
+        else:
+            self.member.told(now, want, sent, outcome)
+        self.wake.set()
+
+    async def _outcome(self, want: Want) -> Outcome:
+        self.counts["asked"] += 1
+        try:
+            if isinstance(want, Save):
+                return await anyio.to_thread.run_sync(self._save, want)
+            if isinstance(want, Read):
+                return await self.store.read(want.names, self.timeout)
+            if isinstance(want, Lease):
+                return await self.store.lease(want.span_ms, self.timeout)
+            if isinstance(want, Renew):
+                return await self.store.renew(want.lease, self.timeout)
+            return await self.store.commit(want.compares, want.writes, self.timeout)
+        except StoreAway as why:
+            self.counts["unanswered"] += 1
+            log.debug("no answer", of=type(want).__name__.lower(), why=str(why))
+            return None
+
+    def _save(self, want: Save) -> bool:
+        """In a thread: it blocks until the disk has it."""
+        try:
+            assert self.folder
+            self.folder.write(STATE, msgspec.json.encode(want.record))
+        except OSError as why:
+            log.error("the fleet's folder can't be written", why=str(why))
+            return False
+        return True
+
+    async def _watch(self) -> None:
+        """Hints; whoever misses one reads a little later by itself."""
+        while True:
+            try:
+                async for _ in self.store.watch(self.member.keys.head):
+                    self.counts["hints"] += 1
+                    self.member.hint()
+                    self.wake.set()
+            except StoreAway as why:
+                log.debug("watch ended", why=str(why))
+            await anyio.sleep(WATCH_AGAIN_MS / 1000)
+
+    async def _leave(self) -> None:
+        """The lease is given back, so that the next life need not wait for it to lapse."""
+        with contextlib.suppress(StoreAway, OSError):
+            if self.member.lease:
+                await self.store.revoke(self.member.lease, LEAVE_MS)
+        with contextlib.suppress(StoreAway, OSError):
+            await self.store.close()
+        if self.folder:
+            self.folder.close()
+
+
+def open_folder(fleet: Fleet, name: str) -> tuple[Folder | None, Record | None]:
+    """The folder, taken, and what it holds; Busy and OSError say why not. A record that is torn or another
+    server's is no record, and is kept beside: whether this name may serve from here the roster says then."""
+    if fleet.folder is None:
+        return None, None
+    folder = Folder(fleet.folder)
+    folder.take()
+    try:
+        data = folder.read(STATE)
+        record = decoded(data, name) if data is not None else None
+        if data is not None and record is None:
+            raise BadState(f"{fleet.folder / STATE}: it holds no record of {name}")
+    except BadState as trouble:
+        log.error("the fleet's folder is not believed", why=str(trouble))
+        folder.set_aside(STATE)
+        return folder, None
+    except BaseException:
+        folder.close()
+        raise
+    return folder, record
+
+
+def decoded(data: bytes, name: str) -> Record | None:
+    """The record in a file's state, if it is this server's."""
+    try:
+        record = msgspec.json.decode(data, type=Record)
+    except msgspec.MsgspecError:
+        return None
+    return record if record.name == name else None
--- /dev/null
+++ b/otterrudder/fleet/client.py
@@ -0,0 +1,190 @@
+"""The store by etcd's published v3 API: the messages and stubs that aetcd makes of it, on grpcio's channel.
+
+aetcd's own client is not used above its stubs, for what it leaves out is what the fleet rests on: its
+transactions hand back no revision and no cluster, its watch ends without a word when the stream does, and its
+tasks outlive the scope that began them. Here each call is one stub's call inside the caller's scope, with its
+deadline, and an engine that does not answer is left for the next address."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
+from typing import Any, NoReturn
+
+import grpc
+from aetcd import rpc
+
+from otterrudder.fleet.configuration import Fleet
+from otterrudder.fleet.store import Changed, Compare, Delete, Done, Entry, Put, Snapshot, StoreAway, Write
+
+# A channel that lost its engine tries again soon, and shares no connection with the one made after it.
+OPTIONS = [
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.keepalive_time_ms", 10_000),  # etcd refuses clients that ping more often than each 5 s
+    ("grpc.keepalive_timeout_ms", 2000),
+    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+]
+SILENT_MOST = 2  # calls in a row with no answer until the channel is made anew, to the next address
+NEVER_HELD = (grpc.StatusCode.NOT_FOUND,)  # of a commit: its lease is gone, so nothing was written
+
+
+class Client:
+    """One at a time is connected to; a Store."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._stores = fleet.stores
+        self._credentials = _credentials(fleet.ca, fleet.cert, fleet.key)
+        self._at = 0
+        self._silent = 0
+        self._channel: Any = None
+        self._kv: Any = None
+        self._leases: Any = None
+        self._watches: Any = None
+
+    async def read(self, names: Sequence[str], timeout_ms: float) -> Snapshot:
+        ranges = [rpc.RequestOp(request_range=_range(name)) for name in names]
+        answer = await self._call("kv", "Txn", rpc.TxnRequest(success=ranges), timeout_ms)
+        entries = {
+            kv.key.decode("utf-8", "replace"): Entry(kv.value, kv.create_revision, kv.mod_revision, kv.lease)
+            for part in answer.responses for kv in part.response_range.kvs
+        }
+        return Snapshot(answer.header.cluster_id, answer.header.revision, entries)
+
+    async def commit(self, compares: Sequence[Compare], writes: Sequence[Write], timeout_ms: float) -> Done:
+        request = rpc.TxnRequest(compare=map(_compare, compares), success=map(_write, writes))
+        try:
+            answer = await self._call("kv", "Txn", request, timeout_ms)
+        except _Refused:
+            return Done(False, 0)
+        return Done(answer.succeeded, answer.header.revision)
+
+    async def lease(self, span_ms: float, timeout_ms: float) -> int:
+        request = rpc.LeaseGrantRequest(TTL=max(round(span_ms / 1000), 1))
+        return int((await self._call("leases", "LeaseGrant", request, timeout_ms)).ID)
+
+    async def renew(self, lease: int, timeout_ms: float) -> bool:
+        self._connect()
+        call = self._leases.LeaseKeepAlive([rpc.LeaseKeepAliveRequest(ID=lease)], timeout=timeout_ms / 1000)
+        try:
+            async for answer in call:
+                self._silent = 0
+                return bool(answer.TTL > 0)
+        except grpc.RpcError as why:
+            await self._note(why)
+        except asyncio.CancelledError:
+            _pass_on_cancellation()
+        finally:
+            call.cancel()
+        raise StoreAway("the renewal ended without an answer")
+
+    async def revoke(self, lease: int, timeout_ms: float) -> None:
+        await self._call("leases", "LeaseRevoke", rpc.LeaseRevokeRequest(ID=lease), timeout_ms)
+
+    async def watch(self, prefix: str) -> AsyncIterator[Changed]:
+        self._connect()
+        key = prefix.encode()
+        create = rpc.WatchCreateRequest(key=key, range_end=_end_of(key))
+        call = self._watches.Watch()
+        try:
+            await call.write(rpc.WatchRequest(create_request=create))
+            async for answer in call:
+                if answer.canceled:
+                    raise StoreAway("the watch was cancelled")
+                if answer.created or answer.events:
+                    yield Changed(answer.header.revision)
+        except grpc.RpcError as why:
+            await self._note(why)
+        except asyncio.CancelledError:
+            _pass_on_cancellation()
+        finally:
+            call.cancel()
+        raise StoreAway("the watch ended")
+
+    async def close(self) -> None:
+        if self._channel:
+            channel, self._channel = self._channel, None
+            await channel.close(None)
+
+    async def _call(self, stub: str, name: str, request: Any, timeout_ms: float) -> Any:
+        self._connect()
+        call = getattr(getattr(self, f"_{stub}"), name)
+        try:
+            answer = await call(request, timeout=timeout_ms / 1000)
+        except grpc.RpcError as why:
+            await self._note(why)
+        except asyncio.CancelledError:
+            _pass_on_cancellation()
+        self._silent = 0
+        return answer
+
+    async def _note(self, why: grpc.RpcError) -> None:
+        """Raises what the failure means; an engine that is silent for long is left for the next."""
+        code = why.code() if hasattr(why, "code") else None
+        if code in NEVER_HELD:
+            raise _Refused(str(code)) from None
+        self._silent += 1
+        if self._silent >= SILENT_MOST:
+            self._silent = 0
+            self._at = (self._at + 1) % len(self._stores)
+            await self.close()
+        raise StoreAway(f"{code.name if code else why}") from None
+
+    def _connect(self) -> None:
+        if self._channel:
+            return
+        target = "{}:{}".format(*self._stores[self._at])
+        make = grpc.aio.insecure_channel
+        self._channel = (grpc.aio.secure_channel(target, self._credentials, options=OPTIONS)
+                         if self._credentials else make(target, options=OPTIONS))
+        self._kv, self._leases = rpc.KVStub(self._channel), rpc.LeaseStub(self._channel)
+        self._watches = rpc.WatchStub(self._channel)
+
+
+class _Refused(StoreAway):
+    """The engine has said that it did nothing."""
+
+
+def _pass_on_cancellation() -> NoReturn:
+    """Called while a cancellation is handled. A channel that is closed cancels the calls on it, which looks
+    like the end of the task that waits: taken for one, it would end the whole server."""
+    task = asyncio.current_task()
+    if task and task.cancelling():
+        raise  # noqa: PLE0704
+    raise StoreAway("the channel was closed") from None
+
+
+def _credentials(ca: Path | None, cert: Path | None, key: Path | None) -> Any:
+    """What the files by path hold, for the channel; None without them. OSError names the file."""
+    if ca is None:
+        return None
+    return grpc.ssl_channel_credentials(ca.read_bytes(), key.read_bytes() if key else None,
+                                        cert.read_bytes() if cert else None)
+
+
+def _end_of(prefix: bytes) -> bytes:
+    """The end of the range of all keys with this prefix, which ends in a slash: never 0xff."""
+    return prefix[:-1] + bytes([prefix[-1] + 1])
+
+
+def _range(name: str) -> Any:
+    key = name.encode()
+    return rpc.RangeRequest(key=key, range_end=_end_of(key) if name.endswith("/") else b"")
+
+
+def _compare(compare: Compare) -> Any:
+    kinds = rpc.Compare
+    told = dict(key=compare.key.encode(), result=kinds.EQUAL)
+    if compare.what == "created":
+        return kinds(target=kinds.CREATE, create_revision=compare.equals, **told)
+    return kinds(target=kinds.MOD, mod_revision=compare.equals, **told)
+
+
+def _write(write: Write) -> Any:
+    key = write.key.encode()
+    if isinstance(write, Put):
+        return rpc.RequestOp(request_put=rpc.PutRequest(key=key, value=write.value, lease=write.lease))
+    assert isinstance(write, Delete)
+    end = _end_of(key) if write.whole_prefix else b""
+    return rpc.RequestOp(request_delete_range=rpc.DeleteRangeRequest(key=key, range_end=end))
--- /dev/null
+++ b/otterrudder/fleet/configuration.py
@@ -0,0 +1,110 @@
+"""The operators' file of a fleet: TOML to values, checked whole. Form: the commented deploy/fleet.toml.
+
+What would break the fleet's promises together is refused here, in one line, and nowhere else."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from otterrudder.files import convert, load_toml
+from otterrudder.fleet.member import POLL_SHARE, Rules
+from otterrudder.fleet.records import NAME_MOST, Absent
+
+VERSION = 1  # of the form
+STORES_MOST = 9  # members of an engine's cluster
+# ms; below it a read that shows the change open has no time to come before the next is due
+BOUND_LEAST_MS = 400.0
+BOUND_MOST_MS = 60_000.0  # ms; beyond that nobody waits for a change to take hold
+LEASE_LEAST_MS = 3000.0  # ms; engines count leases in whole seconds, and two renewals may be lost
+LEASE_MOST_MS = 600_000.0
+TIMEOUT_MOST_MS = 2000.0  # ms that a request to the store may take
+
+
+class BadFleet(Exception):
+    """What is wrong with a file of a fleet, in one line that names the file and the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """A whole file."""
+
+    name: str
+    stores: tuple[tuple[str, int], ...]
+    rules: Rules
+    folder: Path | None
+    zone: str
+    ca: Path | None
+    cert: Path | None
+    key: Path | None
+
+    @property
+    def timeout_ms(self) -> float:
+        """For a request: one may be lost between two that are due while a vote is open."""
+        return min(self.rules.bound_ms * POLL_SHARE, TIMEOUT_MOST_MS)
+
+
+class _Tls(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    ca: str
+    cert: str | None = None
+    key: str | None = None
+
+
+class _Fleet(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    version: int
+    fleet: str
+    store: list[str]
+    absent: Absent = "wait"
+    start: Literal["wait", "folder"] = "wait"
+    bound_ms: float = 2000.0
+    lease_ms: float = 6000.0
+    folder: str | None = None
+    zone: str = ""
+    tls: _Tls | None = None
+
+
+def read_fleet(path: str | Path) -> Fleet:
+    """BadFleet says what is wrong, by the file's name and the key."""
+    path = Path(path)
+    return _checked(convert(load_toml(path, BadFleet), _Fleet, f"{path.name}: ", BadFleet), path)
+
+
+def _checked(told: _Fleet, path: Path) -> Fleet:
+    def bad(key: str, what: str) -> BadFleet:
+        return BadFleet(f"{path.name}: {key}: {what}")
+
+    if told.version != VERSION:
+        raise bad("version", f"this program reads {VERSION}, not {told.version}")
+    if not told.fleet or "/" in told.fleet or len(told.fleet) > NAME_MOST:
+        raise bad("fleet", f"a name without a slash is wanted, not {told.fleet!r}")
+    if not 1 <= len(told.store) <= STORES_MOST:
+        raise bad("store", f"from 1 to {STORES_MOST} addresses are wanted, not {len(told.store)}")
+    if not BOUND_LEAST_MS <= told.bound_ms <= BOUND_MOST_MS:
+        raise bad("bound_ms", f"{told.bound_ms:g} is not from {BOUND_LEAST_MS:g} to {BOUND_MOST_MS:g}")
+    if not LEASE_LEAST_MS <= told.lease_ms <= LEASE_MOST_MS or told.lease_ms % 1000:
+        raise bad("lease_ms", f"{told.lease_ms:g} is not whole seconds from {LEASE_LEAST_MS:g} to "
+                              f"{LEASE_MOST_MS:g}")
+    if told.absent == "wait" and not told.folder:
+        raise bad("folder", 'absent = "wait" needs one: a restart that has forgotten its vote could admit '
+                            "under a policy that is no longer in force")
+    if told.start == "folder" and told.absent != "wait":
+        raise bad("start", f'"folder" goes with absent = "wait" only: under "{told.absent}" a change may '
+                           "have been made without this server")
+    folder = (path.parent / told.folder) if told.folder else None
+    tls = told.tls
+    if tls and (tls.cert is None) != (tls.key is None):
+        raise bad("tls", "cert and key go together")
+    beside = path.parent
+    return Fleet(told.fleet, tuple(_address(text, bad) for text in told.store),
+                 Rules(told.absent, told.bound_ms, told.lease_ms, told.start == "folder"), folder, told.zone,
+                 beside / tls.ca if tls else None, beside / tls.cert if tls and tls.cert else None,
+                 beside / tls.key if tls and tls.key else None)
+
+
+def _address(text: str, bad: "type[BadFleet] | object") -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        assert callable(bad)
+        raise bad("store", f"{text!r} is no address and port")
+    return host, int(port)
--- a/otterrudder/fleet/store.py
+++ b/otterrudder/fleet/store.py
@@ -95,4 +95,7 @@
     def watch(self, prefix: str) -> AsyncIterator[Changed]:
         """Hints from now on; it ends by StoreAway, and whoever watches begins anew with a read."""
 
+    async def revoke(self, lease: int, timeout_ms: float) -> None:
+        """The lease ends now, and the keys that hang on it go."""
+
     async def close(self) -> None: ...
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -100,6 +100,7 @@
     answers_held: bool = False  # what is held and would be declined is answered when the level starts
     keeps_away: bool = False  # callers are asked to stay away until the level may end
     stay_ms: float = 0.0  # how long it lasts at the least, from when it is told
+    elsewhere: bool = False  # others serve what is cut here: no refusal is final, and all keep away at length
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/otterrudder/lab/processes/books.py
@@ -0,0 +1,115 @@
+"""The checker's own books: what crossed the wire at gateways and runtimes, and when the store had which
+policy. It never asks a server.
+
+A policy shows in what is settled: each of the rig's policies declines one product for good, so a settled txn
+tells under which policies it may have been admitted. It breaks the bound if none of these was in force, or
+had been within the bound, at any time between its sending and its answer."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from otterrudder.lab.processes.standins import TTL_MS, Asked, Wire
+
+SLACK_MS = 60.0  # of the bound: the rig's look at the store, a turn of a server's loop, the way there
+LATE_MS = 400.0  # beyond its patience that an answer may come on a machine whose cores are shared
+SHOWN_MOST = 12  # breaches that are listed
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """A version, and between which times it came into force, by the rig's clock in ms."""
+
+    version: int
+    declines: str  # the product; "": none
+    after: float
+    by: float
+
+
+@dataclass(slots=True)
+class Verdict:
+    breaches: list[str] = field(default_factory=list)
+    figures: dict[str, float] = field(default_factory=dict)
+
+
+def may_have_been(asked: Asked, versions: list[InForce], bound_ms: float) -> bool:
+    """Whether some version that does not decline it was in force, or had been within the bound, when it may
+    have been admitted."""
+    for n, version in enumerate(versions):
+        ends = versions[n + 1].by + bound_ms + SLACK_MS if n + 1 < len(versions) else float("inf")
+        if version.declines != asked.product and asked.answered >= version.after and asked.sent <= ends:
+            return True
+    return False
+
+
+def judge(wire: Wire, versions: list[InForce], bound_ms: float, harmed: dict[int, list[tuple[float, float]]]
+          ) -> Verdict:
+    """`harmed`: by server, when its process was killed or frozen: what was open then is owed no answer in
+    time."""
+    verdict, shown = Verdict(), Counter[str]()
+
+    def breach(rule: str, asked: Asked, what: str) -> None:
+        shown[rule] += 1
+        if shown[rule] <= SHOWN_MOST:
+            verdict.breaches.append(f"{rule}: {asked.call} ({asked.product}, server {asked.server}, sent at "
+                                    f"{asked.sent:.0f}, {asked.outcome} at {asked.answered:.0f}): {what}")
+
+    first_run: dict[str, str] = {}
+    for start in wire.started:
+        if start.mark:
+            first_run.setdefault(f"{start.server}/{start.mark}", start.call)
+    ran_of = Counter((start.server, start.mark) for start in wire.started if start.mark)
+    for (server, mark), times in ran_of.items():
+        if times > 1:
+            shown["run twice"] += 1
+            verdict.breaches.append(f"run twice: mark {mark} ran {times} times on server {server}")
+    settled_marks: dict[str, bytes] = {}
+    old = 0
+    for asked in wire.asked:
+        spoiled = any(asked.sent <= end and (asked.answered or float("inf")) >= start
+                      for start, end in harmed.get(asked.server, ()))
+        if asked.answers > 1:
+            breach("answered twice", asked, f"{asked.answers} answers")
+        if not asked.outcome or asked.outcome == "lost":
+            if not spoiled:
+                breach("lost", asked, "no answer, and nothing was done to its server")
+            continue
+        if asked.answered - asked.sent > TTL_MS + LATE_MS and not spoiled:
+            breach("late", asked, f"answered after {asked.answered - asked.sent:.0f} ms")
+        if asked.outcome == "settled":
+            run = first_run.get(f"{asked.server}/{asked.mark}", asked.call) if asked.mark else asked.call
+            if asked.body != f"r:{run}".encode():
+                breach("another result", asked, repr(asked.body))
+            if asked.call == asked.first and not may_have_been(asked, versions, bound_ms):
+                old += 1
+                breach("wrong version", asked, "no policy that serves it was in force by then")
+            if asked.mark:
+                settled_marks[f"{asked.server}/{asked.life}/{asked.mark}"] = asked.body
+        elif asked.call != asked.first and asked.outcome == "declined":
+            breach("repeat declined", asked, f"{asked.first} had been settled")
+        if asked.outcome == "declined" and asked.is_final and not versions:
+            breach("final", asked, "declined for good")
+    verdict.figures = _figures(wire, versions, bound_ms, old)
+    for rule, count in shown.items():
+        verdict.figures[f"breaches of '{rule}'"] = count
+    return verdict
+
+
+def _figures(wire: Wire, versions: list[InForce], bound_ms: float, old: int) -> dict[str, float]:
+    """What the rig's tables show. A txn that the policy of its time serves, and is declined, stood before a
+    server that stood aside."""
+    served = declined = lost = 0
+    for asked in wire.asked:
+        if asked.call != asked.first:
+            continue
+        now = [v for n, v in enumerate(versions) if v.by <= asked.sent
+               and (n + 1 == len(versions) or asked.answered <= versions[n + 1].after)]
+        if not now or now[-1].declines == asked.product:
+            continue
+        served += asked.outcome == "settled"
+        declined += asked.outcome == "declined"
+        lost += asked.outcome in ("", "lost")
+    asked_in_all = max(served + declined, 1)
+    return dict(txns=len(wire.asked), settled=sum(a.outcome == "settled" for a in wire.asked),
+                repeats=sum(a.call != a.first for a in wire.asked), lost_with_server=lost,
+                aside_share=declined / asked_in_all, wrong_version=old, runs=len(wire.started),
+                versions=len(versions), bound_ms=bound_ms)
--- /dev/null
+++ b/otterrudder/lab/processes/link.py
@@ -0,0 +1,100 @@
+"""A link of ours between two ends on loopback, TCP, that a rig can harm: cut, cut one way, slow, and healed.
+
+A cut link resets what is open and takes nothing new; one that is shut one way holds what comes from that side
+and lets neither end know."""
+
+import contextlib
+import socket
+import struct
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+
+CHUNK = 65536  # bytes that are moved in one go
+RESET = struct.pack("ii", 1, 0)  # closes with a reset
+
+
+@dataclass(slots=True)
+class Harm:
+    is_cut: bool = False
+    holds_there: bool = False  # from the end that connects
+    holds_back: bool = False  # to it
+    delay_ms: float = 0.0
+
+
+class Link:
+    """Listens on a port of the system's; whoever runs `run` owns its sockets."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target, self.harm = target, Harm()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self.sock.setblocking(False)
+        self._open: set[anyio.CancelScope] = set()
+        self._changed = anyio.Event()
+
+    def set(self, harm: Harm) -> None:
+        self.harm = harm
+        if harm.is_cut:
+            for scope in list(self._open):
+                scope.cancel()
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            try:
+                while True:
+                    await anyio.wait_readable(self.sock)
+                    with contextlib.suppress(BlockingIOError):
+                        near, _ = self.sock.accept()
+                        group.start_soon(self._serve, near)
+            finally:
+                self.sock.close()
+
+    async def _serve(self, near: socket.socket) -> None:
+        far = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            if self.harm.is_cut:
+                return
+            for sock in (near, far):
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.suppress(BlockingIOError):
+                far.connect(self.target)
+            await anyio.wait_writable(far)
+            if far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return
+            async with anyio.create_task_group() as group:
+                self._open.add(group.cancel_scope)
+                try:
+                    group.start_soon(self._pump, near, far, True, group.cancel_scope)
+                    await self._pump(far, near, False, group.cancel_scope)
+                finally:
+                    self._open.discard(group.cancel_scope)
+        except OSError:
+            pass
+        finally:
+            for sock in (near, far):
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.close()
+
+    async def _pump(self, source: socket.socket, sink: socket.socket, there: bool,
+                    scope: anyio.CancelScope) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                await anyio.wait_readable(source)
+                data = source.recv(CHUNK)
+                if not data:
+                    break
+                if self.harm.delay_ms:
+                    await anyio.sleep(self.harm.delay_ms / 1000)
+                while self.harm.holds_there if there else self.harm.holds_back:
+                    await self._changed.wait()
+                while data:
+                    await anyio.wait_writable(sink)
+                    with contextlib.suppress(BlockingIOError):
+                        data = data[sink.send(data) :]
+        scope.cancel()
--- /dev/null
+++ b/otterrudder/lab/processes/rig.py
@@ -0,0 +1,335 @@
+"""Several servers as the operators start them, their stand-ins, the store, and faults between all of them.
+
+Each server has a folder of its own (its disk, kept over a kill), a runtime, a gateway, and a link to the
+store that can be harmed. Everything is on loopback, on ports of the system's. All children are ended by their
+own ids on every way out, Ctrl-C included; the store's stand-in ends with its input."""
+
+import contextlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from otterrudder.fleet.client import Client
+from otterrudder.fleet.configuration import read_fleet
+from otterrudder.fleet.points import NAMED
+from otterrudder.fleet.records import Keys, View, digest_of
+from otterrudder.fleet.store import StoreAway
+from otterrudder.lab.processes.books import InForce
+from otterrudder.lab.processes.link import Harm, Link
+from otterrudder.lab.processes.standins import SETTINGS, Gateway, Runtime, Wire, clock, registry
+
+ROOT = Path(__file__).parents[3]
+LOOK_S = 0.015  # s between the rig's looks at the store
+UP_S = 20.0  # s that a server may take until it admits
+FOLDER = "state"  # of a server's place: what outlives its processes
+
+LEVELS = """version = 1
+start = "cut"
+
+[[level]]
+name = "cut"
+least_stay_s = 1.0
+trial_s = 600.0
+entry = {{ for_s = 1.0, busy = 0.9 }}
+exit = {{ for_s = 2.0, busy = 0.01 }}
+cut = [{{ do = "decline", products = ["{product}"] }}]
+"""
+
+
+def levels_text(declines: str) -> str:
+    """A table that declines one product from its start to its end."""
+    return LEVELS.format(product=declines)
+
+
+def policy_text(declines: str, number: int) -> str:
+    """A policy that does the same, each number with a digest of its own."""
+    table = levels_text(declines).replace("[[level]]", "[[levels.level]]")
+    return f"# policy {number}\nversion = 1\n[levels]\n{table}"
+
+
+@dataclass(slots=True)
+class Place:
+    """Where a server runs."""
+
+    number: int
+    name: str
+    folder: Path
+    runtime: Runtime
+    gateway: Gateway
+    link: Link
+    address: tuple[str, int]
+    process: subprocess.Popen[bytes] | None = None
+    frozen_at: float = 0.0
+    harmed: list[tuple[float, float]] = field(default_factory=list)
+
+    @property
+    def is_up(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+
+class Rig:
+    """`with_fleet`: the servers are of a fleet; else each has a table of levels of its own, the baseline."""
+
+    def __init__(self, folder: Path, servers: int, *, absent: str = "wait", bound_ms: float = 1000.0,
+                 lease_ms: float = 3000.0, pace_ms: float = 40.0, with_fleet: bool = True,
+                 start: str = "wait") -> None:
+        self.folder, self.count, self.absent, self.start = folder, servers, absent, start
+        self.bound_ms, self.lease_ms, self.pace_ms, self.with_fleet = bound_ms, lease_ms, pace_ms, with_fleet
+        self.wire = Wire()
+        self.places: list[Place] = []
+        self.extra: list[subprocess.Popen[bytes]] = []  # proposers, and processes under a name that is taken
+        self.kinds: dict[str, str] = {}  # by digest: the product that a policy declines
+        self.versions: list[InForce] = [InForce(0, "", float("-inf"), float("-inf"))]
+        self.opened = ""  # the change that is open, as the rig last saw it
+        self.marks: list[tuple[float, int, str]] = []  # when, which server (-1: the store), what was done
+        self.store: subprocess.Popen[bytes] | None = None
+        self.store_at = 0
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        self.run_line = run if (ROOT / ".venv").exists() else f"exec {sys.executable} -m otterrudder"
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Rig"]:
+        """All of it, up and at work; gone at the end."""
+        try:
+            async with anyio.create_task_group() as group:
+                if self.with_fleet:
+                    await self._start_store()
+                sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                sock.setblocking(False)
+                sock.bind(("127.0.0.1", 0))
+                group.start_soon(registry, sock)
+                for n in range(self.count):
+                    self._make(n, sock.getsockname())
+                for place in self.places:
+                    group.start_soon(place.runtime.run)
+                    group.start_soon(place.link.run)
+                    self.start_server(place)
+                if self.with_fleet:
+                    group.start_soon(self._look)
+                for place in self.places:
+                    group.start_soon(place.gateway.run)
+                    await self.until_serving(place)
+                yield self
+                group.cancel_scope.cancel()
+        finally:
+            self._end_all()
+
+    def _end_all(self) -> None:
+        children = [place.process for place in self.places] + [*self.extra, self.store]
+        for child in children:
+            if child and child.poll() is None:
+                child.kill()
+        for child in children:
+            if child:
+                child.wait()
+
+    # The store.
+
+    async def _start_store(self) -> None:
+        self.store = subprocess.Popen([sys.executable, "-m", "otterrudder.lab.processes.etcd"], cwd=ROOT,
+                                      stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert self.store.stdout
+        self.store_at = int(await anyio.to_thread.run_sync(self.store.stdout.readline))
+
+    async def tell_store(self, **fault: object) -> None:
+        assert self.store and self.store.stdin and self.store.stdout
+        self.store.stdin.write(json.dumps(fault).encode() + b"\n")
+        self.store.stdin.flush()
+        await anyio.to_thread.run_sync(self.store.stdout.readline)
+        self.note(-1, " ".join(fault))
+
+    def signal_store(self, number: signal.Signals) -> None:
+        assert self.store
+        self.store.send_signal(number)
+        self.note(-1, number.name)
+
+    async def _look(self) -> None:
+        """When which version came into force, by a reader of the rig's own that no fault touches."""
+        path = self.folder / "rig.toml"
+        path.write_text(self._fleet_file(self.store_at, None))
+        fleet = read_fleet(path)
+        client, keys, looked = Client(fleet), Keys(fleet.name), clock()
+        try:
+            while True:
+                began = clock()
+                with contextlib.suppress(StoreAway):
+                    view = View(keys, await client.read([keys.policy, keys.change], 1000.0))
+                    head = view.policy
+                    if head and head.version > self.versions[-1].version:
+                        kind = self.kinds.get(head.digest, "")
+                        self.versions.append(InForce(head.version, kind, looked, clock()))
+                    self.opened = view.change.id if view.change else ""
+                    looked = began
+                await anyio.sleep(LOOK_S)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await client.close()
+
+    def _fleet_file(self, port: int, folder: str | None) -> str:
+        lasting = f'folder = "{folder}"\n' if folder else ""
+        absent = self.absent if folder else "leave-out"
+        return (f'version = 1\nfleet = "rig"\nstore = ["127.0.0.1:{port}"]\nabsent = "{absent}"\n'
+                f'start = "{self.start if folder else "wait"}"\n'
+                f"bound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n{lasting}")
+
+    # The servers.
+
+    def _make(self, n: int, listed_at: tuple[str, int]) -> None:
+        folder = self.folder / f"n{n}"
+        folder.mkdir(parents=True)
+        runtime = Runtime(n, self.wire)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        link = Link(("127.0.0.1", self.store_at))
+        gateway = Gateway(n, address, runtime, self.wire, self.pace_ms)
+        where = "{}:{}".format
+        told = {"name": f"n{n}", "listen": where(*address), "runtime": where(*runtime.address),
+                "registry": where(*listed_at), "seed": f"{n:016x}", "stop_ms": 2000,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS}
+        (folder / "config.json").write_text(json.dumps(told))
+        (folder / "fleet.toml").write_text(self._fleet_file(link.address[1], FOLDER))
+        (folder / "levels.toml").write_text(levels_text("look"))
+        self.places.append(Place(n, f"n{n}", folder, runtime, gateway, link, address))
+
+    def start_server(self, place: Place, halt_at: str = "") -> None:
+        """A new process at that place; `halt_at`: the named point at which it is to stop itself."""
+        place.gateway.life += 1
+        env = os.environ | {"NODE_CONFIG": str(place.folder / "config.json"), "TMPDIR": str(place.folder)}
+        name = "FLEET" if self.with_fleet else "LEVELS"
+        env[f"OTTERRUDDER_{name}"] = str(place.folder / f"{name.lower()}.toml")
+        env.pop(NAMED, None)
+        if halt_at:
+            env[NAMED] = halt_at
+        with (place.folder / "log.txt").open("ab") as log:
+            place.process = subprocess.Popen(["/bin/sh", "-c", self.run_line], cwd=ROOT, env=env, stderr=log)
+        self.note(place.number, f"starts{', to halt ' + halt_at if halt_at else ''}")
+
+    def kill(self, place: Place) -> None:
+        if place.process:
+            began = clock()
+            place.process.kill()
+            place.process.wait()
+            place.harmed.append((began - 50.0, clock() + 200.0))
+            place.frozen_at = 0.0
+            self.note(place.number, "killed")
+
+    def freeze(self, place: Place) -> None:
+        if place.process:
+            place.process.send_signal(signal.SIGSTOP)
+            place.frozen_at = clock()
+            self.note(place.number, "frozen")
+
+    def thaw(self, place: Place) -> None:
+        if place.process:
+            place.process.send_signal(signal.SIGCONT)
+            if place.frozen_at:
+                place.harmed.append((place.frozen_at - 50.0, clock() + 200.0))
+            place.frozen_at = 0.0
+            self.note(place.number, "thawed")
+
+    def set_link(self, place: Place, what: str, harm: Harm) -> None:
+        place.link.set(harm)
+        self.note(place.number, what)
+
+    def lose_folder(self, place: Place) -> None:
+        shutil.rmtree(place.folder / FOLDER, ignore_errors=True)
+        self.note(place.number, "folder lost")
+
+    def take_name(self, place: Place) -> subprocess.Popen[bytes]:
+        """Another process under that name, with a folder and a port of its own."""
+        folder = self.folder / f"twin-{place.number}-{len(self.extra)}"
+        folder.mkdir()
+        told = json.loads((place.folder / "config.json").read_text())
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            told["listen"] = "{}:{}".format(*free.getsockname())
+        (folder / "config.json").write_text(json.dumps(told))
+        (folder / "fleet.toml").write_text(self._fleet_file(self.store_at, FOLDER))
+        env = os.environ | {"NODE_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
+                            "OTTERRUDDER_FLEET": str(folder / "fleet.toml")}
+        with (folder / "log.txt").open("ab") as log:
+            child = subprocess.Popen(["/bin/sh", "-c", self.run_line], cwd=ROOT, env=env, stderr=log)
+        self.extra.append(child)
+        self.note(place.number, "its name is tried")
+        return child
+
+    async def until_serving(self, place: Place) -> None:
+        """Until something was settled there from now on."""
+        at = len(self.wire.asked)
+        with anyio.fail_after(UP_S):
+            while not any(a.server == place.number and a.outcome == "settled" for a in self.wire.asked[at:]):
+                await anyio.sleep(0.05)
+
+    # Changes.
+
+    def propose(self, number: int, declines: str, deadline_s: float, halt_at: str = "", text: str = ""
+                ) -> subprocess.Popen[bytes]:
+        """The operators' own command, begun."""
+        text = text or policy_text(declines, number)
+        self.kinds[digest_of(text)] = declines
+        path = self.folder / f"policy-{number}.toml"
+        path.write_text(text)
+        env = os.environ | {"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}
+        env.pop("NODE_CONFIG", None)
+        env.pop(NAMED, None)
+        if halt_at:
+            env[NAMED] = halt_at
+        with (self.folder / "proposers.txt").open("ab") as log:
+            words = ["--author", "rig", "--note", f"change {number}", "--deadline", str(deadline_s)]
+            child = subprocess.Popen(
+                [sys.executable, "-m", "otterrudder", "fleet", "policy", "apply", str(path), *words],
+                cwd=ROOT, env=env, stdout=log, stderr=log)
+        self.extra.append(child)
+        self.note(-1, f"change {number} proposed")
+        return child
+
+    async def ended(self, child: subprocess.Popen[bytes], most_s: float) -> int | None:
+        """Its exit code, or None: it has not ended by then."""
+        with anyio.move_on_after(most_s):
+            while child.poll() is None:
+                await anyio.sleep(0.02)
+        return child.poll()
+
+    def hand_out(self, declines: str) -> None:
+        """The baseline: one server after another is told, by its own file and a signal."""
+        for place in self.places:
+            if place.is_up and not place.link.harm.is_cut:
+                (place.folder / "levels.toml").write_text(levels_text(declines))
+                assert place.process
+                place.process.send_signal(signal.SIGHUP)
+        now = clock()
+        self.versions.append(InForce(len(self.versions), declines, now - 50.0, now))
+        self.note(-1, f"told one after another: no {declines}")
+
+    def note(self, server: int, what: str) -> None:
+        self.marks.append((clock(), server, what))
+
+    def harmed(self) -> dict[int, list[tuple[float, float]]]:
+        now = clock()
+        return {p.number: p.harmed + ([(p.frozen_at, now)] if p.frozen_at else []) for p in self.places}
+
+    async def shown(self, place: Place, **_: Any) -> str:
+        """Which product the server declines now, by what its gateway sees: "?" while that is not clear."""
+        at = len(self.wire.asked)
+        with anyio.move_on_after(3.0):
+            while True:
+                mine = [a for a in self.wire.asked[at:] if a.server == place.number and a.call == a.first]
+                settled = {a.product for a in mine if a.outcome == "settled"}
+                declined = {a.product for a in mine if a.outcome == "declined"}
+                if len(settled) == 1 and len(declined) == 1 and settled != declined:
+                    return declined.pop()
+                if len(settled) == 2:
+                    return ""
+                await anyio.sleep(0.05)
+        return "?"
--- /dev/null
+++ b/otterrudder/lab/processes/standins.py
@@ -0,0 +1,231 @@
+"""What a server talks to, by the platform's protocol: a runtime and a gateway of each server, and the list.
+
+They write down all that crosses the wire, with the time, and judge nothing."""
+
+import base64
+import contextlib
+import json
+import socket
+import time
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+
+RUN_MS = 5.0  # of a run
+TTL_MS = 4000  # that a gateway waits for an answer
+PRODUCTS = ("look", "pay")  # inquiry-like; referenced
+AGAIN_MS = 50.0  # until a lost connection is tried again
+SETTINGS: dict[str, object] = {
+    "classes": [
+        {"name": "look", "effect": "safe", "worth": 1, "promiseUs": 2e6, "hardLimitUs": 4e6},
+        {"name": "pay", "effect": "keyed", "worth": 5, "promiseUs": 2e6, "hardLimitUs": 4e6,
+         "windowUs": 20e6},
+    ],
+    "realms": [{"name": "north", "share": 1.0}],
+    "familyInfo": {"cores": 6, "memoryKb": 80000.0, "runFactor": 4.0, "keyKb": 100.0, "callers": 3,
+                   "classCalls": [False, False], "callerIdleUs": 30e6, "passesDeadline": True,
+                   "tellsGone": True, "gauges": ["core_use", "on_cores", "heap_share", "links"],
+                   "stopMode": "silent", "say": "tokens"},
+    "rules": {"fallMultiple": 8.0, "fallUs": 3e6, "drainGraceUs": 400e3},
+    "limits": {"maxRetryAfterUs": 1e6, "retryAfter": True},
+    "tickUs": 20000,
+}
+
+
+def clock() -> float:
+    return time.monotonic() * 1000
+
+
+@dataclass(slots=True)
+class Asked:
+    """One txn as its gateway saw it."""
+
+    server: int
+    life: int
+    product: str
+    call: str
+    mark: str
+    first: str  # the call whose result a repeat is owed; its own otherwise
+    sent: float
+    answered: float = 0.0
+    outcome: str = ""  # settled, declined, voided, lost
+    body: bytes = b""
+    is_final: bool = False
+    stay_away_ms: float = 0.0
+    answers: int = 0
+
+
+@dataclass(slots=True)
+class Started:
+    server: int
+    call: str
+    mark: str
+    at: float
+
+
+@dataclass(slots=True)
+class Wire:
+    """All that was seen."""
+
+    asked: list[Asked] = field(default_factory=list)
+    started: list[Started] = field(default_factory=list)
+
+
+class Runtime:
+    """The runtime of one server; it outlives the server's processes."""
+
+    def __init__(self, server: int, wire: Wire) -> None:
+        self.server, self.wire = server, wire
+        self.marks: dict[str, str] = {}  # by call, told by the gateway: the runtime is not told them
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.address: tuple[str, int] = self.sock.getsockname()
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            try:
+                while True:
+                    await anyio.wait_readable(self.sock)
+                    with contextlib.suppress(BlockingIOError):
+                        near, _ = self.sock.accept()
+                        group.start_soon(self._serve, near)
+            finally:
+                self.sock.close()
+
+    async def _serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.IncompleteRead,
+                                 ExceptionGroup):
+            async with await anyio.abc.SocketStream.from_socket(sock) as stream:
+                await self._speak(stream)
+
+    async def _speak(self, stream: anyio.abc.SocketStream) -> None:
+        from anyio.streams.buffered import BufferedByteReceiveStream
+
+        heard = BufferedByteReceiveStream(stream)
+        number, running, lock = 0, set[str](), anyio.Lock()
+
+        async def say(data: bytes) -> None:
+            with contextlib.suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                async with lock:
+                    await stream.send(data)
+
+        async def finish(call: str) -> None:
+            nonlocal number
+            await anyio.sleep(RUN_MS / 1000)
+            running.discard(call)
+            number += 1
+            body = f"r:{call}".encode()
+            head = f"end {number} {call} complete {RUN_MS} {len(body)}\r\n".encode()
+            await say(head + body + b"\r\n")
+
+        async with anyio.create_task_group() as group:
+            while True:
+                words = (await heard.receive_until(b"\r\n", 512)).decode().split(" ")
+                if words[0] == "sync":
+                    number = int(words[1])
+                    await say(b"ready hot 60000\r\n")
+                elif words[0] == "gauges":
+                    await say(f"load {words[1]} 0.2 1 0.1 5\r\n".encode())
+                elif words[0] == "start":
+                    await heard.receive_exactly(int(words[3]) + 2)
+                    call = words[1]
+                    if call not in running:
+                        running.add(call)
+                        mark = self.marks.get(call, "")
+                        self.wire.started.append(Started(self.server, call, mark, clock()))
+                        group.start_soon(finish, call)
+
+
+class Gateway:
+    """Asks one server, at an even pace, for each product in turn, and now and then for what was settled
+    before: a repeat."""
+
+    def __init__(self, server: int, address: tuple[str, int], runtime: Runtime, wire: Wire,
+                 pace_ms: float) -> None:
+        self.server, self.address, self.runtime, self.wire = server, address, runtime, wire
+        self.pace = pace_ms
+        self.life = 0  # of the server's process, as the rig counts them
+        self.count = 0
+        self.settled: list[Asked] = []  # of referenced ones of this life
+
+    async def run(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError,
+                                     anyio.ClosedResourceError):
+                async with await anyio.connect_tcp(*self.address) as stream:
+                    await self._speak(stream)
+            await anyio.sleep(AGAIN_MS / 1000)
+
+    async def _speak(self, stream: anyio.abc.SocketStream) -> None:
+        open_: dict[int, Asked] = {}
+        life = self.life
+        self.settled = []
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._ask, stream, open_, life)
+                try:
+                    await self._hear(stream, open_)
+                finally:
+                    group.cancel_scope.cancel()
+        finally:
+            now = clock()
+            for asked in open_.values():
+                asked.outcome, asked.answered = "lost", now
+
+    async def _ask(self, stream: anyio.abc.SocketStream, open_: dict[int, Asked], life: int) -> None:
+        number = 0
+        while True:
+            await anyio.sleep(self.pace / 1000)
+            if len(open_) >= 30:
+                continue
+            number += 1
+            self.count += 1
+            product, call = PRODUCTS[self.count % 2], f"{self.server:04x}{self.count:012x}"
+            again = self.settled[-1] if product == "pay" and self.settled and self.count % 5 == 0 else None
+            mark = (again.mark if again else call * 2) if product == "pay" else ""
+            first = again.first if again else call
+            asked = Asked(self.server, life, product, call, mark, first, clock())
+            self.runtime.marks[call] = mark
+            params: dict[str, object] = dict(
+                call=call, recv=round(time.time() * 1000), src=1, org="north", ttl=TTL_MS, heap=20.0,
+                crit=0.5, blob=base64.b64encode(b"ask").decode())
+            params |= {"dedupe": mark} if mark else {}
+            params |= {"rep": 1} if again else {}
+            line = json.dumps({"jsonrpc": "2.0", "id": number, "method": product, "params": params})
+            open_[number] = asked
+            self.wire.asked.append(asked)
+            await stream.send(line.encode() + b"\n")
+
+    async def _hear(self, stream: anyio.abc.SocketStream, open_: dict[int, Asked]) -> None:
+        data = b""
+        while True:
+            data += await stream.receive()
+            *lines, data = data.split(b"\n")
+            for line in lines:
+                told = json.loads(line)
+                asked = open_.pop(told.get("id"), None)
+                if asked:
+                    self._note(asked, told)
+
+    def _note(self, asked: Asked, told: dict[str, object]) -> None:
+        asked.answered = clock()
+        asked.answers += 1
+        if isinstance(result := told.get("result"), dict):
+            asked.outcome, asked.body = "settled", base64.b64decode(result["blob"])
+            if asked.mark:
+                self.settled.append(asked)
+            return
+        error = told.get("error")
+        assert isinstance(error, dict)
+        data = error.get("data") or {}
+        asked.outcome = "declined" if error["code"] == -32014 else "voided"
+        asked.is_final, asked.stay_away_ms = bool(data.get("stop")), float(data.get("pushback") or 0.0)
+
+
+async def registry(sock: socket.socket) -> None:
+    """The list: hears reports, and nobody asks it."""
+    while True:
+        await anyio.wait_readable(sock)
+        with contextlib.suppress(BlockingIOError):
+            sock.recv(512)
--- a/otterrudder/levels/table.py
+++ b/otterrudder/levels/table.py
@@ -104,6 +104,11 @@
         whole = tomllib.loads(text)
     except tomllib.TOMLDecodeError as trouble:
         raise BadTable(f"not TOML: {trouble}") from None
+    return build(whole, products, tenants)
+
+
+def build(whole: Mapping[str, Any], products: Sequence[Product], tenants: Sequence[Tenant]) -> Table:
+    """The table in a TOML table that was read already; BadTable as `parse`."""
     told = _convert(whole, _Table, "")
     if told.version != VERSION:
         raise BadTable(f"version: this program reads {VERSION}, not {told.version}")
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -340,7 +340,7 @@
 
     def _refuse(self, txn: Txn) -> bool:
         away = max(self.until - self.rudder.now, STAY_AWAY_MS) if self.relief.keeps_away else 0.0
-        return self.rudder.refuse(txn, away_ms=away)
+        return self.rudder.refuse(txn, away_ms=away, gone=self.relief.elsewhere)
 
 
 class Holds(Stage):
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -21,7 +21,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
-from otterrudder.interface import Effect, Outcome, Part, Product, Step
+from otterrudder.interface import Cut, Effect, Outcome, Part, Product, Relief, Step, Trim
 from otterrudder.logic import Rudder
 
 if TYPE_CHECKING:  # a server without levels does not carry them
@@ -74,6 +74,8 @@
         the ladder of reduced service, if there is one."""
         self.levels = levels
         self.left_parts: list[Part] = []  # served by another, as the gate last said
+        self.is_aside = False  # it does not know which policy is in force, and admits nothing
+        self.aside = Relief("aside", ((Trim(Cut.DECLINE),),) * len(products), elsewhere=True)
         self.boot, self.products, self.gauges = boot, products, gauges
         self.names = {product.name: n for n, product in enumerate(products)}
         self.rudder: Rudder | None = None
@@ -160,8 +162,8 @@
     def begin(self, warm: bool, up_ms: float) -> None:
         """The runtime is up for the first time in this life of the process."""
         self.rudder = self.boot(self.now, warm, up_ms)
-        if self.levels:
-            self.rudder.reduce(self.levels.relief)
+        if self.levels or self.is_aside:
+            self._enforce()
         for part in self.left_parts:
             self.rudder.step_down(part, 0.0)
 
@@ -266,8 +268,26 @@
         if self.levels and not self.retiring:
             self._tell_level(self.levels.take(table, self.now))
 
+    def take_policy(self, table: "Table | None", make: "Callable[[Table], Watch]") -> None:
+        """A policy is in force: its table of levels takes the place of any other, or of none."""
+        if table and self.levels:
+            self.take_levels(table)
+        else:
+            self.levels = make(table) if table else None
+            self._enforce()
+
+    def stand_aside(self, is_aside: bool) -> None:
+        """Whether all that comes is declined, and not for good: others may know which policy is in force.
+        What is held or runs is answered, and a repeat of what ran."""
+        self.is_aside = is_aside
+        self._enforce()
+
+    def _enforce(self) -> None:
+        if self.rudder and not self.retiring:
+            self.rudder.reduce(self.aside if self.is_aside else self.levels.relief if self.levels else None)
+
     def _tell_level(self, news: "News | None") -> None:
-        if news and news.relief and self.rudder:
+        if news and news.relief and self.rudder and not self.is_aside:
             self.rudder.reduce(news.relief)
         if news:
             self.out.append((HELM, "log", news.text, news.facts))
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -35,7 +35,7 @@
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
         self.watch = _Watch()
-        self.ahead: Callable[[float], None] | None = None  # what may not wait for a turn: it is played first
+        self.ahead: list[Callable[[float], None]] = []  # what may not wait for a turn: it is played first
 
     def post(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
         """Puts a call of the core into the mailbox; `of` names the txn that is voided if it fails."""
@@ -59,8 +59,8 @@
 
     def turn(self) -> None:
         now = clock.monotonic()
-        if self.ahead:
-            self._try(self.ahead, now)
+        for pulse in self.ahead:
+            self._try(pulse, now)
         urgent, self.urgent = self.urgent, []
         arrivals, self.arrivals = self.arrivals, []
         self._try(self.core.at, clock.unix(), now)
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from otterrudder import __version__
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
@@ -22,7 +23,9 @@
 from otterrudder.net.registry import Registry
 from otterrudder.net.runtime import Runtime
 
-if TYPE_CHECKING:  # a server without levels does not carry them
+if TYPE_CHECKING:  # a server without levels does not carry them, nor one without a fleet the store's client
+    from otterrudder.fleet.agent import Agent
+    from otterrudder.fleet.configuration import Fleet
     from otterrudder.levels import Table
     from otterrudder.vrrp.gate import Order
     from otterrudder.vrrp.group import Groups
@@ -40,6 +43,7 @@
     configuration: str | None
     levels: str | None = None
     vrrp: str | None = None
+    fleet: str | None = None
 
     def read_levels(self, settings: dict) -> "Table | None":
         """The table of levels, None where there is no file; BadConfiguration says what is wrong with it."""
@@ -52,6 +56,19 @@
         except levels.BadTable as trouble:
             raise BadConfiguration(str(trouble)) from None
 
+    def read_fleet(self) -> "Fleet | None":
+        """The fleet this server is of, None where there is no file; BadConfiguration says what is wrong."""
+        if not self.fleet:
+            return None
+        if self.levels:
+            raise BadConfiguration(f"--levels {self.levels}: in a fleet the table of levels is the policy's")
+        from otterrudder.fleet.configuration import BadFleet, read_fleet
+
+        try:
+            return read_fleet(self.fleet)
+        except BadFleet as trouble:
+            raise BadConfiguration(str(trouble)) from None
+
     def read_vrrp(self, settings: dict) -> "Groups | None":
         """The VRRP groups with their keys, None where there is no file; BadConfiguration says what is
         wrong."""
@@ -78,22 +95,24 @@
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
     levels, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
+    fleet = files.read_fleet()
     try:
-        anyio.run(_serve, told, files, levels, groups)
+        anyio.run(_serve, told, files, levels, groups, fleet)
     except OSError as trouble:  # before anything is served: the address is taken, or not ours
         log.error("cannot start", why=str(trouble))
         return 1
     return 0
 
 
-async def _serve(told: dict, files: Files, levels: "Table | None", groups: "Groups | None") -> None:
+async def _serve(told: dict, files: Files, levels: "Table | None", groups: "Groups | None",
+                 fleet: "Fleet | None") -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
-        await _live(told, files, levels, groups, signals)
+        await _live(told, files, levels, groups, fleet, signals)
 
 
 async def _live(told: dict, files: Files, levels: "Table | None", groups: "Groups | None",
-                signals: AsyncIterator[signal.Signals]) -> None:
+                fleet: "Fleet | None", signals: AsyncIterator[signal.Signals]) -> None:
     settings, seed = told["settings"], int(told["seed"], 16)
     products = [replace(product, omit_value=0.0) for product in products_of(settings)]  # see `unsaid`
     # A reference outlives its window by an expiry, see core.py.
@@ -123,6 +142,7 @@
     registry = Registry(told["name"], address(told["registry"]))
     helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
     speaker = _speaker(groups, helm, runtime, records, registry) if groups else None
+    agent = _agent(fleet, told, helm, spread) if fleet else None
     log.info("listening", address=told["listen"], pid=os.getpid())
     if watch:
         names = [rung.name for rung in levels.rungs]
@@ -133,11 +153,16 @@
         for actor in (helm, runtime, records, registry):
             group.start_soon(actor.run)
         if speaker:
-            from otterrudder.net.control import Control
-
             speaker.begin()
             group.start_soon(speaker.run)
-            group.start_soon(Control(told["name"], {"vrrp": speaker.shown}).run)
+        if agent:
+            group.start_soon(agent.run)
+        if speaker or agent:
+            from otterrudder.net.control import Control
+
+            answers = {"vrrp": speaker.shown} if speaker else {}
+            answers |= {"fleet": agent.shown} if agent else {}
+            group.start_soon(Control(told["name"], answers).run)
         group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, gateways, speaker)
         await gateways.run(group)
         group.cancel_scope.cancel()
@@ -165,10 +190,45 @@
     speaker.changed = changed
     speaker.bind()
     registry.draining = True
-    helm.ahead = speaker.pulse
+    helm.ahead.append(speaker.pulse)
     return speaker
 
 
+def _agent(fleet: "Fleet", told: dict, helm: Helm, spread: float) -> "Agent":
+    """The fleet's actor, its folder taken: what it orders goes to the core by the helm, ahead of what
+    arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
+    from otterrudder.durable import Busy
+    from otterrudder.fleet.agent import Agent, Orders, open_folder
+    from otterrudder.fleet.client import Client
+    from otterrudder.fleet.policy import parse, trouble_in
+    from otterrudder.fleet.records import Live
+    from otterrudder.levels import Watch
+
+    settings = told["settings"]
+    products, tenants = products_of(settings), tenants_of(settings)
+
+    def take(text: str) -> None:
+        table = parse(text, products, tenants).levels if text else None
+        helm.post(helm.core.take_policy, table, lambda table: Watch(table, spread))
+
+    def judge(text: str) -> str:
+        trouble = trouble_in(text, products, tenants)
+        return f"{told['name']}: {trouble}" if trouble else ""
+
+    try:
+        store = Client(fleet)
+        folder, record = open_folder(fleet, told["name"])
+    except (Busy, OSError) as trouble:
+        raise BadConfiguration(f"fleet: {trouble}") from None
+    live = Live("", __version__, fleet.zone, products=tuple(product.name for product in products))
+    orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
+    agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record)
+    helm.ahead.append(agent.pulse)
+    log.info("of a fleet", fleet=fleet.name, absent=fleet.rules.absent, bound_ms=fleet.rules.bound_ms,
+             known=agent.member.known.version, pledged=bool(agent.member.pledge), folder=str(fleet.folder))
+    return agent
+
+
 def _records(told: dict) -> tuple[str, int] | None:
     return address(told["records"]) if told.get("records") else None
 
--- a/tests/fleet/test_durable.py
+++ b/tests/fleet/test_durable.py
@@ -1,4 +1,4 @@
-"""A file of state is whole or as it was before, wherever its writing is cut off; a folder is one process's."""
+"""A file of state is whole or as before, wherever its writing is cut off; a folder is one process's."""
 
 import os
 import signal
