--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -27,6 +27,35 @@
     """Experiments in simulated time (needs the extra 'lab'). All figures are simulated."""
 
 
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, help="This seed instead of the file's.")
+@click.option("--servers", type=click.IntRange(1, 24), help="So many instead of the file's.")
+@click.option("--quick", is_flag=True, help="The file's quick form: about a minute.")
+@click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
+def processes(file: Path, seed: int | None, servers: int | None, quick: bool, folder: Path | None) -> None:
+    """Play an experiment FILE with processes of the program and faults between them; exits with 1 if a claim
+    does not hold. Needs the extra `fleet` as well."""
+    try:
+        from otterrudder.lab.processes import experiment as of
+    except ModuleNotFoundError as missing:
+        give_up(f"this needs {missing.name}: pip install 'otterrudder[fleet]', or -r requirements-fleet.txt")
+    try:
+        what = of.read(file)
+    except BadInput as trouble:
+        give_up(trouble)
+    told = what.told
+    seeds = [seed] if seed is not None else told.seeds[: 1 if quick else None]
+    count = servers or (told.quick_servers if quick else told.servers)
+    runs = of.perform(what, seeds, count, told.quick_changes if quick else told.changes, click.echo)
+    of.write(runs, folder or Path("out") / what.name, what.name)
+    click.echo(of.table(runs))
+    broken = [f"{run.variant}, seed {run.seed}: {claim}" for run in runs for claim in run.broken]
+    for line in broken:
+        click.echo(f"does not hold: {line}", err=True)
+    sys.exit(1 if broken else 0)
+
+
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -56,7 +56,8 @@
         self.wake = anyio.Event()
         self.standing: Standing | None = None
         self.taken: Policy | None = None
-        self.counts = {"asked": 0, "unanswered": 0, "hints": 0, "asides": 0}
+        self.counts = {"asked": 0, "unanswered": 0, "hints": 0, "asides": 0, "watches_ended": 0}
+        self.away_since = 0.0  # when the store first did not answer; 0: it answers
         self.worst_ms = 0.0  # longest wait for an answer since it was last shown
 
     # In the helm's turn.
@@ -142,18 +143,28 @@
         try:
             if isinstance(want, Save):
                 return await anyio.to_thread.run_sync(self._save, want)
-            if isinstance(want, Read):
-                return await self.store.read(want.names, self.timeout)
-            if isinstance(want, Lease):
-                return await self.store.lease(want.span_ms, self.timeout)
-            if isinstance(want, Renew):
-                return await self.store.renew(want.lease, self.timeout)
-            return await self.store.commit(want.compares, want.writes, self.timeout)
+            outcome = await self._ask(want)
         except StoreAway as why:
             self.counts["unanswered"] += 1
-            log.debug("no answer", of=type(want).__name__.lower(), why=str(why))
+            if not self.away_since:
+                self.away_since = clock.monotonic()
+                log.warning("the store does not answer", why=str(why))
             return None
 
+        if self.away_since:
+            log.info("the store answers again", after_ms=round(clock.monotonic() - self.away_since))
+            self.away_since = 0.0
+        return outcome
+
+    async def _ask(self, want: Read | Lease | Renew | Commit) -> Outcome:
+        if isinstance(want, Read):
+            return await self.store.read(want.names, self.timeout)
+        if isinstance(want, Lease):
+            return await self.store.lease(want.span_ms, self.timeout)
+        if isinstance(want, Renew):
+            return await self.store.renew(want.lease, self.timeout)
+        return await self.store.commit(want.compares, want.writes, self.timeout)
+
     def _save(self, want: Save) -> bool:
         """In a thread: it blocks until the disk has it."""
         try:
@@ -172,8 +183,8 @@
                     self.counts["hints"] += 1
                     self.member.hint()
                     self.wake.set()
-            except StoreAway as why:
-                log.debug("watch ended", why=str(why))
+            except StoreAway:
+                self.counts["watches_ended"] += 1
             await anyio.sleep(WATCH_AGAIN_MS / 1000)
 
     async def _leave(self) -> None:
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -32,7 +32,6 @@
 # of its span between renewals: two may be lost before it lapses
 RENEW_SHARE = 0.25
 POLL_SHARE = 0.25  # of the bound, between reads of who has pledged: three may be lost
-REFRESH_MS = 10_000.0  # ms between reads where no hint came: a watch may be dead and not know it
 RETRY_MS = 200.0  # ms to the first repeat of what had no answer; doubled each time
 RETRY_MOST_MS = 2000.0  # ms; beyond that a store that is back would go unnoticed for too long
 # ms over which members tell that they have switched, so that a change is no burst of writes
@@ -268,7 +267,7 @@
             return self._read_at + RETRY_MOST_MS
         if self.seen and self._is_others(self.seen) or self.doubt:
             return self._read_at + self.rules.lease_ms * RENEW_SHARE
-        return self._read_at + REFRESH_MS
+        return self._read_at + self.rules.lease_ms  # where no hint came: a watch may be dead and not know it
 
     def _is_others(self, seen: Seen) -> bool:
         return self._is_taken(seen) or self._is_foreign(seen)
--- /dev/null
+++ b/otterrudder/lab/processes/double.py
@@ -0,0 +1,83 @@
+"""The program with one fault put in, for the rig: `python -m otterrudder.lab.processes.double "never aside"`.
+
+Each claim of the checker has a fault here that it finds. The fleet's are the doubles of the search; the four
+rules' are spoilt on the way out."""
+
+import sys
+from collections.abc import Callable
+
+from otterrudder.fleet import agent
+from otterrudder.fleet.member import Member, Standing
+from otterrudder.lab.fleet.faults import AnyPolicy, NeverAside, SleepsThrough
+from otterrudder.net import core
+
+EACH = 40  # txns, of which one is spoilt
+
+
+def _member(kind: type[Member]) -> Callable[[], None]:
+    def put_in() -> None:
+        setattr(agent, "Member", kind)  # noqa: B010
+
+    return put_in
+
+
+class ServesAtOnce(Member):
+    """Admits from its start by what its folder says, whatever was changed while it was down."""
+
+    def standing(self, now: float) -> Standing:
+        standing = super().standing(now)
+        return Standing.SERVING if standing in (Standing.STARTING, Standing.JOINING) else standing
+
+
+def _loses() -> None:
+    """Now and then an answer is never sent."""
+    real, count = core.Core._answer, [0]
+
+    def answer(self: core.Core, txn: core.Txn, *rest: object) -> None:
+        count[0] += 1
+        if count[0] % EACH == 0:
+            txn.answered = True
+            return
+        real(self, txn, *rest)  # type: ignore[arg-type]
+
+    core.Core._answer = answer  # type: ignore[method-assign]
+
+
+def _runs_twice() -> None:
+    """Knows no repeat."""
+    real = core.Core.arrive
+
+    def arrive(self: core.Core, *args: object, **told: object) -> None:
+        self.references.clear()
+        self.fresh.clear()
+        real(self, *args, **told)  # type: ignore[arg-type]
+
+    core.Core.arrive = arrive  # type: ignore[method-assign]
+
+
+def _other_result() -> None:
+    """Now and then serves what no run made."""
+    real, count = core.Core.ended, [0]
+
+    def ended(self: core.Core, call: str, outcome: object, body: bytes) -> None:
+        count[0] += 1
+        real(self, call, outcome, b"other" if count[0] % EACH == 0 else body)  # type: ignore[arg-type]
+
+    core.Core.ended = ended  # type: ignore[method-assign]
+
+
+FAULTS: dict[str, Callable[[], None]] = {
+    "never aside": _member(NeverAside),
+    "sleeps through": _member(SleepsThrough),
+    "any policy": _member(AnyPolicy),
+    "serves at once": _member(ServesAtOnce),
+    "loses": _loses,
+    "runs twice": _runs_twice,
+    "another result": _other_result,
+}
+
+if __name__ == "__main__":
+    from otterrudder.cli.serve import serve
+
+    FAULTS[sys.argv[1]]()
+    serve.main(args=[], prog_name="otterrudder", standalone_mode=False)
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -32,6 +32,7 @@
 
 ROOT = Path(__file__).parents[3]
 LOOK_S = 0.015  # s between the rig's looks at the store
+REST_S = 0.5  # s at the end in which what was asked is answered
 UP_S = 20.0  # s that a server may take until it admits
 FOLDER = "state"  # of a server's place: what outlives its processes
 
@@ -84,7 +85,8 @@
 
     def __init__(self, folder: Path, servers: int, *, absent: str = "wait", bound_ms: float = 1000.0,
                  lease_ms: float = 3000.0, pace_ms: float = 40.0, with_fleet: bool = True,
-                 start: str = "wait") -> None:
+                 start: str = "wait", double: str = "") -> None:
+        """`double`: the fault that is put into the first server's program."""
         self.folder, self.count, self.absent, self.start = folder, servers, absent, start
         self.bound_ms, self.lease_ms, self.pace_ms, self.with_fleet = bound_ms, lease_ms, pace_ms, with_fleet
         self.wire = Wire()
@@ -98,6 +100,8 @@
         self.store_at = 0
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.run_line = run if (ROOT / ".venv").exists() else f"exec {sys.executable} -m otterrudder"
+        spoilt = f'exec {sys.executable} -m otterrudder.lab.processes.double "{double}"'
+        self.double_line = spoilt if double else ""
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Rig"]:
@@ -122,6 +126,9 @@
                     group.start_soon(place.gateway.run)
                     await self.until_serving(place)
                 yield self
+                for place in self.places:
+                    place.gateway.is_asking = False
+                await anyio.sleep(REST_S)
                 group.cancel_scope.cancel()
         finally:
             self._end_all()
@@ -212,8 +219,9 @@
         env.pop(NAMED, None)
         if halt_at:
             env[NAMED] = halt_at
+        line = self.double_line if self.double_line and place.number == 0 else self.run_line
         with (place.folder / "log.txt").open("ab") as log:
-            place.process = subprocess.Popen(["/bin/sh", "-c", self.run_line], cwd=ROOT, env=env, stderr=log)
+            place.process = subprocess.Popen(["/bin/sh", "-c", line], cwd=ROOT, env=env, stderr=log)
         self.note(place.number, f"starts{', to halt ' + halt_at if halt_at else ''}")
 
     def kill(self, place: Place) -> None:
@@ -243,6 +251,26 @@
         place.link.set(harm)
         self.note(place.number, what)
 
+    def fill_disk(self, place: Place, is_full: bool) -> None:
+        """A file of state can't be written there: as good as no room."""
+        beside = place.folder / FOLDER / "member.new"
+        if is_full:
+            beside.mkdir(parents=True, exist_ok=True)
+        elif beside.is_dir():
+            beside.rmdir()
+        self.note(place.number, "disk full" if is_full else "room again")
+
+    async def halted(self, place: Place, most_s: float) -> bool:
+        """Whether it has stopped itself at its named point."""
+        with anyio.move_on_after(most_s):
+            while place.process and place.process.poll() is None:
+                stat = Path(f"/proc/{place.process.pid}/stat").read_text()
+                if stat.rpartition(")")[2].split()[0] == "T":
+                    place.frozen_at = place.frozen_at or clock()
+                    return True
+                await anyio.sleep(0.02)
+        return False
+
     def lose_folder(self, place: Place) -> None:
         shutil.rmtree(place.folder / FOLDER, ignore_errors=True)
         self.note(place.number, "folder lost")
--- a/otterrudder/lab/processes/standins.py
+++ b/otterrudder/lab/processes/standins.py
@@ -15,6 +15,7 @@
 RUN_MS = 5.0  # of a run
 TTL_MS = 4000  # that a gateway waits for an answer
 PRODUCTS = ("look", "pay")  # inquiry-like; referenced
+OPEN_MOST = 30  # txns on one connection: the platform allows 32
 AGAIN_MS = 50.0  # until a lost connection is tried again
 SETTINGS: dict[str, object] = {
     "classes": [
@@ -33,6 +34,10 @@
 }
 
 
+_GONE = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError,
+         anyio.IncompleteRead)
+
+
 def clock() -> float:
     return time.monotonic() * 1000
 
@@ -94,10 +99,11 @@
                 self.sock.close()
 
     async def _serve(self, sock: socket.socket) -> None:
-        with contextlib.suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.IncompleteRead,
-                                 ExceptionGroup):
+        try:
             async with await anyio.abc.SocketStream.from_socket(sock) as stream:
                 await self._speak(stream)
+        except* _GONE:
+            pass
 
     async def _speak(self, stream: anyio.abc.SocketStream) -> None:
         from anyio.streams.buffered import BufferedByteReceiveStream
@@ -147,14 +153,16 @@
         self.pace = pace_ms
         self.life = 0  # of the server's process, as the rig counts them
         self.count = 0
+        self.is_asking = True
         self.settled: list[Asked] = []  # of referenced ones of this life
 
     async def run(self) -> None:
         while True:
-            with contextlib.suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError,
-                                     anyio.ClosedResourceError):
+            try:
                 async with await anyio.connect_tcp(*self.address) as stream:
                     await self._speak(stream)
+            except* _GONE:
+                pass
             await anyio.sleep(AGAIN_MS / 1000)
 
     async def _speak(self, stream: anyio.abc.SocketStream) -> None:
@@ -177,7 +185,7 @@
         number = 0
         while True:
             await anyio.sleep(self.pace / 1000)
-            if len(open_) >= 30:
+            if len(open_) >= OPEN_MOST or not self.is_asking:
                 continue
             number += 1
             self.count += 1
