--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -3,10 +3,9 @@
 
 Whoever settles decides nothing: the votes do. A change is committed once every name on the roster has said
 yes, or was left out by its own rule with its lease lapsed; it is aborted at the first no and at its deadline.
-All of these are one commit that compares the open change as it was read, and a member that registers touches
-the change, so of any number of settlers at any time, dead or alive, one commit takes effect and the others
-fall. A vote, once in the store, stays until the change ends: what was counted at a read still stands at the
-commit.
+All of these are one commit that compares the open change as it was read, and who had registered by then; so
+of any number of settlers at any time, dead or alive, one commit takes effect and the others fall. A vote, once
+in the store, stays until the change ends: what was counted at a read still stands at the commit.
 
 A commit has a handful of writes and compares at any size of the fleet, for engines bound them (etcd: 128)."""
 
@@ -53,7 +52,7 @@
 
 def whole(keys: Keys) -> tuple[str, ...]:
     """What a settler and an operator read."""
-    return (keys.head, keys.rosters, keys.lives, keys.votes)
+    return (keys.head, keys.joined, keys.rosters, keys.lives, keys.votes)
 
 
 def count(view: View) -> Count:
@@ -154,8 +153,10 @@
     if committed:
         new = PolicyHead(change.version, change.id, change.digest, change.author, change.note, change.at)
         writes.append(Put(keys.policy, encode(new)))
-    compares = (Compare(keys.change, "modified", entries[keys.change].modified),)
-    return Commit("commit" if committed else "abort", compares, tuple(writes), Lane.SETTLE)
+    compares = [Compare(keys.change, "modified", entries[keys.change].modified)]
+    if committed:  # nobody has come since whose vote was not counted
+        compares.append(Compare(keys.joined, "modified", view.snapshot.modified(keys.joined)))
+    return Commit("commit" if committed else "abort", tuple(compares), tuple(writes), Lane.SETTLE)
 
 
 class Settler:
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -107,8 +107,6 @@
     version: int
     digest: str
     created: int
-    modified: int
-    value: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -283,15 +281,15 @@
 
     def _register(self, seen: Seen) -> Commit:
         keys, roster = self.keys, Roster(self.folder, self.rules.absent)
-        compares = [Compare(keys.live(self.name), "created", 0),
-                    Compare(keys.roster(self.name), "modified", seen.roster_modified),
-                    Compare(keys.change, "modified", seen.open.modified if seen.open else 0)]
-        writes = [Put(keys.live(self.name), encode(self._live()), self.lease)]
+        compares = (Compare(keys.live(self.name), "created", 0),
+                    Compare(keys.roster(self.name), "modified", seen.roster_modified))
+        writes = [Put(keys.live(self.name), encode(self._live()), self.lease),
+                  # Who has counted the votes without this member has to count anew. Not the change itself is
+                  # touched: it is watched by all, and a zone that comes back would have all read for each.
+                  Put(keys.joined, self.name.encode())]
         if seen.roster != roster:
             writes.append(Put(keys.roster(self.name), encode(roster)))
-        if seen.open:  # touched, so that who has counted the votes without this member has to count anew
-            writes.append(Put(keys.change, seen.open.value))
-        return Commit("register", tuple(compares), tuple(writes))
+        return Commit("register", compares, tuple(writes))
 
     def _vote(self, now: float, seen: Seen) -> Commit | None:
         change = seen.open
@@ -449,8 +447,7 @@
         entry = snapshot.entries.get(keys.change)
         opened = None
         if change and entry:
-            opened = Open(change.id, change.version, change.digest, entry.created, entry.modified,
-                          entry.value)
+            opened = Open(change.id, change.version, change.digest, entry.created)
         vote = view.vote(self.name)
         return Seen(snapshot.revision, opened, vote.yes if vote else None, view.roster(self.name),
                     snapshot.modified(keys.roster(self.name)), view.live(self.name),
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -7,6 +7,7 @@
     FLEET/text/DIGEST         a policy's text, named by what it says
     FLEET/roster/NAME         who is of the fleet, whether up or not; a change needs its vote
     FLEET/live/NAME           the life that has the name now; hangs on its lease
+    FLEET/joined              who registered last; watched by nobody
     FLEET/vote/NAME           what it says of the open change; never changed, gone with the change
 
 The revision that created `head/change` names a change beyond doubt: a vote compares it, so a vote that was
@@ -129,6 +130,10 @@
     def duty(self) -> str:
         return f"{self.fleet}/head/duty"
 
+    @property
+    def joined(self) -> str:
+        return f"{self.fleet}/joined"
+
     @property
     def votes(self) -> str:
         return f"{self.fleet}/vote/"
--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -110,11 +110,11 @@
 
 
 class JoinsUnseen(_Loose):
-    """Registers without touching the open change: who has counted without it commits."""
+    """Registers without a word to who counts the votes: whoever has counted without it commits."""
 
     def _register(self, seen: Seen) -> Commit:
         commit = super()._register(seen)
-        kept = tuple(write for write in commit.writes if write.key != self.keys.change)
+        kept = tuple(write for write in commit.writes if write.key != self.keys.joined)
         return replace(commit, writes=kept)
 
 
--- /dev/null
+++ b/otterrudder/lab/fleet/hours.py
@@ -0,0 +1,334 @@
+"""Whole fleets in simulated time: members, settlers and proposers as they are, on a key space, with latencies
+and a plan of faults drawn from the seed.
+
+Measured: from the commit to the last switch, how long past it anybody admitted under the old version, and
+what a change costs the store in reads, writes and watch events. The books are the world's: what was committed
+is noted where the store wrote it."""
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+
+from otterrudder.fleet.change import Settler, propose
+from otterrudder.fleet.member import Member, Record, Rules
+from otterrudder.fleet.records import Keys, Live, PolicyHead, View, decode
+from otterrudder.fleet.store import Put, Snapshot
+from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.lab.keyspace import KeySpace
+
+KEYS = Keys("f")
+LATENCY_MS = (1.0, 12.0)  # of a request and its answer, together
+HINT_MS = (1.0, 30.0)  # of a watch event
+SAVE_MS = (0.5, 8.0)  # of a synced write
+LOOK_MS = 50.0  # between checks of what everybody admits under
+START_MS = 700.0  # from a restart until a process asks the store
+BEGIN_MS = 8000.0  # when the change is proposed: the fleet has come together
+END_MS = 40_000.0
+DEADLINE_MS = 15_000.0
+
+
+KINDS = ("kill", "kill", "freeze", "freeze", "cut", "cut", "store", "proposer", "zone")
+
+
+class Indexed(KeySpace):
+    """Finds keys by their folder, for fleets of a thousand."""
+
+    def __init__(self) -> None:
+        super().__init__(keeps_history=False)
+        self.folders: dict[str, set[str]] = {}
+
+    def read(self, names: Sequence[str]) -> Snapshot:
+        plain = (name for name in names if name in self.keys)
+        under = (key for name in names if name.endswith("/") for key in self.folders.get(name, ()))
+        return Snapshot(self.cluster, self.revision, {key: self.keys[key] for key in (*plain, *under)})
+
+    def _put(self, write: Put) -> None:
+        super()._put(write)
+        self.folders.setdefault(write.key[: write.key.rindex("/") + 1], set()).add(write.key)
+
+    def _delete(self, key: str) -> None:
+        super()._delete(key)
+        self.folders[key[: key.rindex("/") + 1]].discard(key)
+
+
+@dataclass(slots=True)
+class Host:
+    name: str
+    folder: str
+    member: Member | None = None
+    settler: Settler | None = None
+    life: int = 0
+    disk: Record | None = None
+    frozen_until: float = -1.0
+    cut_until: float = -1.0
+    held: list[Callable[[], None]] = field(default_factory=list)  # what comes while it is frozen
+    woken: float = math.inf  # the next time that it looks by itself
+    switched: float = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What one plan showed."""
+
+    committed: bool
+    breaches: int  # looks at which somebody admitted past the bound
+    worst_old_ms: float  # how long past the commit anybody admitted under the old version
+    last_switch_ms: float  # from the commit until the last that could hear had switched; 0: none was
+    aside_share: float  # of all looks at servers that ran
+    agreed: bool  # at the end all that run admit under one version, and no change is open
+    reads: int
+    writes: int
+    hints: int
+    reads_calm_per_s: float
+
+
+class Hours:
+    def __init__(self, servers: int, seed: int, rules: Rules, faults: int) -> None:
+        self.chance = random.Random(f"hours/{seed}/{servers}")
+        self.rules, self.faults = rules, faults
+        self.store, self.now = Indexed(), 0.0
+        self.hosts = [Host(f"n{n:04}", f"folder {n}") for n in range(servers)]
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.store_away_until = -1.0
+        self.committed_at = math.inf
+        self.version = 0
+        self.counts: Counter[str] = Counter()
+        self.calm_reads = 0
+        self.old_ms, self.breaches, self.looks, self.asides = 0.0, 0, 0, 0
+        self.proposer = Settler(KEYS, "proposer", needs_duty=False)
+        self.proposer_lives = True
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (when, next(self.numbers), act))
+
+    def between(self, bounds: tuple[float, float]) -> float:
+        return self.chance.uniform(*bounds)
+
+    def play(self) -> Result:
+        for host in self.hosts:
+            self.at(self.chance.uniform(0, 500.0), lambda host=host: self._boot(host))  # type: ignore[misc]
+        self.at(BEGIN_MS, self._propose)
+        self.at(BEGIN_MS - 2000.0, lambda: setattr(self, "calm_reads", -self.counts["reads"]))
+        self.at(BEGIN_MS - 1.0, lambda: setattr(self, "calm_reads", self.calm_reads + self.counts["reads"]))
+        self.at(BEGIN_MS - 0.5, self.counts.clear)
+        for _ in range(self.faults):
+            self._draw()
+        self.at(LOOK_MS, self._look)
+        while self.queue and self.queue[0][0] <= END_MS:
+            self.now, _, act = heapq.heappop(self.queue)
+            act()
+        return self._result()
+
+    def _draw(self) -> None:
+        """One fault, round the time of the change."""
+        at, span = BEGIN_MS + self.chance.uniform(-4000, 800), self.chance.uniform(300, 9000)
+        kind = self.chance.choice(KINDS)
+        some = [self.chance.choice(self.hosts)]
+        if kind == "zone":
+            some = self.hosts[:: max(self.chance.randint(3, 8), 1)]
+        for host in some:
+            if kind == "kill":
+                self.at(at, lambda host=host: self._kill(host, span))  # type: ignore[misc]
+            elif kind == "freeze":
+                self.at(at, lambda host=host: self._freeze(host, span))  # type: ignore[misc]
+            elif kind in ("cut", "zone"):
+                self.at(at, lambda host=host: setattr(host, "cut_until", self.now + span))  # type: ignore[misc]
+        if kind == "store":
+            self.at(at, lambda: setattr(self, "store_away_until", self.now + min(span, 5000.0)))
+        elif kind == "proposer":
+            at = max(at, BEGIN_MS + self.chance.uniform(1, 400))
+            self.at(at, lambda: setattr(self, "proposer_lives", False))
+
+    # Hosts.
+
+    def _boot(self, host: Host) -> None:
+        host.life += 1
+        host.frozen_until, host.held = -1.0, []
+        epoch = f"{host.name}.{host.life}"
+        host.member = Member(self.now, KEYS, host.name, epoch, host.folder, self.rules, lambda text: "",
+                             record=host.disk, live=Live(epoch))
+        host.settler = Settler(KEYS, host.name)
+        self._turn(host, host.life)
+
+    def _kill(self, host: Host, span: float) -> None:
+        if host.member:
+            host.member = None
+            self.at(self.now + max(span, START_MS), lambda: self._boot(host))
+
+    def _freeze(self, host: Host, span: float) -> None:
+        if host.member:
+            host.frozen_until = self.now + span
+            self.at(host.frozen_until, lambda: self._thaw(host, host.life))
+
+    def _thaw(self, host: Host, life: int) -> None:
+        if host.life != life or self.now < host.frozen_until:
+            return
+        held, host.held = host.held, []
+        self._check(host)  # an arrival that waited is the first thing that it sees
+        for act in held:
+            act()
+        self._turn(host, life)
+
+    def _turn(self, host: Host, life: int) -> None:
+        """The host's loop goes round once."""
+        if host.life != life or not host.member or not host.settler:
+            return
+        if self.now < host.frozen_until:
+            host.held.append(lambda: self._turn(host, life))
+            return
+        member, seen = host.member, host.member.seen
+        wants = member.wants(self.now)
+        opened = seen.open.id if seen and seen.open else ""
+        settle = host.settler.wants(self.now, opened, member.on_duty, bool(seen and seen.has_duty),
+                                    member.lease, member.registered)
+        for want in [*wants, settle] if settle else wants:
+            self._send(host, life, want)
+        due = max(min(member.due(), host.settler.due()), self.now + 1.0)
+        if due < host.woken or host.woken <= self.now:
+            host.woken = due
+            if due < END_MS:
+                self.at(due, lambda: self._turn(host, life))
+
+    def _send(self, host: Host, life: int, want: Want) -> None:
+        sent = self.now
+        if isinstance(want, Save):
+            def saved() -> None:
+                host.disk = want.record if host.life == life else host.disk  # type: ignore[assignment]
+                self._told(host, life, want, sent, True)
+
+            self.at(sent + self.between(SAVE_MS), saved)
+            return
+        timeout = self.rules.bound_ms / 4
+        there = self.between(LATENCY_MS) / 2
+        if self.now < host.cut_until or self.now + there < self.store_away_until:
+            self.at(sent + timeout, lambda: self._told(host, life, want, sent, None))
+            return
+
+        def arrive() -> None:
+            outcome = self._serve(want)
+            lost = self.now < host.cut_until or self.now < self.store_away_until
+            when = sent + timeout if lost else self.now + there
+            self.at(when, lambda: self._told(host, life, want, sent, None if lost else outcome))
+
+        self.at(sent + there, arrive)
+
+    def _told(self, host: Host, life: int, want: Want, sent: float, outcome: Outcome) -> None:
+        if host.life != life or not host.member or not host.settler:
+            return
+        if self.now < host.frozen_until:
+            host.held.append(lambda: self._told(host, life, want, sent, outcome))
+            return
+        if want.lane is Lane.SETTLE:
+            if isinstance(want, Commit):
+                host.member.hint()
+            more = host.settler.told(self.now, want, outcome)
+            if more:
+                self._send(host, life, more)
+        else:
+            host.member.told(self.now, want, sent, outcome)
+            if host.member.known.version == self.version and host.switched == math.inf:
+                host.switched = self.now
+        self._turn(host, life)
+
+    # The store.
+
+    def _serve(self, want: Want) -> Outcome:
+        self.store.lapse(self.now)
+        if isinstance(want, Read):
+            self.counts["reads"] += 1
+            return self.store.read(want.names)
+        self.counts["writes"] += 1
+        if isinstance(want, Lease):
+            return self.store.grant(self.now, want.span_ms)
+        if isinstance(want, Renew):
+            self.counts["writes"] -= 1  # a renewal writes no key
+            self.counts["renewals"] += 1
+            return self.store.renew(self.now, want.lease)
+        assert isinstance(want, Commit)
+        done = self.store.commit(want.compares, want.writes)
+        if done.held and any(write.key.startswith(KEYS.head) for write in want.writes):
+            self._note(want)
+            for host in self.hosts:
+                if host.member and self.now >= host.cut_until:
+                    self.counts["hints"] += 1
+                    self.at(self.now + self.between(HINT_MS), lambda host=host: self._hint(host))  # type: ignore[misc]
+        return done
+
+    def _hint(self, host: Host) -> None:
+        if host.member:
+            host.member.hint()
+            self._turn(host, host.life)
+
+    def _note(self, commit: Commit) -> None:
+        for put in commit.writes:
+            if isinstance(put, Put) and put.key == KEYS.policy:
+                self.version, self.committed_at = decode(put.value, PolicyHead).version, self.now
+                for host in self.hosts:
+                    host.switched = math.inf
+
+    # The change.
+
+    def _propose(self) -> None:
+        if self.now < self.store_away_until:
+            self.at(self.store_away_until + LOOK_MS, self._propose)
+            return
+        view = View(KEYS, self.store.read([KEYS.head]))
+        commit = propose(view, "A", "policy A", "lab", "", 0.0, DEADLINE_MS)
+        self._serve(commit)
+        self.at(self.now + 50.0, self._settle)
+
+    def _settle(self) -> None:
+        """The proposer's own program counts as well, for as long as it lives."""
+        if not self.proposer_lives:
+            return
+        if self.now >= self.store_away_until:
+            view = View(KEYS, self.store.read([KEYS.change]))
+            if not view.change:
+                return
+            want = self.proposer.wants(self.now, view.change.id, False, False, 0, 0)
+            if want:
+                commit = self.proposer.told(self.now, want, self._serve(want))
+                if commit:
+                    self.proposer.told(self.now, commit, self._serve(commit))
+        self.at(self.now + 100.0, self._settle)
+
+    # The books.
+
+    def _look(self) -> None:
+        for host in self.hosts:
+            self._check(host)
+        self.at(self.now + LOOK_MS, self._look)
+
+    def _check(self, host: Host) -> None:
+        if not host.member or self.now < host.frozen_until:
+            return
+        version = host.member.admits(self.now)
+        if self.now >= BEGIN_MS:
+            self.looks += 1
+            self.asides += version is None
+        if version is not None and version < self.version:
+            old = self.now - self.committed_at
+            self.old_ms = max(self.old_ms, old)
+            self.breaches += old > self.rules.bound_ms
+
+    def _result(self) -> Result:
+        up = [host.member for host in self.hosts if host.member and self.now >= host.frozen_until]
+        opened = View(KEYS, self.store.read([KEYS.change])).change
+        agreed = not opened and all(member.admits(self.now) == self.version for member in up)
+        switched = [host.switched for host in self.hosts if host.member and host.switched < math.inf]
+        last = max(switched, default=0.0) - self.committed_at if self.version else 0.0
+        return Result(self.version > 0, self.breaches, self.old_ms, max(last, 0.0),
+                      self.asides / max(self.looks, 1), agreed, self.counts["reads"], self.counts["writes"],
+                      self.counts["hints"], self.calm_reads / 2.0)
+
+
+def play(servers: int, seed: int, faults: int, absent: str = "wait", bound_ms: float = 2000.0,
+         lease_ms: float = 6000.0) -> Result:
+    """One plan."""
+    rules = replace(Rules(), absent=absent, bound_ms=bound_ms, lease_ms=lease_ms)  # type: ignore[arg-type]
+    return Hours(servers, seed, rules, faults).play()
