--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -4,8 +4,8 @@
 Whoever settles decides nothing: the votes do. A change is committed once every name on the roster has said
 yes, or was left out by its own rule with its lease lapsed; it is aborted at the first no and at its deadline.
 All of these are one commit that compares the open change as it was read, and who had registered by then; so
-of any number of settlers at any time, dead or alive, one commit takes effect and the others fall. A vote, once
-in the store, stays until the change ends: what was counted at a read still stands at the commit.
+of any number of settlers at any time, dead or alive, one commit takes effect and the others fall. A vote,
+once in the store, stays until the change ends: what was counted at a read still stands at the commit.
 
 A commit has a handful of writes and compares at any size of the fleet, for engines bound them (etcd: 128)."""
 
