Fleet: a failure of its part is not the server's; a cancelled call is told from a closed channel

Found by test: grpcio's cancellation names no scope, so an anyio scope that had cancelled a call did not know it for its own, and the whole server would have ended by it; a record under the fleet's keys that is none of ours ended the settler's task, and with it the server's task group. Tests of the client against the stand-in (restart, lost answers, watch, cancellation), of file, policy, change and member.

--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -1,6 +1,7 @@
 """lab: experiments in simulated time. Needs the extra `lab`: pip install 'otterrudder[lab]'."""
 
 import json
+import signal
 import sys
 from pathlib import Path
 
@@ -44,6 +45,8 @@
         what = of.read(file)
     except BadInput as trouble:
         give_up(trouble)
+    for number in (signal.SIGINT, signal.SIGTERM):  # also where a shell has set it to be ignored
+        signal.signal(number, signal.default_int_handler)
     told = what.told
     seeds = [seed] if seed is not None else told.seeds[: 1 if quick else None]
     count = servers or (told.quick_servers if quick else told.servers)
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -31,6 +31,7 @@
 STATE = "member"  # the file in the folder
 WATCH_AGAIN_MS = 500.0  # ms until a watch that ended is begun again
 LEAVE_MS = 500.0  # ms that the way out may take: the name is free at once for the next life
+FAILED_MS = 200.0  # ms until what failed is tried again: it must not spin
 NAP_MS = 1000.0  # ms of sleep at the most where nothing is due
 
 
@@ -120,6 +121,15 @@
         return [*wants, settle] if settle else wants
 
     async def _carry_out(self, want: Want, sent: float) -> None:
+        """A failure in one of them, a record that is none of ours say, is not the server's."""
+        try:
+            await self._play(want, sent)
+        except Exception:
+            log.exception("the fleet's part failed", of=type(want).__name__.lower())
+            await anyio.sleep(FAILED_MS / 1000)
+        self.wake.set()
+
+    async def _play(self, want: Want, sent: float) -> None:
         """One want to its outcome; what follows from a settler's reading is carried out as well."""
         name = want.what if isinstance(want, Commit) else type(want).__name__.lower()
         reached(f"before {name}")
@@ -133,10 +143,9 @@
             more = self.settler.told(now, want, outcome)
             if more:
                 log.info("settling a change", change=self.settler.change, how=more.what)
-                await self._carry_out(more, now)
+                await self._play(more, now)
         else:
             self.member.told(now, want, sent, outcome)
-        self.wake.set()
 
     async def _outcome(self, want: Want) -> Outcome:
         self.counts["asked"] += 1
@@ -144,8 +153,10 @@
             if isinstance(want, Save):
                 return await anyio.to_thread.run_sync(self._save, want)
             outcome = await self._ask(want)
-        except StoreAway as why:
+        except Exception as why:  # whatever a library raises is no answer, and its lane must be free again
             self.counts["unanswered"] += 1
+            if not isinstance(why, StoreAway):
+                log.exception("a request to the store failed")
             if not self.away_since:
                 self.away_since = clock.monotonic()
                 log.warning("the store does not answer", why=str(why))
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any, NoReturn
 
+import anyio
+import anyio.lowlevel
 import grpc
 from aetcd import rpc
 
@@ -74,7 +76,7 @@
         except grpc.RpcError as why:
             await self._note(why)
         except asyncio.CancelledError:
-            _pass_on_cancellation()
+            await _cancelled()
         finally:
             call.cancel()
         raise StoreAway("the renewal ended without an answer")
@@ -97,7 +99,7 @@
         except grpc.RpcError as why:
             await self._note(why)
         except asyncio.CancelledError:
-            _pass_on_cancellation()
+            await _cancelled()
         finally:
             call.cancel()
         raise StoreAway("the watch ended")
@@ -115,7 +117,7 @@
         except grpc.RpcError as why:
             await self._note(why)
         except asyncio.CancelledError:
-            _pass_on_cancellation()
+            await _cancelled()
         self._silent = 0
         return answer
 
@@ -146,12 +148,14 @@
     """The engine has said that it did nothing."""
 
 
-def _pass_on_cancellation() -> NoReturn:
-    """Called while a cancellation is handled. A channel that is closed cancels the calls on it, which looks
-    like the end of the task that waits: taken for one, it would end the whole server."""
+async def _cancelled() -> NoReturn:
+    """Which of three it is, for they look alike: the scope that waits was cancelled, the task was, or the
+    channel was closed under the call. grpcio's own cancellation names no scope, so a scope would not know it
+    for its own, and all the server's tasks would end by it."""
+    await anyio.lowlevel.checkpoint_if_cancelled()
     task = asyncio.current_task()
     if task and task.cancelling():
-        raise  # noqa: PLE0704
+        raise asyncio.CancelledError
     raise StoreAway("the channel was closed") from None
 
 
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -200,7 +200,7 @@
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
     from otterrudder.fleet.client import Client
-    from otterrudder.fleet.policy import parse, trouble_in
+    from otterrudder.fleet.policy import BadPolicy, parse, trouble_in
     from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
@@ -208,7 +208,10 @@
     products, tenants = products_of(settings), tenants_of(settings)
 
     def take(text: str) -> None:
-        table = parse(text, products, tenants).levels if text else None
+        try:
+            table = parse(text, products, tenants).levels if text else None
+        except BadPolicy:
+            return  # it stands aside for that, and says why
         helm.post(helm.core.take_policy, table, lambda table: Watch(table, spread))
 
     def judge(text: str) -> str:
--- /dev/null
+++ b/tests/fleet/test_pure.py
@@ -0,0 +1,314 @@
+"""The fleet's file, a policy, the change's commits, and a member's standing, each by itself."""
+
+from pathlib import Path
+
+import pytest
+
+from otterrudder.fleet.change import Refused, Settler, fate, propose, settle, strike, whole, withdraw
+from otterrudder.fleet.configuration import BadFleet, read_fleet
+from otterrudder.fleet.member import Member, Record, Rules, Standing
+from otterrudder.fleet.policy import BadPolicy, parse, trouble_in
+from otterrudder.fleet.records import Keys, Settled, View, digest_of
+from otterrudder.fleet.wants import Commit, Read, Save
+from otterrudder.interface import Effect, Product
+from otterrudder.lab.fleet.hours import play
+from otterrudder.lab.keyspace import KeySpace
+
+ROOT = Path(__file__).parents[2]
+GOOD = 'version = 1\nfleet = "f"\nstore = ["127.0.0.1:2379"]\nfolder = "state"\n'
+KEYS = Keys("f")
+PRODUCTS = [Product(name, Effect.INQUIRY, 1.0, 1000.0, 2000.0)
+            for name in ("addr-lookup", "form-check", "form-submit")]
+
+
+@pytest.mark.parametrize(("change", "says"), [
+    (("folder", 'other = 1\nfolder'), "fleet.toml: : Object contains unknown field `other`"),
+    (("version = 1", "version = 2"), "fleet.toml: version: this program reads 1, not 2"),
+    (('"f"', '"a/b"'), "fleet.toml: fleet: a name without a slash is wanted, not 'a/b'"),
+    (("2379", "x"), "fleet.toml: store: '127.0.0.1:x' is no address and port"),
+    (('["127.0.0.1:2379"]', "[]"), "fleet.toml: store: from 1 to 9 addresses are wanted, not 0"),
+    (('folder = "state"\n', ""), 'fleet.toml: folder: absent = "wait" needs one'),
+    (("folder", 'absent = "leave-out"\nstart = "folder"\nfolder'), 'fleet.toml: start: "folder" goes with'),
+    (("folder", "bound_ms = 100\nfolder"), "fleet.toml: bound_ms: 100 is not from 400 to 60000"),
+    (("folder", "lease_ms = 3500\nfolder"), "fleet.toml: lease_ms: 3500 is not whole seconds"),
+    (("folder", 'absent = "never"\nfolder'), "fleet.toml: .absent: Invalid enum value 'never'"),
+])
+def test_a_bad_file_is_refused_by_its_key(tmp_path: Path, change: tuple[str, str], says: str) -> None:
+    path = tmp_path / "fleet.toml"
+    path.write_text(GOOD.replace(*change))
+    with pytest.raises(BadFleet) as trouble:
+        read_fleet(path)
+    assert str(trouble.value).startswith(says) and "\n" not in str(trouble.value)
+
+
+def test_the_examples_are_good() -> None:
+    fleet = read_fleet(ROOT / "deploy/fleet.toml")
+    assert fleet.rules == Rules() and fleet.timeout_ms == 500.0
+    assert fleet.folder == ROOT / "deploy/fleet-state"
+    content = parse((ROOT / "deploy/policy.toml").read_text(), PRODUCTS, [])
+    assert content.levels and [rung.name for rung in content.levels.rungs] == ["checks-when-free"]
+    assert parse("version = 1", PRODUCTS, []).levels is None
+
+
+def test_a_policy_is_refused_by_its_key() -> None:
+    text = (ROOT / "deploy/policy.toml").read_text()
+    assert trouble_in(text, PRODUCTS, []) == ""
+    assert "form-check" in trouble_in(text, PRODUCTS[:1], [])
+    assert trouble_in(text, PRODUCTS[:1], []).startswith("levels.level[1].cut[1]")
+    with pytest.raises(BadPolicy, match="unknown field `tenants`"):  # of a newer program
+        parse(text.replace("version = 1", "version = 1\ntenants = 3", 1), PRODUCTS, [])
+    with pytest.raises(BadPolicy, match="not TOML"):
+        parse("version = ", PRODUCTS, [])
+
+
+class Fleet:
+    """Members on a key space, in step."""
+
+    def __init__(self, names: str, rules: Rules | None = None) -> None:
+        self.rules = rules or Rules()
+        self.space, self.now = KeySpace(), 0.0
+        self.disks: dict[str, Record] = {}
+        self.members: dict[str, Member] = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str, epoch: str = "1", text_is_bad: str = "") -> Member:
+        def judge(text: str) -> str:
+            return f"{name}: bad" if text == text_is_bad else ""
+
+        self.members[name] = Member(self.now, KEYS, name, f"{name}{epoch}", f"of {name}", self.rules, judge,
+                                    record=self.disks.get(name))
+        return self.members[name]
+
+    def turn(self, *cut: str) -> None:
+        """All that is wanted now is carried out; who is cut off hears nothing."""
+        self.space.lapse(self.now)
+        for _ in range(30):
+            for name, member in self.members.items():
+                for want in member.wants(self.now):
+                    if isinstance(want, Save):
+                        assert isinstance(want.record, Record)
+                        self.disks[name] = want.record
+                        outcome: object = True
+                    elif name in cut:
+                        outcome = None
+                    elif isinstance(want, Read):
+                        outcome = self.space.read(want.names)
+                    elif isinstance(want, Commit):
+                        outcome = self.space.commit(want.compares, want.writes)
+                    elif hasattr(want, "span_ms"):
+                        outcome = self.space.grant(self.now, want.span_ms)
+                    else:
+                        outcome = self.space.renew(self.now, want.lease)
+                    member.told(self.now, want, self.now, outcome)  # type: ignore[arg-type]
+
+    def later(self, ms: float, *cut: str) -> None:
+        ends = self.now + ms
+        while self.now < ends:
+            self.now += 100.0
+            self.turn(*cut)
+
+    @property
+    def view(self) -> View:
+        return View(KEYS, self.space.read(whole(KEYS)))
+
+    def do(self, commit: Commit | None) -> bool:
+        assert commit
+        done = self.space.commit(commit.compares, commit.writes)
+        for member in self.members.values():
+            member.hint()
+        return done.held
+
+    def open(self, ident: str, text: str) -> None:
+        assert self.do(propose(self.view, ident, text, "me", "why", 0.0, 5000.0))
+
+    def admits(self) -> list[int | None]:
+        return [member.admits(self.now) for member in self.members.values()]
+
+
+def test_one_change_after_another_and_what_became_of_each() -> None:
+    fleet = Fleet("abc")
+    assert fleet.admits() == [None, None, None]
+    fleet.turn()
+    assert fleet.admits() == [0, 0, 0]
+    fleet.open("one", "first")
+    with pytest.raises(Refused, match="a change to version 1 is open: me, why"):
+        propose(fleet.view, "two", "second", "you", "", 0.0, 5000.0)
+    assert settle(fleet.view, False) is None
+    fleet.turn()
+    assert {member.standing(fleet.now) for member in fleet.members.values()} == {Standing.PLEDGED}
+    assert fleet.do(settle(fleet.view, False))
+    fleet.turn()
+    assert fleet.admits() == [1, 1, 1]
+    end = fate(fleet.view, "one")
+    assert isinstance(end, Settled) and end.committed and fate(fleet.view, "two") is None
+    assert fleet.members["a"].known.text == "first"
+
+
+def test_one_no_aborts_and_names_who_and_why() -> None:
+    fleet = Fleet("ab")
+    fleet.start("c", text_is_bad="bad")
+    fleet.turn()
+    fleet.open("one", "bad")
+    fleet.turn()
+    commit = settle(fleet.view, False)
+    assert commit and commit.what == "abort" and fleet.do(commit)
+    end = fate(fleet.view, "one")
+    assert isinstance(end, Settled) and not end.committed and end.why == "c: c: bad"
+    fleet.turn()
+    assert fleet.admits() == [0, 0, 0] and not any(m.pledge for m in fleet.members.values())
+    assert KEYS.text(digest_of("bad")) in fleet.space.keys  # for the history, until it is too old
+
+
+def test_who_has_voted_and_hears_nothing_stands_aside_within_the_bound() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    fleet.open("one", "first")
+    fleet.turn()
+    fleet.later(1900.0, "a")
+    assert fleet.members["a"].standing(fleet.now) is Standing.PLEDGED
+    fleet.later(200.0, "a")
+    assert fleet.members["a"].standing(fleet.now) is Standing.UNHEARD
+    assert fleet.admits() == [None, 0]
+    assert fleet.do(settle(fleet.view, False))
+    fleet.later(5000.0, "a")
+    assert fleet.admits() == [None, 1]
+    fleet.later(2500.0)
+    assert fleet.admits() == [1, 1]
+
+
+def test_with_no_change_open_and_no_store_the_fleet_serves_on() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    fleet.later(600_000.0, "a", "b")
+    assert fleet.admits() == [0, 0]
+
+
+def test_by_the_other_rule_who_is_away_stands_aside_and_is_left_out() -> None:
+    fleet = Fleet("ab", Rules(absent="leave-out"))
+    fleet.turn()
+    fleet.later(5000.0, "a")
+    assert fleet.admits() == [0, 0]
+    fleet.later(1500.0, "a")
+    assert fleet.members["a"].standing(fleet.now) is Standing.LAPSED
+    fleet.open("one", "first")
+    fleet.turn("a")
+    commit = settle(fleet.view, False)
+    assert commit and fleet.do(commit)
+    end = fate(fleet.view, "one")
+    assert isinstance(end, Settled) and end.left_out == ("a",)
+    fleet.later(2500.0)
+    assert fleet.admits() == [1, 1]
+
+
+def test_a_start_without_the_store_by_the_folder_where_nothing_is_promised() -> None:
+    rules = Rules(starts_from_folder=True)
+    fleet = Fleet("ab", rules)
+    fleet.turn()
+    fleet.open("one", "first")
+    fleet.turn()
+    assert fleet.do(settle(fleet.view, False))
+    fleet.turn()
+    assert fleet.start("a", "2").admits(fleet.now) == 1
+    fleet.later(7000.0)
+    fleet.open("two", "second")
+    fleet.turn()
+    again = fleet.start("a", "3")
+    assert again.admits(fleet.now) is None and again.standing(fleet.now) is Standing.STARTING
+    fleet.disks["a"] = Record("a", "of a")  # a new folder of that name: nobody knows what it has promised
+    assert fleet.start("a", "4").admits(fleet.now) is None
+
+
+def test_a_store_that_went_back_or_is_another_one_is_not_believed() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    old = fleet.space.copy()
+    fleet.open("one", "first")
+    fleet.turn()
+    assert fleet.do(settle(fleet.view, False))
+    fleet.turn()
+    fleet.space = old
+    fleet.later(11_000.0)
+    assert fleet.admits() == [1, 1] and "revision went back" in fleet.members["a"].why
+    fleet.space = KeySpace(cluster=7, revision=900)
+    fleet.later(11_000.0)
+    assert fleet.admits() == [1, 1] and "another engine answers" in fleet.members["a"].why
+
+
+def test_a_name_is_one_process_s_until_an_operator_says_that_it_is_gone() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    first = fleet.members.pop("a")
+    twin = Member(fleet.now, KEYS, "a", "twin", "another folder", fleet.rules, lambda text: "")
+    fleet.members["a"] = twin
+    fleet.turn()
+    assert twin.standing(fleet.now) is Standing.TAKEN
+    with pytest.raises(Refused, match="a lives: its lease has not lapsed"):
+        strike(fleet.view, "a")
+    fleet.later(7000.0)
+    assert twin.standing(fleet.now) is Standing.FOREIGN and first.admits(fleet.now) == 0
+    assert fleet.do(strike(fleet.view, "a"))
+    fleet.later(4000.0)
+    assert twin.admits(fleet.now) == 0
+    with pytest.raises(Refused, match="z is not on the roster"):
+        strike(fleet.view, "z")
+
+
+def test_a_disk_that_is_full_is_a_no_and_no_promise() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    member = fleet.members["a"]
+    fleet.open("one", "first")
+    for _ in range(20):
+        for want in member.wants(fleet.now):
+            outcome: object = False if isinstance(want, Save) else None
+            if isinstance(want, Read):
+                outcome = fleet.space.read(want.names)
+            elif isinstance(want, Commit):
+                outcome = fleet.space.commit(want.compares, want.writes)
+            member.told(fleet.now, want, fleet.now, outcome)  # type: ignore[arg-type]
+    vote = fleet.view.vote("a")
+    assert vote and not vote.yes and "could not be written" in vote.why
+    assert member.pledge is None and member.admits(fleet.now) == 0
+
+
+def test_a_change_is_withdrawn_and_ends_at_its_deadline() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    fleet.open("one", "first")
+    assert fleet.do(withdraw(fleet.view, "one", "no more"))
+    with pytest.raises(Refused, match="it is open no more"):
+        withdraw(fleet.view, "one", "no more")
+    fleet.open("two", "second")
+    assert settle(fleet.view, False) is None
+    commit = settle(fleet.view, True)
+    assert commit and fleet.do(commit)
+    end = fate(fleet.view, "two")
+    assert isinstance(end, Settled) and end.why == "no word in time from a, b"
+
+
+def test_a_settler_takes_the_duty_once_and_commits_what_it_counted() -> None:
+    fleet = Fleet("ab")
+    fleet.turn()
+    fleet.open("one", "first")
+    fleet.turn()
+    settler, member, now = Settler(KEYS, "a"), fleet.members["a"], fleet.now
+    asked = None
+    while asked is None:
+        now += 50.0
+        asked = settler.wants(now, "one", False, False, member.lease, member.registered)
+    assert isinstance(asked, Commit) and asked.what == "duty" and fleet.do(asked)
+    assert settler.told(now, asked, fleet.space.commit((), ())) is None
+    read = settler.wants(now, "one", True, True, member.lease, member.registered)
+    assert isinstance(read, Read)
+    commit = settler.told(now, read, fleet.space.read(read.names))
+    assert commit and commit.what == "commit" and fleet.do(commit)
+
+
+@pytest.mark.parametrize("absent", ["wait", "leave-out"])
+def test_forty_servers_through_plans_of_faults_in_simulated_time(absent: str) -> None:
+    results = [play(40, seed, 6, absent) for seed in range(10)]
+    assert [result.breaches for result in results] == [0] * 10 and all(result.agreed for result in results)
+    assert sum(result.committed for result in results) >= 6
+    calm = play(40, 1, 0, absent)
+    assert calm.committed and calm.last_switch_ms < 100.0 and calm.aside_share == 0.0
--- /dev/null
+++ b/tests/fleet/test_store.py
@@ -0,0 +1,243 @@
+"""The store's client against our stand-in of its API, with the faults that an engine and its network have."""
+
+import json
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+
+import anyio
+import pytest
+
+from otterrudder.fleet.agent import Agent, Orders
+from otterrudder.fleet.change import propose
+from otterrudder.fleet.client import Client
+from otterrudder.fleet.configuration import Fleet, read_fleet
+from otterrudder.fleet.member import Rules
+from otterrudder.fleet.records import Keys, Live, Roster, View, encode
+from otterrudder.fleet.store import Changed, Compare, Delete, Done, Put, Snapshot, StoreAway
+from otterrudder.lab.keyspace import KeySpace
+from otterrudder.lab.processes.rig import ROOT
+from otterrudder.net import clock
+
+TIMEOUT_MS = 400.0
+
+
+class Engine:
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.port = folder, 0
+        self.start()
+
+    def start(self) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "otterrudder.lab.processes.etcd", str(self.port)], cwd=ROOT,
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert self.process.stdout
+        self.port = int(self.process.stdout.readline())
+
+    def tell(self, **fault: object) -> None:
+        assert self.process.stdin and self.process.stdout
+        self.process.stdin.write(json.dumps(fault).encode() + b"\n")
+        self.process.stdin.flush()
+        assert self.process.stdout.readline() == b"ok\n"
+
+    def stop(self) -> None:
+        assert self.process.stdin and self.process.stdout
+        self.process.stdin.close()
+        self.process.wait(10)
+        self.process.stdout.close()
+
+    def client(self) -> Client:
+        path = self.folder / "fleet.toml"
+        store = f'store = ["127.0.0.1:{self.port}"]'
+        path.write_text(f'version = 1\nfleet = "f"\n{store}\nabsent = "leave-out"\n')
+        return Client(read_fleet(path))
+
+
+@pytest.fixture
+def engine(tmp_path: Path) -> Iterator[Engine]:
+    engine = Engine(tmp_path)
+    yield engine
+    engine.stop()
+
+
+def test_reads_commits_and_leases_are_as_in_the_key_space(engine: Engine) -> None:
+    async def play() -> None:
+        client, space = engine.client(), KeySpace()
+        writes = [Put("f/head/a", b"1"), Put("f/head/ab", b"2"), Put("f/live/a", b"3"), Put("f/b", b"4")]
+        assert (await client.commit([Compare("f/b", "created", 0)], writes, TIMEOUT_MS)).held
+        assert space.commit([Compare("f/b", "created", 0)], writes).held
+        assert not (await client.commit([Compare("f/b", "created", 0)], writes, TIMEOUT_MS)).held
+        lapses = await client.lease(1000.0, TIMEOUT_MS)
+        lasts = await client.lease(60_000.0, TIMEOUT_MS)
+        await client.commit([], [Put("f/live/c", b"5", lapses), Put("f/live/d", b"6", lasts)], TIMEOUT_MS)
+        read = await client.read(["f/head/", "f/live/", "f/b", "f/none"], TIMEOUT_MS)
+        assert sorted(read.entries) == ["f/b", "f/head/a", "f/head/ab", "f/live/a", "f/live/c", "f/live/d"]
+        mine = space.read(["f/head/", "f/b"]).entries
+        assert {key: read.entries[key] for key in mine} == mine
+        assert await client.renew(lasts, TIMEOUT_MS)
+        await anyio.sleep(1.3)
+        left = await client.read(["f/live/"], TIMEOUT_MS)
+        assert sorted(left.entries) == ["f/live/a", "f/live/d"]
+        assert not await client.renew(lapses, TIMEOUT_MS)
+        assert not (await client.commit([], [Put("f/x", b"", lapses)], TIMEOUT_MS)).held
+        done = await client.commit([], [Delete("f/live/", True), Delete("f/b")], TIMEOUT_MS)
+        assert sorted((await client.read(["f/head/", "f/live/", "f/b"], TIMEOUT_MS)).entries) == [
+            "f/head/a", "f/head/ab"]
+        assert done.revision > left.revision and read.cluster == left.cluster != 0
+        await client.close()
+
+    anyio.run(play)
+
+
+def test_no_answer_is_told_as_such_and_what_took_effect_is_found_by_reading(engine: Engine) -> None:
+    async def play() -> None:
+        client = engine.client()
+        engine.tell(lose_answers=1)
+        with pytest.raises(StoreAway):
+            await client.commit([], [Put("f/a", b"1")], TIMEOUT_MS)
+        assert (await client.read(["f/a"], TIMEOUT_MS)).entries["f/a"].value == b"1"
+        engine.tell(down=True)
+        with anyio.fail_after(3), pytest.raises(StoreAway):
+            await client.read(["f/a"], TIMEOUT_MS)
+        engine.tell(down=False)
+        with anyio.fail_after(3):
+            while True:
+                try:
+                    await client.read(["f/a"], TIMEOUT_MS)
+                    break
+                except StoreAway:
+                    await anyio.sleep(0.05)
+        await client.close()
+
+    anyio.run(play)
+
+
+def test_an_engine_that_restarts_is_found_again_and_known_for_another(engine: Engine) -> None:
+    async def play() -> None:
+        client = engine.client()
+        await client.commit([], [Put("f/a", b"1")], TIMEOUT_MS)
+        before = await client.read(["f/a"], TIMEOUT_MS)
+        engine.stop()
+        with pytest.raises(StoreAway):
+            await client.read(["f/a"], TIMEOUT_MS)
+        engine.start()
+        engine.tell(empty=1)
+        with anyio.fail_after(5):
+            while True:
+                try:
+                    after = await client.read(["f/a"], TIMEOUT_MS)
+                    break
+                except StoreAway:
+                    await anyio.sleep(0.05)
+        assert not after.entries and after.cluster != before.cluster and after.revision < before.revision
+        await client.close()
+
+    anyio.run(play)
+
+
+def test_a_watch_hints_and_ends_by_an_error_never_in_silence(engine: Engine) -> None:
+    async def play() -> None:
+        client, heard = engine.client(), []
+
+        async def watch() -> None:
+            with pytest.raises(StoreAway):
+                async for change in client.watch("f/head/"):
+                    heard.append(change.revision)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            with anyio.fail_after(3):
+                while not heard:
+                    await anyio.sleep(0.02)
+                done = await client.commit([], [Put("f/head/a", b"1")], TIMEOUT_MS)
+                await client.commit([], [Put("f/other/a", b"1")], TIMEOUT_MS)
+                while len(heard) < 2:
+                    await anyio.sleep(0.02)
+            assert heard[1] >= done.revision
+            engine.tell(cancel_watches=1)
+        assert len(heard) == 2
+        await client.close()
+
+    anyio.run(play)
+
+
+def test_a_cancelled_caller_is_cancelled_and_a_closed_channel_cancels_nobody(engine: Engine) -> None:
+    async def play() -> None:
+        client = engine.client()
+        engine.tell(down=True)
+        with anyio.move_on_after(0.1) as scope:
+            await client.read(["f/a"], 5000.0)
+        assert scope.cancelled_caught
+        outcomes: list[str] = []
+
+        async def ask() -> None:
+            try:
+                await client.read(["f/a"], 5000.0)
+            except StoreAway as why:
+                outcomes.append(str(why))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.1)
+            await client.close()
+        assert len(outcomes) == 1
+
+    anyio.run(play)
+
+
+def test_a_request_that_fails_in_a_library_is_no_answer_and_the_actor_lives() -> None:
+    """A record of somebody else's under the fleet's keys, and an error that no client should raise."""
+    space, asked = KeySpace(), [0]
+
+    class Odd:
+        async def read(self, names: list[str], timeout_ms: float) -> Snapshot:
+            asked[0] += 1
+            if asked[0] == 2:
+                raise ValueError("odd")
+            return space.read(names)
+
+        async def commit(self, compares: list[Compare], writes: list[Put], timeout_ms: float) -> Done:
+            return space.commit(compares, writes)
+
+        async def lease(self, span_ms: float, timeout_ms: float) -> int:
+            return space.grant(0.0, span_ms)
+
+        async def renew(self, lease: int, timeout_ms: float) -> bool:
+            return True
+
+        async def revoke(self, lease: int, timeout_ms: float) -> None:
+            space.revoke(lease)
+
+        async def watch(self, prefix: str) -> AsyncIterator[Changed]:
+            await anyio.sleep_forever()
+            yield Changed(0)
+
+        async def close(self) -> None: ...
+
+    keys = Keys("f")
+    odd = [Put(keys.vote("x"), b"not JSON"), Put(keys.roster("x"), encode(Roster("of x", "wait")))]
+    space.commit([], odd)
+    fleet = Fleet("f", (("127.0.0.1", 1),), Rules(absent="leave-out"), None, "", None, None, None)
+    orders = Orders(lambda text: None, lambda is_aside: None)
+    agent = Agent(fleet, Odd(), "a", Live(""), lambda text: "", orders, None, None)
+
+    async def play() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(agent.run)
+            with anyio.fail_after(5):
+                while agent.member.admits(clock.monotonic()) is None:
+                    await anyio.sleep(0.02)
+                view = View(keys, space.read([keys.head]))
+                commit = propose(view, "A", "version = 1", "", "", 0.0, 1000.0)
+                space.commit(commit.compares, commit.writes)
+                agent.member.hint()
+                while not agent.member.pledge:
+                    agent.wake.set()
+                    await anyio.sleep(0.02)
+            await anyio.sleep(2.5)  # the settler has come upon the record by now, and is alive
+            assert agent.member.standing(clock.monotonic()).admits
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+    assert not space.leases  # given back on the way out
