A policy on trial goes back by itself; values of products and tenants' shares in a policy

On three processes with the proposer killed after its commit: back on all.

Found by test: a figure that is not a number was written as null, no record any more, and one such server would have stopped every change. It is not told, and a live record that can't be read counts as alive, a vote as a no.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any, NoReturn, TypeVar
@@ -19,13 +20,24 @@
 
 from otterrudder.boot import products_of, tenants_of
 from otterrudder.cli.common import give_up, named_in, tables_in
-from otterrudder.fleet.change import Refused, count, fate, propose, settle, strike, whole, withdraw
+from otterrudder.fleet.change import (
+    Refused,
+    count,
+    fate,
+    figures_of,
+    propose,
+    settle,
+    strike,
+    whole,
+    withdraw,
+)
 from otterrudder.fleet.configuration import BadFleet, Fleet, read_fleet
 from otterrudder.fleet.points import reached
 from otterrudder.fleet.policy import BadPolicy, parse
 from otterrudder.fleet.records import BadRecord, Change, Keys, Settled, View
 from otterrudder.fleet.store import Done, StoreAway
 from otterrudder.fleet.wants import Commit
+from otterrudder.levels.table import FACTS
 from otterrudder.net import control
 from otterrudder.net.configuration import BadConfiguration, read_configuration
 
@@ -138,7 +150,16 @@
         change=dict(id=change.id, version=change.version, author=change.author, note=change.note,
                     owed=list(told.owed), left_out=list(told.left_out),
                     noes=[f"{name}: {why}" for name, why in told.noes]) if change and told else None,
-        members=members, strangers=sorted(set(lives) - set(view.rosters)))
+        trial=_trial(view), members=members, strangers=sorted(set(lives) - set(view.rosters)))
+
+
+def _trial(view: View) -> dict[str, str] | None:
+    trial = view.trial
+    if not trial:
+        return None
+    now = figures_of(view, trial)
+    return dict(conditions=" or ".join(f"{fact} > {bound:g}" for fact, bound in trial.conditions),
+                now=", ".join(f"{fact} {value:.3g}" for fact, value in now.items()) or "not known yet")
 
 
 def _lines(told: dict[str, Any]) -> list[str]:
@@ -146,6 +167,9 @@
     lines = [f"{told['fleet']}: " + (f"version {policy['version']} in force since {policy['at']} "
                                      f"({policy['author'] or 'unnamed'}: {policy['note'] or 'no note'})"
                                      if policy else "no policy yet: each server goes by its own files")]
+    if told["trial"]:
+        trial = told["trial"]
+        lines.append(f"on trial: goes back if {trial['conditions']}; now {trial['now']}")
     if change:
         waits = f", waits for {', '.join(change['owed'])}" if change["owed"] else ", all have voted"
         lines.append(f"open: version {change['version']} by {change['author'] or 'unnamed'}{waits}")
@@ -238,19 +262,53 @@
                          show_default=True, help="Seconds until a change that waits is given up.")
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A change as it was asked for."""
+
+    ident: str
+    text: str
+    author: str
+    note: str
+    deadline_ms: float
+    trial_ms: float
+    conditions: tuple[tuple[str, float], ...]
+
+
+def _conditions(told: tuple[str, ...]) -> tuple[tuple[str, float], ...]:
+    """From `given_up > 0.05`, each."""
+    found = []
+    for text in told:
+        fact, _, bound = (part.strip() for part in text.partition(">"))
+        try:
+            found.append((fact, float(bound)))
+        except ValueError:
+            give_up(f"--if {text!r}: wanted is FIGURE > NUMBER")
+        if fact not in FACTS:
+            give_up(f"--if {text!r}: figures are {', '.join(FACTS)}")
+    return tuple(found)
+
+
 @policy.command()
 @FILE
 @click.argument("policy_file", type=click.Path(path_type=Path))
+@click.option("--trial", "trial_s", type=click.FloatRange(1, 86_400), help="Seconds on trial.")
+@click.option("--if", "conditions", multiple=True, metavar="'FIGURE > NUMBER'",
+              help="In the mean of the fleet during the trial: it goes back by itself. May be given again.")
 @_AUTHOR
 @_NOTE
 @_DEADLINE
-def apply(file: str, policy_file: Path, author: str, note: str, deadline_s: float) -> None:
+def apply(file: str, policy_file: Path, trial_s: float | None, conditions: tuple[str, ...], author: str,
+          note: str, deadline_s: float) -> None:
     """Bring POLICY_FILE into force on all servers, or on none.
 
-    Prints each vote as it comes. Interrupted, the change goes on by itself: `fleet status` shows it."""
+    Prints each vote as it comes. Interrupted, the change goes on by itself: `fleet status` shows it. On trial
+    the servers tell their figures, and go back everywhere where one is too high, whoever is dead by then."""
+    if (trial_s is None) != (not conditions):
+        give_up("--trial and --if go together")
     text = _text_of(policy_file)
     _check(text, policy_file)
-    _change(file, text, author, note, deadline_s)
+    _change(file, text, author, note, deadline_s, trial_s or 0.0, _conditions(conditions))
 
 
 @policy.command()
@@ -270,19 +328,24 @@
     _change(file, _text(file, version)[1], author, note or f"back to version {version}", deadline_s)
 
 
-def _change(file: str, text: str, author: str, note: str, deadline_s: float) -> None:
+def _change(file: str, text: str, author: str, note: str, deadline_s: float, trial_s: float = 0.0,
+            conditions: tuple[tuple[str, float], ...] = ()) -> None:
     ident = secrets.token_hex(8)
-    end = _run(file, lambda store: _play(store, ident, text, author, note, deadline_s * 1000))
+    asked = Asked(ident, text, author, note, deadline_s * 1000, trial_s * 1000, conditions)
+    end = _run(file, lambda store: _play(store, asked))
     if end.committed:
         left = f", without {', '.join(end.left_out)}: aside until they know" if end.left_out else ""
         click.echo(f"version {end.version} is in force{left}")
+        if trial_s:
+            told = " or ".join(f"{fact} > {bound:g}" for fact, bound in conditions)
+            click.echo(f"on trial for {trial_s:g} s: the fleet goes back by itself if {told}")
         return
     _end(ABORTED, f"aborted, nothing has changed: {end.why}")
 
 
-async def _play(store: Store, ident: str, text: str, author: str, note: str, deadline_ms: float) -> Settled:
+async def _play(store: Store, asked: Asked) -> Settled:
     """From the proposal to the end of it, whoever settles it."""
-    view = await _opened(store, ident, text, author, note, deadline_ms)
+    view, ident, deadline_ms = await _opened(store, asked), asked.ident, asked.deadline_ms
     began, shown = time.monotonic(), set[str]()
     while True:
         told = fate(view, ident)
@@ -309,14 +372,16 @@
             await asyncio.sleep(LOOK_S)
 
 
-async def _opened(store: Store, ident: str, text: str, author: str, note: str, deadline_ms: float) -> View:
+async def _opened(store: Store, asked: Asked) -> View:
     """The change is open, or has ended already; found out by reading, never by a missing answer."""
+    ident = asked.ident
     for _ in range(TRIES_MOST):
         view = await store.view()
         if fate(view, ident):
             return view
         try:
-            commit = propose(view, ident, text, author, note, time.time() * 1000, deadline_ms)
+            commit = propose(view, ident, asked.text, asked.author, asked.note, time.time() * 1000,
+                             asked.deadline_ms, asked.trial_ms, asked.conditions)
         except Refused as why:
             _end(ABORTED, why)
         await store.commit(commit)
@@ -384,8 +449,11 @@
         else:
             import tomllib
 
-            levels = tomllib.loads(text).get("levels")
-            products, tenants = named_in(c for lv in tables_in(levels, "level") for c in tables_in(lv, "cut"))
+            told = tomllib.loads(text)
+            named = [c for lv in tables_in(told.get("levels"), "level") for c in tables_in(lv, "cut")]
+            named += [{key: list(told[key])} for key in ("products", "tenants")
+                      if isinstance(told.get(key), dict)]
+            products, tenants = named_in(named)
         parse(text, products, tenants)
     except (BadPolicy, BadConfiguration, ValueError) as trouble:
         give_up(f"{path.name}: {trouble}")
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -10,7 +10,7 @@
 
 import contextlib
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import anyio
@@ -18,7 +18,7 @@
 import msgspec
 
 from otterrudder.durable import BadState, Folder
-from otterrudder.fleet.change import Settler
+from otterrudder.fleet.change import Settler, trial_id
 from otterrudder.fleet.configuration import Fleet
 from otterrudder.fleet.member import Member, Policy, Record, Standing
 from otterrudder.fleet.points import reached
@@ -45,8 +45,10 @@
 
 class Agent:
     def __init__(self, fleet: Fleet, store: Store, name: str, live: Live, judge: Callable[[str], str],
-                 orders: Orders, folder: Folder | None, record: Record | None) -> None:
-        """`record`: what the folder holds, see `open_folder`."""
+                 orders: Orders, folder: Folder | None, record: Record | None,
+                 facts: Callable[[], Mapping[str, float]] = dict) -> None:
+        """`record`: what the folder holds, see `open_folder`; `facts`: how the server does, for trials."""
+        self.facts = facts
         keys, epoch = Keys(fleet.name), secrets.token_hex(8)
         self.timeout = fleet.timeout_ms
         self.store, self.folder, self.orders = store, folder, orders
@@ -115,7 +117,8 @@
     def _wants(self, now: float) -> list[Want]:
         member, seen = self.member, self.member.seen
         wants = member.wants(now)
-        change = seen.open.id if seen and seen.open else ""
+        change = seen.open.id if seen and seen.open else trial_id(seen.trial) if seen and seen.trial else ""
+        member.figures = tuple(self.facts().items())
         duty = bool(seen and seen.has_duty)
         settle = self.settler.wants(now, change, member.on_duty, duty, member.lease, member.registered)
         return [*wants, settle] if settle else wants
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -9,6 +9,7 @@
 
 A commit has a handful of writes and compares at any size of the fleet, for engines bound them (etcd: 128)."""
 
+import math
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
     Keys,
     PolicyHead,
     Settled,
+    Trial,
     View,
     digest_of,
     encode,
@@ -33,6 +35,7 @@
 DUTY_SPREAD_MS = 1500.0  # ms over which members come forward to settle a change: one does, the others see it
 COUNT_MS = 250.0  # ms between counts of the votes by whoever settles
 COUNT_MOST_MS = 2000.0  # ms between them once a change has been open for long
+STRIKES = 3  # counts in a row at which a figure on trial has to be too high: one may be a moment's
 REASONS_MOST = 8  # noes that are kept with an end: one has a file and a key to look at, not a thousand
 
 
@@ -72,23 +75,64 @@
     return Count(tuple(yes), tuple(noes), tuple(owed), tuple(left_out))
 
 
-def propose(view: View, ident: str, text: str, author: str, note: str, at: float,
-            deadline_ms: float) -> Commit:
+def propose(view: View, ident: str, text: str, author: str, note: str, at: float, deadline_ms: float,
+            trial_ms: float = 0.0, conditions: tuple[tuple[str, float], ...] = ()) -> Commit:
     """Opens a change; Refused says by whom another one is open. `ident`: the proposer's own, never used
-    before."""
-    keys, head = view.keys, view.policy
-    if opened := view.change:
-        raise Refused(f"a change to version {opened.version} is open: {opened.author or 'unnamed'}, "
-                      f"{opened.note or 'no note'} ({opened.id})")
+    before. `trial_ms` and `conditions`: what it is on trial for once it is in force."""
     if len(text.encode()) > TEXT_MOST:
         raise Refused(f"a policy may have {TEXT_MOST} bytes, not {len(text.encode())}")
-    digest = digest_of(text)
+    digest, head = digest_of(text), view.policy
     version = head.version + 1 if head else 1
-    change = Change(ident, version, digest, author[:NOTE_MOST], note[:NOTE_MOST], at, deadline_ms)
+    if conditions and not head:
+        raise Refused("a trial needs an earlier policy to go back to, and none was ever in force")
+    back = head.digest if head else ""
+    trial = Trial(ident, version, back, trial_ms, conditions) if conditions else None
+    change = Change(ident, version, digest, author[:NOTE_MOST], note[:NOTE_MOST], at, deadline_ms, trial)
+    return _open(view, change, (Put(view.keys.text(digest), text.encode()),))
+
+
+def _open(view: View, change: Change, more: tuple[Write, ...] = ()) -> Commit:
+    keys = view.keys
+    if opened := view.change:
+        raise Refused(f"a change to version {opened.version} is open: {opened.author or 'unnamed'}, "
+                      f"{opened.note or 'no note'} ({opened.id})")
     compares = (Compare(keys.change, "created", 0),
                 Compare(keys.policy, "modified", view.snapshot.modified(keys.policy)))
-    return Commit("propose", compares, (Put(keys.change, encode(change)),
-                                        Put(keys.text(digest), text.encode())), Lane.SETTLE)
+    return Commit("propose", compares, (Put(keys.change, encode(change)), *more), Lane.SETTLE)
+
+
+def figures_of(view: View, trial: Trial) -> dict[str, float]:
+    """The trial's figures in the mean of those who serve under it and tell them; nothing until half do."""
+    lives = view.lives.values()
+    telling = [live.figures for live in lives if live.version == trial.version and live.figures]
+    if not telling or 2 * len(telling) < len(lives):
+        return {}
+    found = {}
+    for fact, _ in trial.conditions:
+        told = [figures[fact] for figures in telling if math.isfinite(figures.get(fact, math.nan))]
+        if told:
+            found[fact] = sum(told) / len(told)
+    return found
+
+
+def try_out(view: View, age_ms: float, strikes: int) -> tuple[Commit | None, int]:
+    """What is to be done about a policy on trial, and how many counts in a row a figure has been too high.
+    The way back is a change like any other, with a name that any two who come to it share."""
+    keys, trial, head = view.keys, view.trial, view.policy
+    if not trial or not head or view.change:
+        return None, strikes
+    over = [f"{fact} {value:.3g} > {bound:g}" for fact, bound in trial.conditions
+            if (value := figures_of(view, trial).get(fact, -math.inf)) > bound]
+    ident = f"back-{trial.change}"
+    is_tried = fate(view, ident) is not None  # and was aborted: an operator has to look
+    if is_tried or head.version != trial.version or age_ms >= trial.span_ms:
+        compares = (Compare(keys.trial, "modified", view.snapshot.modified(keys.trial)),)
+        return Commit("trial over", compares, (Delete(keys.trial),), Lane.SETTLE), 0
+    if not over or strikes + 1 < STRIKES:
+        return None, strikes + 1 if over else 0
+    note = f"trial of version {trial.version} ended: {', '.join(over)}"
+    change = Change(ident, head.version + 1, trial.back, "the fleet", note[:NOTE_MOST], head.at)
+    return _open(view, change), 0
 
 
 def fate(view: View, ident: str) -> Settled | Change | None:
@@ -146,26 +190,32 @@
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
     kept = ends[-SETTLED_MOST:]
-    needed = {in_force, *(one.digest for one in kept)}
+    needed = {in_force, *(one.digest for one in kept), *([change.trial.back] if change.trial else [])}
     writes: list[Write] = [Put(keys.settled, msgspec.json.encode(kept)), Delete(keys.change),
                            Delete(keys.votes, whole_prefix=True)]
     writes += [Delete(keys.text(digest)) for digest in {one.digest for one in ends} - needed]
     if committed:
         new = PolicyHead(change.version, change.id, change.digest, change.author, change.note, change.at)
         writes.append(Put(keys.policy, encode(new)))
+        writes.append(Put(keys.trial, encode(change.trial)) if change.trial else Delete(keys.trial))
     compares = [Compare(keys.change, "modified", entries[keys.change].modified)]
     if committed:  # nobody has come since whose vote was not counted
         compares.append(Compare(keys.joined, "modified", view.snapshot.modified(keys.joined)))
     return Commit("commit" if committed else "abort", tuple(compares), tuple(writes), Lane.SETTLE)
 
 
+def trial_id(trial: Trial) -> str:
+    """What a settler knows a trial by."""
+    return f"trial of {trial.change}"
+
+
 class Settler:
     """Sees to it that an open change ends, whoever proposed it. Members take turns by a key that hangs on
     their lease: it saves the others the counting, and no promise rests on it.
 
     `wants` is asked with what the member has last seen; a proposer's own program counts without the duty."""
 
-    __slots__ = ("_at", "_busy", "_seen_since", "change", "keys", "last", "name", "needs_duty")
+    __slots__ = ("_at", "_busy", "_seen_since", "_strikes", "change", "keys", "last", "name", "needs_duty")
 
     def __init__(self, keys: Keys, name: str, needs_duty: bool = True) -> None:
         self.keys, self.name, self.needs_duty = keys, name, needs_duty
@@ -173,14 +223,16 @@
         self.last: View | None = None  # the last whole view
         self._seen_since = self._at = 0.0
         self._busy = False
+        self._strikes = 0  # counts in a row at which a figure on trial was too high
 
     def due(self) -> float:
         return self._at if self.change and not self._busy else float("inf")
 
     def wants(self, now: float, opened: str, has_duty: bool, anybody_has: bool, lease: int,
               registered: int) -> Want | None:
-        """`opened`: the open change's id, "": none; `has_duty`: it is this member's; `anybody_has`: somebody
-        has it; `lease` and `registered`: what the duty hangs on, and the life it is taken for."""
+        """`opened`: the open change's id, or the trial's that is on; "": neither; `has_duty`: it is this
+        member's; `anybody_has`: somebody has it; `lease` and `registered`: what the duty hangs on, and the
+        life it is taken for."""
         if opened != self.change:
             self.change, self._seen_since = opened, now
             first = self._chance() * DUTY_SPREAD_MS if self.needs_duty else 0.0
@@ -209,10 +261,11 @@
         if not isinstance(outcome, Snapshot):
             return None
         self.last = view = View(self.keys, outcome)
-        change = view.change
-        if not change or change.id != self.change:
-            return None
-        commit = judge(view, age >= change.deadline_ms)
+        change, trial, commit = view.change, view.trial, None
+        if change and change.id == self.change:
+            commit = judge(view, age >= change.deadline_ms)
+        elif trial and trial_id(trial) == self.change:
+            commit, self._strikes = try_out(view, age, self._strikes)
         self._busy = commit is not None
         return commit
 
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -23,7 +23,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from otterrudder.fleet.records import Absent, BadRecord, Keys, Live, Roster, View, Vote, encode
+from otterrudder.fleet.records import Absent, BadRecord, Keys, Live, Roster, Trial, View, Vote, encode
 from otterrudder.fleet.store import Compare, Done, Put, Snapshot
 from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
 
@@ -36,6 +36,7 @@
 RETRY_MOST_MS = 2000.0  # ms; beyond that a store that is back would go unnoticed for too long
 # ms over which members tell that they have switched, so that a change is no burst of writes
 TELL_SPREAD_MS = 2000.0
+FIGURES_MS = 3000.0  # ms between figures that a member tells while a policy is on trial
 
 
 class Standing(Enum):
@@ -121,14 +122,15 @@
     live: Live | None
     live_created: int
     has_duty: bool  # somebody has it
+    trial: Trial | None  # of the policy in force
 
 
 class Member:
     __slots__ = ("_busy", "_disk_at", "_failed", "_judged", "_need_text", "_read_at", "_renew_at",
                  "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_told",
-                 "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "folder", "fresh_at", "has_disk",
-                 "head", "head_change", "joined", "judge", "keys", "known", "lease", "lease_until", "live",
-                 "name", "on_duty", "pledge", "registered", "revision", "rules", "seen", "sure", "vote_sent")
+                 "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at",
+                 "has_disk", "head", "head_change", "joined", "judge", "keys", "known", "lease",
+                 "lease_until", "live", "name", "on_duty", "pledge", "registered", "revision", "rules", "seen", "sure", "vote_sent")
 
     def __init__(self, now: float, keys: Keys, name: str, epoch: str, folder: str, rules: Rules,
                  judge: Callable[[str], str], *, record: Record | None = None, has_disk: bool = True,
@@ -165,6 +167,7 @@
         self._renew_at, self._disk_at = now, now
         self._tell_at = math.inf
         self._told = (0, "")
+        self.figures: tuple[tuple[str, float], ...] = ()  # how this server does, as it last said
 
     # What it says.
 
@@ -328,7 +331,8 @@
 
     def _tell(self, now: float) -> Commit:
         self._told = self._to_tell(now)
-        self._tell_at = math.inf
+        is_on_trial = self.seen is not None and self.seen.trial is not None
+        self._tell_at = now + FIGURES_MS * (0.75 + self._chance("figures") / 2) if is_on_trial else math.inf
         key = self.keys.live(self.name)
         compares = (Compare(key, "created", self.registered),)
         return Commit("tell", compares, (Put(key, encode(self._live(now)), self.lease),))
@@ -340,8 +344,11 @@
 
     def _live(self, now: float | None = None) -> Live:
         version, state = (0, "joining") if now is None else self._to_tell(now)
-        live = self.live
-        return Live(self.epoch, live.program, live.zone, version, self.known.digest, state, live.products)
+        live, trial = self.live, self.seen.trial if self.seen else None
+        asked = {fact for fact, _ in trial.conditions} if trial and now is not None else ()
+        figures = {fact: value for fact, value in self.figures if fact in asked and math.isfinite(value)}
+        return Live(self.epoch, live.program, live.zone, version, self.known.digest, state, live.products,
+                    figures)
 
     def _lease_want(self, now: float) -> Want | None:
         if Lane.LEASE in self._busy or now < self._renew_at or not self._may_lease():
@@ -439,7 +446,8 @@
         if self.registered and seen.revision >= self.registered:
             self.sure = True
         self.on_duty = self.registered > 0 and view.duty == self.name
-        if self.registered and self._to_tell(now) != self._told and self._tell_at == math.inf:
+        is_news = self._to_tell(now) != self._told or seen.trial is not None
+        if self.registered and is_news and self._tell_at == math.inf:
             self._tell_at = now + self._chance("tell") * TELL_SPREAD_MS
 
     def _seen(self, view: View) -> Seen:
@@ -451,7 +459,7 @@
         vote = view.vote(self.name)
         return Seen(snapshot.revision, opened, vote.yes if vote else None, view.roster(self.name),
                     snapshot.modified(keys.roster(self.name)), view.live(self.name),
-                    snapshot.created(keys.live(self.name)), bool(view.duty))
+                    snapshot.created(keys.live(self.name)), bool(view.duty), view.trial)
 
     def _check_registration(self, seen: Seen) -> None:
         """Whether the live key is this life's, and the roster's entry still this folder's."""
--- a/otterrudder/fleet/policy.py
+++ b/otterrudder/fleet/policy.py
@@ -6,7 +6,7 @@
 
 import tomllib
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgspec
@@ -22,20 +22,39 @@
     """What is wrong with a policy, in one line that names the key."""
 
 
+NO_POLICY = f"version = {VERSION}"  # says nothing: all is as each server's configuration has it
+VALUE_MOST = 1e9  # of a product; a larger one is a slip
+PER_S_MOST = 1e7  # txns a second of a tenant, in the whole fleet
+
+
 @dataclass(frozen=True, slots=True)
 class Content:
-    """What a policy says, ready for a server."""
+    """What a policy says, ready for a server; what it does not name is as in the server's configuration."""
 
     levels: Table | None
+    products: list[Product]
+    tenants: list[Tenant]
+
+
+class _Product(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    value: float | None = None
+    late_value: float | None = None
+
+
+class _Tenant(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    per_s: float
 
 
 class _Policy(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     version: int
     levels: dict[str, Any] | None = None
+    products: dict[str, _Product] = {}
+    tenants: dict[str, _Tenant] = {}
 
 
-def parse(text: str, products: Sequence[Product], tenants: Sequence[Tenant]) -> Content:
-    """BadPolicy says what is wrong, by the key."""
+def parse(text: str, products: Sequence[Product], tenants: Sequence[Tenant], servers: int = 1) -> Content:
+    """BadPolicy says what is wrong, by the key. `products`, `tenants` and `servers` (of the fleet): as the
+    server's configuration has them."""
     try:
         whole = tomllib.loads(text)
     except tomllib.TOMLDecodeError as why:
@@ -43,18 +62,46 @@
     told: _Policy = convert(whole, _Policy, "policy", BadPolicy)
     if told.version != VERSION:
         raise BadPolicy(f"version: this program reads {VERSION}, not {told.version}")
-    if told.levels is None:
-        return Content(None)
+    valued = [_valued(product, told.products.get(product.name)) for product in products]
+    for name in told.products.keys() - {product.name for product in products}:
+        raise BadPolicy(f"products.{name}: no product is named so")
+    shared = [_shared(tenant, told.tenants.get(tenant.name), servers) for tenant in tenants]
+    for name in told.tenants.keys() - {tenant.name for tenant in tenants}:
+        raise BadPolicy(f"tenants.{name}: no tenant is named so")
     try:
-        return Content(build(told.levels, products, tenants))
+        levels = None if told.levels is None else build(told.levels, products, tenants)
     except BadTable as trouble:
         raise BadPolicy(f"levels.{trouble}") from None
+    return Content(levels, valued, shared)
+
+
+def _valued(product: Product, told: _Product | None) -> Product:
+    if told and told.value is not None:
+        product = replace(product, value=_within(told.value, VALUE_MOST, f"products.{product.name}.value"))
+    if told and told.late_value is not None:
+        late_value = _within(told.late_value, 1.0, f"products.{product.name}.late_value")
+        product = replace(product, late_value=late_value)
+    return product
+
+
+def _shared(tenant: Tenant, told: _Tenant | None, servers: int) -> Tenant:
+    """A tenant's txns a second are the fleet's; each server holds it to an even part."""
+    if told is None:
+        return tenant
+    per_s = _within(told.per_s, PER_S_MOST, f"tenants.{tenant.name}.per_s")
+    return replace(tenant, per_ms=per_s / 1000 / servers)
+
+
+def _within(value: float, most: float, key: str) -> float:
+    if not 0.0 <= value <= most:  # NaN is neither
+        raise BadPolicy(f"{key}: {value:g} is not from 0 to {most:g}")
+    return value
 
 
-def trouble_in(text: str, products: Sequence[Product], tenants: Sequence[Tenant]) -> str:
+def trouble_in(text: str, products: Sequence[Product], tenants: Sequence[Tenant], servers: int = 1) -> str:
     """What is wrong with a policy for this server; "": nothing."""
     try:
-        parse(text, products, tenants)
+        parse(text, products, tenants, servers)
     except BadPolicy as trouble:
         return str(trouble)
     return ""
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -3,6 +3,7 @@
     FLEET/head/policy         the policy in force: its head, never its text
     FLEET/head/change         the change that is open; absent: none is
     FLEET/head/settled        how the last changes ended
+    FLEET/head/trial          what the policy in force is on trial for; absent: it is for good
     FLEET/head/duty           the member that settles a change nobody else does; hangs on its lease
     FLEET/text/DIGEST         a policy's text, named by what it says
     FLEET/roster/NAME         who is of the fleet, whether up or not; a change needs its vote
@@ -33,6 +34,17 @@
     """Fields that a newer program added are passed over: what must not be is in a policy's text."""
 
 
+class Trial(_Record, frozen=True):
+    """A policy that is in force for now: the fleet goes back by itself if a figure, in the mean of those who
+    tell it, is above its bound."""
+
+    change: str  # that brought it
+    version: int
+    back: str  # the digest to go back to
+    span_ms: float  # from when it is first seen by whoever watches it
+    conditions: tuple[tuple[str, float], ...]  # a figure and its bound
+
+
 class PolicyHead(_Record, frozen=True):
     version: int  # 1 for the first, then one more with each that is committed
     change: str  # the change that brought it
@@ -50,6 +62,7 @@
     note: str = ""
     at: float = 0.0
     deadline_ms: float = 30_000.0  # from when it is first seen by whoever settles it
+    trial: Trial | None = None
 
 
 class Settled(_Record, frozen=True):
@@ -80,6 +93,7 @@
     digest: str = ""
     state: str = ""
     products: tuple[str, ...] = ()
+    figures: dict[str, float] = {}  # that a trial asks for
 
 
 class Vote(_Record, frozen=True):
@@ -130,6 +144,10 @@
     def duty(self) -> str:
         return f"{self.fleet}/head/duty"
 
+    @property
+    def trial(self) -> str:
+        return f"{self.fleet}/head/trial"
+
     @property
     def joined(self) -> str:
         return f"{self.fleet}/joined"
@@ -177,10 +195,19 @@
         except (ValueError, msgspec.MsgspecError) as why:
             raise BadRecord(f"{key}: {why}") from None
 
-    def _under(self, prefix: str, kind: type[_T]) -> dict[str, _T]:
-        found = sorted(key for key in self.snapshot.entries if key.startswith(prefix))
-        told = ((key.removeprefix(prefix), self._one(key, kind)) for key in found)
-        return {name: record for name, record in told if record}
+    def _under(self, prefix: str, kind: type[_T], unread: _T | None = None) -> dict[str, _T]:
+        """By what follows the prefix. `unread`: what stands for a record that can't be read."""
+        found: dict[str, _T] = {}
+        for key in sorted(key for key in self.snapshot.entries if key.startswith(prefix)):
+            try:
+                record = self._one(key, kind)
+            except BadRecord:
+                if unread is None:
+                    raise
+                record = unread
+            if record:
+                found[key.removeprefix(prefix)] = record
+        return found
 
     @property
     def policy(self) -> PolicyHead | None:
@@ -190,6 +217,10 @@
     def change(self) -> Change | None:
         return self._one(self.keys.change, Change)
 
+    @property
+    def trial(self) -> Trial | None:
+        return self._one(self.keys.trial, Trial)
+
     @property
     def settled(self) -> list[Settled]:
         """The oldest first."""
@@ -220,11 +251,13 @@
 
     @property
     def lives(self) -> dict[str, Live]:
-        return self._under(self.keys.lives, Live)
+        """One that can't be read is alive all the same: one server's slip must not stop the fleet's changes."""
+        return self._under(self.keys.lives, Live, Live(""))
 
     @property
     def votes(self) -> dict[str, Vote]:
-        return self._under(self.keys.votes, Vote)
+        """One that can't be read is a no."""
+        return self._under(self.keys.votes, Vote, Vote(False, "its vote can't be read"))
 
     def text(self, digest: str) -> str | None:
         """A text whose digest is not the one it is named by is none."""
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -303,9 +303,9 @@
 
     # Changes.
 
-    def propose(self, number: int, declines: str, deadline_s: float, halt_at: str = "", text: str = ""
-                ) -> subprocess.Popen[bytes]:
-        """The operators' own command, begun."""
+    def propose(self, number: int, declines: str, deadline_s: float, halt_at: str = "", text: str = "",
+                more: tuple[str, ...] = ()) -> subprocess.Popen[bytes]:
+        """The operators' own command, begun; `more`: further words of it."""
         text = text or policy_text(declines, number)
         self.kinds[digest_of(text)] = declines
         path = self.folder / f"policy-{number}.toml"
@@ -316,7 +316,7 @@
         if halt_at:
             env[NAMED] = halt_at
         with (self.folder / "proposers.txt").open("ab") as log:
-            words = ["--author", "rig", "--note", f"change {number}", "--deadline", str(deadline_s)]
+            words = ["--author", "rig", "--note", f"change {number}", "--deadline", str(deadline_s), *more]
             child = subprocess.Popen(
                 [sys.executable, "-m", "otterrudder", "fleet", "policy", "apply", str(path), *words],
                 cwd=ROOT, env=env, stdout=log, stderr=log)
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -658,8 +658,7 @@
                  linger_ms: float, up_ms: float = 0.0, refs_most: float = math.inf,
                  over_value: float = 0.0, marks_retry: bool = True) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
-        self.counter = seed
-        self.steps: list[Step] = []
+        self.counter, self.steps = seed, list[Step]()
         self.txns: dict[int, Txn] = {}  # everything in the hold, on the cores or at a call
         self.agenda = Agenda()
         self.expiry = Expiry(self, drain_grace_ms)
@@ -731,6 +730,10 @@
         """The level of reduced service in force from now on; None: there are no levels."""
         self.levels.take(relief)
 
+    def revalue(self, products: list[Product], tenants: list[Tenant]) -> None:
+        """What txns that come from now on are worth, and tenants' shares; what is in hand keeps its own."""
+        self.products, self.sessions.tenants = products, tenants
+
     def facts(self) -> dict[str, float]:
         """What a ladder of levels goes by. With nothing in hand there is no run to be slow or late."""
         slots, signals = self.slots, self.signals
@@ -748,8 +751,7 @@
         self.steps.append(("health", not self.expiry.is_shut()))
 
     def step_up(self, part: Part) -> None:
-        """This part is served here again, from cold. What was started before is still in doubt, and
-        counts."""
+        """This part is served here again, from cold. What was started before is still in doubt."""
         if self.expiry.shut.pop(part, None):
             self.slots.cool()
             self.steps.append(("health", not self.expiry.is_shut()))
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -21,7 +21,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
-from otterrudder.interface import Cut, Effect, Outcome, Part, Product, Relief, Step, Trim
+from otterrudder.interface import Cut, Effect, Outcome, Part, Product, Relief, Step, Tenant, Trim
 from otterrudder.logic import Rudder
 
 if TYPE_CHECKING:  # a server without levels does not carry them
@@ -75,6 +75,7 @@
         self.levels = levels
         self.left_parts: list[Part] = []  # served by another, as the gate last said
         self.is_aside = False  # it does not know which policy is in force, and admits nothing
+        self.values: tuple[list[Product], list[Tenant]] | None = None  # as a policy has them
         self.aside = Relief("aside", ((Trim(Cut.DECLINE),),) * len(products), elsewhere=True)
         self.boot, self.products, self.gauges = boot, products, gauges
         self.names = {product.name: n for n, product in enumerate(products)}
@@ -162,6 +163,8 @@
     def begin(self, warm: bool, up_ms: float) -> None:
         """The runtime is up for the first time in this life of the process."""
         self.rudder = self.boot(self.now, warm, up_ms)
+        if self.values:
+            self.rudder.revalue(*self.values)
         if self.levels or self.is_aside:
             self._enforce()
         for part in self.left_parts:
@@ -268,8 +271,13 @@
         if self.levels and not self.retiring:
             self._tell_level(self.levels.take(table, self.now))
 
-    def take_policy(self, table: "Table | None", make: "Callable[[Table], Watch]") -> None:
-        """A policy is in force: its table of levels takes the place of any other, or of none."""
+    def take_policy(self, table: "Table | None", make: "Callable[[Table], Watch]", products: list[Product],
+                    tenants: list[Tenant]) -> None:
+        """A policy is in force: its table of levels takes the place of any other, or of none; what comes from
+        now on is worth what it says."""
+        self.values = products, tenants
+        if self.rudder:
+            self.rudder.revalue(products, tenants)
         if table and self.levels:
             self.take_levels(table)
         else:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -200,22 +200,24 @@
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
     from otterrudder.fleet.client import Client
-    from otterrudder.fleet.policy import BadPolicy, parse, trouble_in
+    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, parse, trouble_in
     from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
     settings = told["settings"]
-    products, tenants = products_of(settings), tenants_of(settings)
+    products, tenants = helm.core.products, tenants_of(settings)
+    servers = max(settings.get("servers") or 1, 1)
 
     def take(text: str) -> None:
         try:
-            table = parse(text, products, tenants).levels if text else None
+            told = parse(text or NO_POLICY, products, tenants, servers)
         except BadPolicy:
             return  # it stands aside for that, and says why
-        helm.post(helm.core.take_policy, table, lambda table: Watch(table, spread))
+        helm.post(helm.core.take_policy, told.levels, lambda table: Watch(table, spread), told.products,
+                  told.tenants)
 
     def judge(text: str) -> str:
-        trouble = trouble_in(text, products, tenants)
+        trouble = trouble_in(text, products, tenants, servers)
         return f"{told['name']}: {trouble}" if trouble else ""
 
     try:
@@ -225,7 +227,11 @@
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in products))
     orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
-    agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record)
+
+    def facts() -> dict[str, float]:
+        return helm.core.rudder.facts() if helm.core.rudder else {}
+
+    agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
     helm.ahead.append(agent.pulse)
     log.info("of a fleet", fleet=fleet.name, absent=fleet.rules.absent, bound_ms=fleet.rules.bound_ms,
              known=agent.member.known.version, pledged=bool(agent.member.pledge), folder=str(fleet.folder))
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -3,10 +3,13 @@
 
 from pathlib import Path
 
+import anyio
 import pytest
 
+from otterrudder.lab.processes.books import judge
 from otterrudder.lab.processes.experiment import perform_one, read, shrink
 from otterrudder.lab.processes.plan import Fault, Round, draw
+from otterrudder.lab.processes.rig import Rig
 
 EXPERIMENT = read(Path(__file__).parents[2] / "experiments/fleet-policy.toml")
 CALM = [Round(1, "look", (), 0.3), Round(2, "pay", (), 0.3)]
@@ -59,6 +62,27 @@
     assert any(line.startswith(says) for line in run.broken), (run.broken, run.played.rounds)
 
 
+def test_a_policy_on_trial_goes_back_by_itself_with_its_proposer_dead(tmp_path: Path) -> None:
+    async def play() -> None:
+        rig = Rig(tmp_path, 3)
+        async with rig.running():
+            assert await rig.ended(rig.propose(1, "look", 5.0), 10.0) == 0
+            child = rig.propose(2, "pay", 5.0, "after commit", more=("--trial", "60", "--if", "busy > 0.1"))
+            with anyio.fail_after(25.0):  # the stand-in's gauge says 0.2
+                while rig.versions[-1].version < 2:
+                    await anyio.sleep(0.05)
+                child.kill()
+                while rig.versions[-1].version < 3:
+                    await anyio.sleep(0.05)
+            assert [version.declines for version in rig.versions] == ["", "look", "pay", "look"]
+            await anyio.sleep(0.5)
+            assert [await rig.shown(place) for place in rig.places] == ["look"] * 3
+        verdict = judge(rig.wire, rig.versions, rig.bound_ms, rig.harmed())
+        assert not verdict.breaches
+
+    anyio.run(play)
+
+
 def test_a_plan_is_its_seed_s_and_is_cut_down_to_what_breaks() -> None:
     plan = draw(5, 12, 20)
     assert plan == draw(5, 12, 20) != draw(6, 12, 20)
