--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -130,7 +130,8 @@
                  "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_told",
                  "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at",
                  "has_disk", "head", "head_change", "joined", "judge", "keys", "known", "lease",
-                 "lease_until", "live", "name", "on_duty", "pledge", "registered", "revision", "rules", "seen", "sure", "vote_sent")
+                 "lease_until", "live", "name", "on_duty", "pledge", "registered", "revision", "rules",
+                 "seen", "sure", "vote_sent")
 
     def __init__(self, now: float, keys: Keys, name: str, epoch: str, folder: str, rules: Rules,
                  judge: Callable[[str], str], *, record: Record | None = None, has_disk: bool = True,
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -251,7 +251,7 @@
 
     @property
     def lives(self) -> dict[str, Live]:
-        """One that can't be read is alive all the same: one server's slip must not stop the fleet's changes."""
+        """One that can't be read is alive all the same: one server's slip must not stop a change."""
         return self._under(self.keys.lives, Live, Live(""))
 
     @property
