--- /dev/null
+++ b/tests/fleet/test_core.py
@@ -0,0 +1,129 @@
+"""A server's core under a fleet: who stands aside declines what comes, not for good, and answers the rest."""
+
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+from helpers import SETTINGS, Server
+
+from otterrudder.boot import boot, gauge_names, products_of, tenants_of
+from otterrudder.fleet.policy import parse
+from otterrudder.interface import Outcome
+from otterrudder.levels import Watch
+from otterrudder.net.core import Core
+
+PRODUCTS, TENANTS = products_of(SETTINGS), tenants_of(SETTINGS)
+CUTS_LOOK = """version = 1
+[levels]
+version = 1
+start = "cut"
+[[levels.level]]
+name = "cut"
+least_stay_s = 1.0
+trial_s = 600.0
+entry = { for_s = 1.0, busy = 0.9 }
+exit = { for_s = 2.0, busy = 0.01 }
+cut = [{ do = "decline", products = ["look"] }]
+[products.pay]
+value = 50.0
+"""
+
+
+class Played:
+    def __init__(self) -> None:
+        def make(now: float, warm: bool, up_ms: float):
+            return boot(now, 1, 7, SETTINGS, fresh=not warm, up_ms=up_ms, products=PRODUCTS, ref_kb=0.0)
+
+        self.core, self.now, self.rpc = Core(make, PRODUCTS, gauge_names(SETTINGS)), 0.0, 0
+
+    def up(self) -> None:
+        self.core.at(1e12, self.now)
+        self.core.begin(True, 60_000.0)
+        self.core.linked()
+        self.core.done()
+
+    def policy(self, text: str) -> None:
+        told = parse(text, PRODUCTS, TENANTS)
+        self.core.take_policy(told.levels, lambda table: Watch(table, 0.0), told.products, told.tenants)
+
+    def ask(self, product: int, mark: str = "", retry: bool = False) -> list[tuple]:
+        self.now += 5.0
+        self.rpc += 1
+        self.core.at(1e12 + self.now, self.now)
+        self.core.arrive("peer", self.rpc, product, call=f"{self.rpc:016x}", recv=1e12 + self.now, ttl=9000.0,
+                         kb=20.0, tenant=0, key=0, retry=retry, dedupe=mark, body=b"ask")
+        return self.core.done()
+
+
+def words(out: list[tuple]) -> list[tuple]:
+    """What its caller or the runtime is told, without numbers that change."""
+    told = [one for one in out if one[0] != "helm"]
+    return [one[:2] if one[1] != "declined" else ("declined", *one[3:5]) for one in told]
+
+
+def test_aside_all_is_declined_and_nothing_for_good_and_a_repeat_is_answered() -> None:
+    played = Played()
+    played.up()
+    assert ("runtime", "start") in words(played.ask(1, "m" * 32))
+    played.core.ended(f"{1:016x}", Outcome.OK, b"done")
+    assert ("peer", "settled") in words(played.core.done())
+    played.core.stand_aside(True)
+    for product, mark, retry in ((0, "", False), (0, "", True), (1, "n" * 32, False)):
+        (told,) = words(played.ask(product, mark, retry))
+        assert told[0] == "declined" and told[1] is False and told[2] > 0.0
+    assert ("peer", "settled") in words(played.ask(1, "m" * 32, True))
+    played.core.stand_aside(False)
+    assert ("runtime", "start") in words(played.ask(0))
+
+
+def test_what_holds_before_the_runtime_is_up_holds_after() -> None:
+    played = Played()
+    played.policy(CUTS_LOOK)
+    played.core.stand_aside(True)
+    played.up()
+    assert words(played.ask(1, "m" * 32))[0][0] == "declined"
+    played.core.stand_aside(False)
+    assert words(played.ask(0))[0][0] == "declined"
+    assert ("runtime", "start") in words(played.ask(1, "n" * 32))
+    assert played.core.rudder.products[1].value == 50.0
+
+
+def test_a_level_that_moves_while_aside_opens_nothing() -> None:
+    played = Played()
+    played.up()
+    played.policy(CUTS_LOOK)
+    played.core.stand_aside(True)
+    played.policy(CUTS_LOOK.replace('"look"]', '"pay"]'))
+    assert words(played.ask(0))[0][0] == "declined"
+    played.core.stand_aside(False)
+    assert ("runtime", "start") in words(played.ask(0))
+    assert words(played.ask(1, "m" * 32))[0][0] == "declined"
+    played.policy("version = 1")
+    assert ("runtime", "start") in words(played.ask(1, "m" * 32))
+
+
+def test_what_was_admitted_keeps_the_worth_it_came_with() -> None:
+    played = Played()
+    played.up()
+    played.ask(1, "m" * 32)
+    before = next(iter(played.core.rudder.txns.values()))
+    played.policy(CUTS_LOOK)
+    played.ask(1, "n" * 32)
+    assert before.spec == PRODUCTS[1]
+    assert [txn.spec for txn in played.core.rudder.txns.values()][-1] == replace(PRODUCTS[1], value=50.0)
+
+
+def test_a_server_without_a_fleet_imports_nothing_of_it() -> None:
+    code = ("import sys, otterrudder.cli.serve, otterrudder.net.serve; "
+            "print([m for m in sys.modules if 'fleet' in m or 'grpc' in m or 'durable' in m])")
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert told.stdout.strip() == "[]"
+
+
+def test_a_fleet_and_a_table_of_its_own_are_refused(tmp_path: Path) -> None:
+    with Server(tmp_path) as server:
+        path = str(server.configuration)
+    words = [sys.executable, "-m", "otterrudder", "check", "--levels", "x.toml", "--fleet", "y.toml"]
+    told = subprocess.run(words, env={"NODE_CONFIG": path, "PATH": ""}, capture_output=True, text=True)
+    assert told.returncode == 2 and told.stdout == ""
