--- a/otterrudder/lab/processes/link.py
+++ b/otterrudder/lab/processes/link.py
@@ -1,4 +1,5 @@
-"""A link of ours between two ends on loopback, TCP, that a rig can harm: cut, cut one way, slow, and healed.
+"""A link of ours between two ends on loopback, TCP, that a rig can harm: cut, cut one way, delayed, read
+slowly, reset in the middle of a message, and healed.
 
 A cut link resets what is open and takes nothing new; one that is shut one way holds what comes from that side
 and lets neither end know."""
@@ -12,6 +13,7 @@
 import anyio.abc
 
 CHUNK = 65536  # bytes that are moved in one go
+SLICE_S = 0.05  # s of reading at a slow reader's rate
 RESET = struct.pack("ii", 1, 0)  # closes with a reset
 
 
@@ -21,6 +23,8 @@
     holds_there: bool = False  # from the end that connects
     holds_back: bool = False  # to it
     delay_ms: float = 0.0
+    breaks_after: int = 0  # bytes from the far end after which a connection is reset, amid a message
+    per_s: float = 0.0  # bytes a second that the near end reads; 0: all there is
 
 
 class Link:
@@ -83,12 +87,20 @@
 
     async def _pump(self, source: socket.socket, sink: socket.socket, there: bool,
                     scope: anyio.CancelScope) -> None:
+        moved = 0
         with contextlib.suppress(OSError):
             while True:
                 await anyio.wait_readable(source)
-                data = source.recv(CHUNK)
+                slow = self.harm.per_s if not there else 0.0
+                data = source.recv(max(int(slow * SLICE_S), 1) if slow else CHUNK)
                 if not data:
                     break
+                if slow:
+                    await anyio.sleep(SLICE_S)
+                moved += len(data)
+                if not there and 0 < self.harm.breaks_after <= moved:
+                    sink.send(data[: max(len(data) // 2, 1)])
+                    break
                 if self.harm.delay_ms:
                     await anyio.sleep(self.harm.delay_ms / 1000)
                 while self.harm.holds_there if there else self.harm.holds_back:
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -28,7 +28,8 @@
 POINTS = ("before save", "after save", "before vote", "after vote", "before duty", "after duty")
 PROPOSER_POINTS = ("before propose", "after propose", "before commit", "after commit")
 SERVER_FAULTS = ("kill", "kill at point", "halt at point", "freeze", "freeze later", "cut", "one way there",
-                 "one way back", "slow link", "disk full", "name taken")
+                 "one way back", "slow link", "slow reader", "half a message", "disk full", "name taken",
+                 "folder lost")
 STORE_FAULTS = ("store slow", "store loses answers", "store frozen", "watches cancelled", "watches deaf",
                 "watches flooded")
 CHANGE_FAULTS = ("proposer killed", "two at once", "bad policy")
@@ -77,8 +78,9 @@
 
 
 # What a fault is to servers that are told by hand: down, frozen, or out of the operator's reach.
-_PLAIN = {"kill": "kill", "kill at point": "kill", "halt at point": "freeze", "freeze": "freeze",
-          "freeze later": "freeze", "cut": "cut", "one way there": "cut", "one way back": "cut"}
+_PLAIN = {"kill": "kill", "folder lost": "kill", "kill at point": "kill", "halt at point": "freeze",
+          "freeze": "freeze", "freeze later": "freeze", "cut": "cut", "one way there": "cut",
+          "one way back": "cut"}
 
 
 def _fault(chance: random.Random, servers: int) -> Fault:
@@ -138,8 +140,10 @@
     place = rig.places[fault.server] if fault.server >= 0 else None
     if place and fault.kind in _HARMS:
         rig.set_link(place, fault.kind, _HARMS[fault.kind])
-    elif place and fault.kind == "kill":
+    elif place and fault.kind in ("kill", "folder lost"):
         rig.kill(place)
+        if fault.kind == "folder lost":
+            rig.lose_folder(place)
     elif place and fault.kind == "freeze":
         rig.freeze(place)
     elif place and fault.kind == "disk full":
@@ -153,7 +157,8 @@
 
 
 _HARMS = {"cut": Harm(is_cut=True), "one way there": Harm(holds_there=True),
-          "one way back": Harm(holds_back=True), "slow link": Harm(delay_ms=150.0)}
+          "one way back": Harm(holds_back=True), "slow link": Harm(delay_ms=150.0),
+          "slow reader": Harm(per_s=4000.0), "half a message": Harm(breaks_after=700)}
 _STORE: dict[str, dict[str, object]] = {
     "store slow": {"slow_ms": 150}, "store loses answers": {"lose_answers": 3},
     "watches cancelled": {"cancel_watches": 1}, "watches deaf": {"deaf_watches": True},
@@ -212,6 +217,8 @@
                 rig.thaw(place)
             else:  # it never came to its point, and must not come to it in a later round
                 rig.kill(place)
+        elif place and fault.kind == "folder lost":
+            await _until_gone(rig, place)
         elif place and fault.kind == "disk full":
             rig.fill_disk(place, False)
         elif fault.kind == "store frozen":
@@ -227,6 +234,16 @@
             child.wait()
 
 
+async def _until_gone(rig: Rig, place: Place) -> None:
+    """A server that has lost its folder stays out, under `wait`, until an operator says that the one before
+    it is gone, which is refused as long as that one's lease lives."""
+    if rig.absent != "wait" or not rig.with_fleet:
+        return
+    with anyio.move_on_after(SETTLE_S):
+        while await rig.ended(rig.say_gone(place), SETTLE_S) != 0:
+            await anyio.sleep(0.3)
+
+
 async def _odd(rig: Rig) -> list[str]:
     """Servers that do not go by what is in force, once they have had their time."""
     odd: list[str] = []
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -324,6 +324,16 @@
         self.note(-1, f"change {number} proposed")
         return child
 
+    def say_gone(self, place: Place) -> subprocess.Popen[bytes]:
+        """The operators' word that a server is gone for good."""
+        with (self.folder / "proposers.txt").open("ab") as log:
+            words = [sys.executable, "-m", "otterrudder", "fleet", "gone", place.name]
+            env = os.environ | {"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}
+            child = subprocess.Popen(words, cwd=ROOT, env=env, stdout=log, stderr=log)
+        self.extra.append(child)
+        self.note(place.number, "said to be gone")
+        return child
+
     async def ended(self, child: subprocess.Popen[bytes], most_s: float) -> int | None:
         """Its exit code, or None: it has not ended by then."""
         with anyio.move_on_after(most_s):
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -24,6 +24,7 @@
         Round(4, "pay", (Fault("two at once"), Fault("store loses answers")), 1.0),
         Round(5, "look", (Fault("bad policy"),), 0.5),
         Round(6, "pay", (Fault("name taken", 3), Fault("disk full", 1)), 1.0),
+        Round(7, "look", (Fault("half a message", 2), Fault("slow reader", 0), Fault("folder lost", 1)), 1.0),
     ]
     run = perform_one(EXPERIMENT, "wait", 1, rounds, 4)
     assert not run.broken, (run.broken, run.played.verdict.breaches, run.played.rounds)
