--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -28,6 +28,30 @@
     """Experiments in simulated time (needs the extra 'lab'). All figures are simulated."""
 
 
+@lab.command("fleet-search")
+@click.option("--walks", type=click.IntRange(1), default=200, show_default=True, help="By variant and size.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--depth", type=click.IntRange(0, 8), default=0, help="Every order to this depth as well.")
+@click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
+def fleet_search(walks: int, seed: int, depth: int, workers: int | None) -> None:
+    """Search what may happen to a fleet of a few members; exits with 1 if a promise breaks or a fault that
+    was put in is not found."""
+    from otterrudder.lab.fleet.report import searched
+
+    sys.exit(0 if searched(walks, seed, depth, workers, click.echo) else 1)
+
+
+@lab.command("fleet-hours")
+@click.option("--servers", type=click.IntRange(2, 1000), default=200, show_default=True)
+@click.option("--plans", type=click.IntRange(1), default=100, show_default=True, help="Of faults, by rule.")
+@click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
+def fleet_hours(servers: int, plans: int, workers: int | None) -> None:
+    """Play changes of policy in fleets of SERVERS, in simulated time, through drawn plans of faults."""
+    from otterrudder.lab.fleet.report import played
+
+    sys.exit(0 if played(servers, plans, workers, click.echo) else 1)
+
+
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--seed", type=int, help="This seed instead of the file's.")
--- /dev/null
+++ b/otterrudder/lab/fleet/report.py
@@ -0,0 +1,96 @@
+"""Searches and plans of the fleet on all cores, and their tables: what `lab fleet-search` and
+`lab fleet-hours` print."""
+
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+
+from otterrudder.lab.fleet.faults import FAULTS, SOUND
+from otterrudder.lab.fleet.hours import Result, play
+from otterrudder.lab.fleet.search import Found, hunt, search, walk
+from otterrudder.lab.fleet.world import Stage
+
+LENGTH = 60  # events of a drawn walk
+FAULTS_MOST = 6  # faults in it
+CHUNK = 50  # walks that are handed out at a time
+DEPTH_FAULTS = 2  # faults in a search by breadth
+CALM_SIZES = (10, 50, 200, 1000)  # servers, for what a change costs without faults
+FAULTS_A_PLAN = 8
+
+
+def _walk(name: str, members: int, seed: int, walks: int) -> Found:
+    return walk(replace(SOUND[name], members=members), seed, walks, LENGTH, FAULTS_MOST)
+
+
+def _search(name: str, stage: str, depth: int) -> Found:
+    return search(SOUND[name], depth, DEPTH_FAULTS, stage=Stage[stage])
+
+
+def _hunt(name: str) -> Found:
+    return hunt(FAULTS[name])
+
+
+def searched(walks: int, seed: int, depth: int, workers: int | None, say: Callable[[str], None]) -> bool:
+    """Whether no promise broke and each fault was found. `walks`: by variant and number of members."""
+    good = True
+    with ProcessPoolExecutor(workers) as pool:
+        drawn = {(name, members): [pool.submit(_walk, name, members, seed * 1000 + n, min(CHUNK, walks))
+                                   for n in range(max(walks // CHUNK, 1))]
+                 for name in SOUND for members in (2, 3, 4)}
+        deep = {(name, stage.name): pool.submit(_search, name, stage.name, depth)
+                for name in SOUND for stage in Stage} if depth else {}
+        hunted = {name: pool.submit(_hunt, name) for name in FAULTS}
+        say("| variant | members | worlds by drawn walks | broken |")
+        say("| --- | ---: | ---: | --- |")
+        for (name, members), parts in drawn.items():
+            found = [part.result() for part in parts]
+            broken = next((one for one in found if one.broken), None)
+            good = good and not broken
+            say(f"| {name} | {members} | {sum(one.worlds for one in found)} | "
+                f"{f'{broken.broken}: {broken.trail}' if broken else 'none'} |")
+        for (name, stage_name), part in deep.items():
+            one = part.result()
+            good = good and not one.broken
+            say(f"| {name}, from {stage_name.lower()} | 2 | {one.worlds}, each to depth {one.depth} | "
+                f"{f'{one.broken}: {one.trail}' if one.broken else 'none'} |")
+        say("")
+        say("| fault put in | found after worlds | as |")
+        say("| --- | ---: | --- |")
+        for name, part in hunted.items():
+            one = part.result()
+            good = good and bool(one.broken)
+            say(f"| {name} | {one.worlds} | {one.broken or 'NOT FOUND'} |")
+    return good
+
+
+def played(servers: int, plans: int, workers: int | None, say: Callable[[str], None]) -> bool:
+    """Whether nobody was past the bound in any plan, and all agreed after it."""
+    good = True
+    say("| rule | plans | committed | past the bound | not agreed | worst age of the old, ms | "
+        "last switch, ms: median, 95%, most | aside |")
+    say("| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+    with ProcessPoolExecutor(workers) as pool:
+        for absent in ("wait", "leave-out"):
+            parts = [pool.submit(play, servers, seed, FAULTS_A_PLAN, absent) for seed in range(plans)]
+            results = [part.result() for part in parts]
+            breaches, apart = sum(r.breaches for r in results), sum(not r.agreed for r in results)
+            good = good and not breaches and not apart
+            say(f"| {absent} | {plans} | {sum(r.committed for r in results)} | {breaches} | {apart} | "
+                f"{max(r.worst_old_ms for r in results):.0f} | {_spread(results)} | "
+                f"{sum(r.aside_share for r in results) / plans:.2%} |")
+        say("")
+        say("| servers, no fault | last switch, ms | reads a change | writes | watch events | "
+            "reads a second, calm |")
+        say("| ---: | ---: | ---: | ---: | ---: | ---: |")
+        calm = {size: pool.submit(play, size, 1, 0) for size in CALM_SIZES}
+        for size, part in calm.items():
+            one = part.result()
+            say(f"| {size} | {one.last_switch_ms:.0f} | {one.reads} | {one.writes} | {one.hints} | "
+                f"{one.reads_calm_per_s:.0f} |")
+    return good
+
+
+def _spread(results: list[Result]) -> str:
+    switched = sorted(r.last_switch_ms for r in results if r.committed) or [0.0]
+    some = (switched[len(switched) // 2], switched[int(len(switched) * 0.95)], switched[-1])
+    return ", ".join(f"{ms:.0f}" for ms in some)
