--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -6,6 +6,7 @@
 deadline, and an engine that does not answer is left for the next address."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
 from typing import Any, NoReturn
@@ -69,16 +70,10 @@
     async def renew(self, lease: int, timeout_ms: float) -> bool:
         self._connect()
         call = self._leases.LeaseKeepAlive([rpc.LeaseKeepAliveRequest(ID=lease)], timeout=timeout_ms / 1000)
-        try:
+        async with self._heard(call):
             async for answer in call:
                 self._silent = 0
                 return bool(answer.TTL > 0)
-        except grpc.RpcError as why:
-            await self._note(why)
-        except asyncio.CancelledError:
-            await _cancelled()
-        finally:
-            call.cancel()
         raise StoreAway("the renewal ended without an answer")
 
     async def revoke(self, lease: int, timeout_ms: float) -> None:
@@ -89,19 +84,13 @@
         key = prefix.encode()
         create = rpc.WatchCreateRequest(key=key, range_end=_end_of(key))
         call = self._watches.Watch()
-        try:
+        async with self._heard(call):
             await call.write(rpc.WatchRequest(create_request=create))
             async for answer in call:
                 if answer.canceled:
                     raise StoreAway("the watch was cancelled")
                 if answer.created or answer.events:
                     yield Changed(answer.header.revision)
-        except grpc.RpcError as why:
-            await self._note(why)
-        except asyncio.CancelledError:
-            await _cancelled()
-        finally:
-            call.cancel()
         raise StoreAway("the watch ended")
 
     async def close(self) -> None:
@@ -111,15 +100,23 @@
 
     async def _call(self, stub: str, name: str, request: Any, timeout_ms: float) -> Any:
         self._connect()
-        call = getattr(getattr(self, f"_{stub}"), name)
+        call = getattr(getattr(self, f"_{stub}"), name)(request, timeout=timeout_ms / 1000)
+        async with self._heard(call):
+            answer = await call
+        self._silent = 0
+        return answer
+
+    @contextlib.asynccontextmanager
+    async def _heard(self, call: Any) -> AsyncIterator[None]:
+        """While a call's answers are waited for: it is over on every way out, and what fails is StoreAway."""
         try:
-            answer = await call(request, timeout=timeout_ms / 1000)
+            yield
         except grpc.RpcError as why:
             await self._note(why)
         except asyncio.CancelledError:
             await _cancelled()
-        self._silent = 0
-        return answer
+        finally:
+            call.cancel()
 
     async def _note(self, why: grpc.RpcError) -> None:
         """Raises what the failure means; an engine that is silent for long is left for the next."""
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -118,51 +118,18 @@
     return blake2b(text.encode(), digest_size=16).hexdigest()
 
 
-@dataclass(frozen=True, slots=True)
 class Keys:
-    """The keys of one fleet."""
-
-    fleet: str
-
-    @property
-    def head(self) -> str:
-        return f"{self.fleet}/head/"
+    """The keys of one fleet; those that end in a slash are prefixes."""
 
-    @property
-    def policy(self) -> str:
-        return f"{self.fleet}/head/policy"
+    __slots__ = ("change", "duty", "fleet", "head", "joined", "lives", "policy", "rosters", "settled",
+                 "trial", "votes")
 
-    @property
-    def change(self) -> str:
-        return f"{self.fleet}/head/change"
-
-    @property
-    def settled(self) -> str:
-        return f"{self.fleet}/head/settled"
-
-    @property
-    def duty(self) -> str:
-        return f"{self.fleet}/head/duty"
-
-    @property
-    def trial(self) -> str:
-        return f"{self.fleet}/head/trial"
-
-    @property
-    def joined(self) -> str:
-        return f"{self.fleet}/joined"
-
-    @property
-    def votes(self) -> str:
-        return f"{self.fleet}/vote/"
-
-    @property
-    def rosters(self) -> str:
-        return f"{self.fleet}/roster/"
-
-    @property
-    def lives(self) -> str:
-        return f"{self.fleet}/live/"
+    def __init__(self, fleet: str) -> None:
+        self.fleet, self.joined = fleet, f"{fleet}/joined"
+        self.rosters, self.lives, self.votes = (f"{fleet}/{what}/" for what in ("roster", "live", "vote"))
+        self.head = head = f"{fleet}/head/"
+        self.policy, self.change, self.settled = f"{head}policy", f"{head}change", f"{head}settled"
+        self.duty, self.trial = f"{head}duty", f"{head}trial"
 
     def text(self, digest: str) -> str:
         return f"{self.fleet}/text/{digest}"
--- a/otterrudder/lab/processes/link.py
+++ b/otterrudder/lab/processes/link.py
@@ -7,7 +7,9 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -27,6 +29,19 @@
     per_s: float = 0.0  # bytes a second that the near end reads; 0: all there is
 
 
+async def accept_all(sock: socket.socket, serve: Callable[[socket.socket], Coroutine[Any, Any, None]]) -> None:
+    """Each connection in a task of its own, until cancelled; the listener is closed then."""
+    async with anyio.create_task_group() as group:
+        try:
+            while True:
+                await anyio.wait_readable(sock)
+                with contextlib.suppress(BlockingIOError):
+                    near, _ = sock.accept()
+                    group.start_soon(serve, near)
+        finally:
+            sock.close()
+
+
 class Link:
     """Listens on a port of the system's; whoever runs `run` owns its sockets."""
 
@@ -47,15 +62,7 @@
         self._changed = anyio.Event()
 
     async def run(self) -> None:
-        async with anyio.create_task_group() as group:
-            try:
-                while True:
-                    await anyio.wait_readable(self.sock)
-                    with contextlib.suppress(BlockingIOError):
-                        near, _ = self.sock.accept()
-                        group.start_soon(self._serve, near)
-            finally:
-                self.sock.close()
+        await accept_all(self.sock, self._serve)
 
     async def _serve(self, near: socket.socket) -> None:
         far = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/otterrudder/lab/processes/standins.py
+++ b/otterrudder/lab/processes/standins.py
@@ -12,6 +12,8 @@
 import anyio
 import anyio.abc
 
+from otterrudder.lab.processes.link import accept_all
+
 RUN_MS = 5.0  # of a run
 TTL_MS = 4000  # that a gateway waits for an answer
 PRODUCTS = ("look", "pay")  # inquiry-like; referenced
@@ -88,15 +90,7 @@
         self.address: tuple[str, int] = self.sock.getsockname()
 
     async def run(self) -> None:
-        async with anyio.create_task_group() as group:
-            try:
-                while True:
-                    await anyio.wait_readable(self.sock)
-                    with contextlib.suppress(BlockingIOError):
-                        near, _ = self.sock.accept()
-                        group.start_soon(self._serve, near)
-            finally:
-                self.sock.close()
+        await accept_all(self.sock, self._serve)
 
     async def _serve(self, sock: socket.socket) -> None:
         try:
