--- a/otterrudder/lab/processes/link.py
+++ b/otterrudder/lab/processes/link.py
@@ -29,7 +29,8 @@
     per_s: float = 0.0  # bytes a second that the near end reads; 0: all there is
 
 
-async def accept_all(sock: socket.socket, serve: Callable[[socket.socket], Coroutine[Any, Any, None]]) -> None:
+async def accept_all(sock: socket.socket,
+                     serve: Callable[[socket.socket], Coroutine[Any, Any, None]]) -> None:
     """Each connection in a task of its own, until cancelled; the listener is closed then."""
     async with anyio.create_task_group() as group:
         try:
