--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -61,10 +61,8 @@
             self.fleet: Fleet = read_fleet(file)
         except BadFleet as trouble:
             give_up(trouble)
-        try:
-            from otterrudder.fleet.client import Client
-        except ModuleNotFoundError as missing:
-            give_up(f"the fleet needs {missing.name}: pip install 'otterrudder[fleet]'")
+        from otterrudder.fleet.client import Client
+
         self.keys = Keys(self.fleet.name)
         self.client = Client(self.fleet)
 
@@ -248,7 +246,7 @@
     """How the last changes ended, the newest last."""
     ends = _run(file, lambda store: store.view()).settled
     if as_json:
-        click.echo(json.dumps([msgspec.to_builtins(end) for end in ends], indent=1))
+        click.echo(json.dumps([msgspec.structs.asdict(end) for end in ends], indent=1))
         return
     for end in ends:
         how = "in force" if end.committed else f"aborted: {end.why}"
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -3,6 +3,7 @@
 What would break the fleet's promises together is refused here, in one line, and nowhere else."""
 
 from dataclasses import dataclass
+from importlib.util import find_spec
 from pathlib import Path
 from typing import Literal
 
@@ -13,6 +14,7 @@
 from otterrudder.fleet.records import NAME_MOST, Absent
 
 VERSION = 1  # of the form
+NEEDS = ("aetcd", "grpc")  # what the store's client stands on, the extra `fleet`
 STORES_MOST = 9  # members of an engine's cluster
 # ms; below it a read that shows the change open has no time to come before the next is due
 BOUND_LEAST_MS = 400.0
@@ -65,8 +67,11 @@
 
 
 def read_fleet(path: str | Path) -> Fleet:
-    """BadFleet says what is wrong, by the file's name and the key."""
+    """BadFleet says what is wrong, by the file's name and the key, or that the store's client is missing."""
     path = Path(path)
+    if missing := [name for name in NEEDS if find_spec(name) is None]:
+        raise BadFleet(f"{path.name}: a fleet needs {missing[0]}: pip install 'otterrudder[fleet]', or "
+                       "-r requirements-fleet.txt")
     return _checked(convert(load_toml(path, BadFleet), _Fleet, f"{path.name}: ", BadFleet), path)
 
 
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -241,3 +241,38 @@
 
     anyio.run(play)
     assert not space.leases  # given back on the way out
+
+
+def test_the_commands_from_an_empty_store_to_a_way_back(engine: Engine, tmp_path: Path) -> None:
+    engine.client()  # writes the file
+    first, second = tmp_path / "first.toml", tmp_path / "second.toml"
+    first.write_text("version = 1\n[products.look]\nvalue = 2.0\n")
+    second.write_text("version = 1\n[products.look]\nvalue = 3.0\n")
+
+    def run(*words: str) -> tuple[int, str]:
+        env = {"OTTERRUDDER_FLEET": str(tmp_path / "fleet.toml"), "PATH": "", "USER": "ann"}
+        told = subprocess.run([sys.executable, "-m", "otterrudder", "fleet", *words], capture_output=True,
+                              text=True, cwd=ROOT, env=env)
+        return told.returncode, told.stdout + told.stderr
+
+    assert run("status") == (0, "f: no policy yet: each server goes by its own files\n")
+    assert run("policy", "back")[0] == 3
+    assert run("policy", "apply", str(first), "--note", "one") == (0, "version 1 is in force\n")
+    code, text = run("policy", "diff", str(second))
+    assert code == 1 and "-value = 2.0\n+value = 3.0" in text
+    assert run("policy", "apply", str(second), "--trial", "5")[0] == 2  # without a condition
+    assert "figures are" in run("policy", "apply", str(second), "--trial", "5", "--if", "luck > 1")[1]
+    code, text = run("policy", "apply", str(second), "--trial", "5", "--if", "given_up > 0.05")
+    assert code == 0 and "on trial for 5 s: the fleet goes back by itself if given_up > 0.05" in text
+    assert json.loads(run("status", "--json")[1])["trial"]["now"] == "not known yet"
+    assert run("policy", "back")[0] == 0
+    assert run("policy", "show") == (0, first.read_text())
+    assert run("policy", "show", "--version", "2") == (0, second.read_text())
+    assert run("policy", "show", "--version", "9")[0] == 3
+    ends = json.loads(run("policy", "history", "--json")[1])
+    assert [(end["version"], end["author"], end["note"]) for end in ends] == [(1, "ann", "one"), (2, "ann", ""), (3, "ann", "back to version 1")]
+    assert run("gone", "n7") == (3, "otterrudder: n7 is not on the roster\n")
+    engine.tell(down=True)
+    code, text = run("status")
+    assert code == 4 and text.startswith("otterrudder: the store does not answer")
+    engine.tell(down=False)
