--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -190,7 +190,8 @@
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
     kept = ends[-SETTLED_MOST:]
-    needed = {in_force, *(one.digest for one in kept), *([change.trial.back] if change.trial else [])}
+    needed = {in_force, *(one.digest for one in kept)}
+    needed |= {trial.back for trial in (change.trial, view.trial) if trial}
     writes: list[Write] = [Put(keys.settled, msgspec.json.encode(kept)), Delete(keys.change),
                            Delete(keys.votes, whole_prefix=True)]
     writes += [Delete(keys.text(digest)) for digest in {one.digest for one in ends} - needed]
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -270,7 +270,8 @@
     assert run("policy", "show", "--version", "2") == (0, second.read_text())
     assert run("policy", "show", "--version", "9")[0] == 3
     ends = json.loads(run("policy", "history", "--json")[1])
-    assert [(end["version"], end["author"], end["note"]) for end in ends] == [(1, "ann", "one"), (2, "ann", ""), (3, "ann", "back to version 1")]
+    assert [(end["version"], end["author"], end["note"]) for end in ends] == [
+        (1, "ann", "one"), (2, "ann", ""), (3, "ann", "back to version 1")]
     assert run("gone", "n7") == (3, "otterrudder: n7 is not on the roster\n")
     engine.tell(down=True)
     code, text = run("status")
