--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -121,12 +121,13 @@
         click.echo(json.dumps(told.get("fleet", told), indent=1))
         return
     while True:
-        view = _run(file, lambda store: store.view())
-        click.echo(json.dumps(_status(view), indent=1) if as_json else "\n".join(_lines(_status(view))))
+        told = _status(_run(file, lambda store: store.view()))
+        if live and sys.stdout.isatty():
+            click.clear()
+        click.echo(json.dumps(told, indent=1) if as_json else "\n".join(_lines(told)))
         if not live:
             return
         time.sleep(WATCH_S)
-        click.echo("")
 
 
 def _status(view: View) -> dict[str, Any]:
--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -57,8 +57,11 @@
 @click.option("--seed", type=int, help="This seed instead of the file's.")
 @click.option("--servers", type=click.IntRange(1, 24), help="So many instead of the file's.")
 @click.option("--quick", is_flag=True, help="The file's quick form: about a minute.")
+@click.option("--shrink", is_flag=True, help="Cut a run that broke a claim down to the fewest faults.")
 @click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
-def processes(file: Path, seed: int | None, servers: int | None, quick: bool, folder: Path | None) -> None:
+def processes(
+    file: Path, seed: int | None, servers: int | None, quick: bool, shrink: bool, folder: Path | None
+) -> None:
     """Play an experiment FILE with processes of the program and faults between them; exits with 1 if a claim
     does not hold. Needs the extra `fleet` as well."""
     try:
@@ -80,6 +83,11 @@
     broken = [f"{run.variant}, seed {run.seed}: {claim}" for run in runs for claim in run.broken]
     for line in broken:
         click.echo(f"does not hold: {line}", err=True)
+    for run in runs if shrink else ():
+        if run.broken:
+            click.echo(f"{run.variant}, seed {run.seed}, cut down:")
+            for this in of.cut_down(what, run, click.echo):
+                click.echo(f"  {this}")
     sys.exit(1 if broken else 0)
 
 
--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -190,6 +190,16 @@
     plt.close(figure)
 
 
+def cut_down(experiment: Experiment, run: Run, tell: Callable[[str], None]) -> list[Round]:
+    """The fewest rounds and faults of a run that broke a claim, each try played anew."""
+    def broke(rounds: list[Round]) -> bool:
+        again = perform_one(experiment, run.variant, run.seed, rounds, run.servers)
+        tell(f"  {len(rounds)} rounds: {'; '.join(again.broken) or 'holds'}")
+        return bool(again.broken)
+
+    return shrink(broke, draw(run.seed, run.servers, len(run.played.rounds)))
+
+
 def shrink(broke: Callable[[list[Round]], bool], rounds: list[Round]) -> list[Round]:
     """The fewest rounds, with the fewest faults, that still break what the whole plan broke."""
     for n in reversed(range(len(rounds))):
