--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -104,7 +104,7 @@
 def figures_of(view: View, trial: Trial) -> dict[str, float]:
     """The trial's figures in the mean of those who serve under it and tell them; nothing until half do."""
     lives = view.lives.values()
-    telling = [live.figures for live in lives if live.version == trial.version and live.figures]
+    telling = [dict(live.figures) for live in lives if live.version == trial.version and live.figures]
     if not telling or 2 * len(telling) < len(lives):
         return {}
     found = {}
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -347,7 +347,8 @@
         version, state = (0, "joining") if now is None else self._to_tell(now)
         live, trial = self.live, self.seen.trial if self.seen else None
         asked = {fact for fact, _ in trial.conditions} if trial and now is not None else ()
-        figures = {fact: value for fact, value in self.figures if fact in asked and math.isfinite(value)}
+        # One that is no number would be null in the record, and unread the whole of it.
+        figures = tuple(one for one in self.figures if one[0] in asked and math.isfinite(one[1]))
         return Live(self.epoch, live.program, live.zone, version, self.known.digest, state, live.products,
                     figures)
 
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -93,7 +93,7 @@
     digest: str = ""
     state: str = ""
     products: tuple[str, ...] = ()
-    figures: dict[str, float] = {}  # that a trial asks for
+    figures: tuple[tuple[str, float], ...] = ()  # that a trial asks for
 
 
 class Vote(_Record, frozen=True):
