--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -158,8 +158,8 @@
 
 
 def chart(run: Run, path: Path) -> None:
-    """Servers down the page, time along it; a dot for each txn settled, by the policy that it shows; a cross
-    for what was declined that the policy in force serves; faults marked."""
+    """Servers down the page, time along it; a stroke for each txn settled, by its product and so by the
+    policies that serve it; versions as lines, faults as crosses."""
     import matplotlib
 
     matplotlib.use("svg")
@@ -173,6 +173,7 @@
         points = [((at - start) / 1000, server) for at, server, what, how in run.lines
                   if what == product and how == "settled"]
         axes.plot([x for x, _ in points], [y for _, y in points], "|", ms=7, color=colour, alpha=0.5,
+                  rasterized=True,  # thousands of them
                   label=f"{product} settled")
     for n, version in enumerate(run.versions[1:], 1):
         axes.axvline((version.by - start) / 1000, color="#666666", lw=0.6)
@@ -186,7 +187,7 @@
     axes.set_title(f"{run.variant}, seed {run.seed}", fontsize=9)
     axes.legend(fontsize=7, loc="upper left")
     figure.tight_layout()
-    figure.savefig(path, metadata={"Date": None})
+    figure.savefig(path, metadata={"Date": None}, dpi=110)
     plt.close(figure)
 
 
