--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -16,7 +16,6 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 import anyio
 import anyio.abc
@@ -359,7 +358,7 @@
         now = clock()
         return {p.number: p.harmed + ([(p.frozen_at, now)] if p.frozen_at else []) for p in self.places}
 
-    async def shown(self, place: Place, **_: Any) -> str:
+    async def shown(self, place: Place) -> str:
         """Which product the server declines now, by what its gateway sees: "?" while that is not clear."""
         at = len(self.wire.asked)
         with anyio.move_on_after(3.0):
