Fleet, read over: a settler's unused view and parameter gone, a trial's figures reckoned once

Settler.last and the parameter judge of Settler.told were read by nothing; figures_of was called anew for each condition of a trial; a server's facts were taken on each round of the agent's loop, also where no policy is on trial. Behaviour is the same: ruff, mypy and the tests of trial, settler, deadline and core pass.

--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -121,7 +121,8 @@
         member, seen = self.member, self.member.seen
         wants = member.wants(now)
         change = seen.open.id if seen and seen.open else trial_id(seen.trial) if seen and seen.trial else ""
-        member.figures = tuple(self.facts().items())
+        if seen and seen.trial:  # nobody asks for them else
+            member.figures = tuple(self.facts().items())
         duty = bool(seen and seen.has_duty)
         settle = self.settler.wants(now, change, member.on_duty, duty, member.lease, member.registered)
         return [*wants, settle] if settle else wants
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -11,7 +11,6 @@
 
 import math
 import zlib
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -121,8 +120,9 @@
     keys, trial, head = view.keys, view.trial, view.policy
     if not trial or not head or view.change:
         return None, strikes
-    over = [f"{fact} {value:.3g} > {bound:g}" for fact, bound in trial.conditions
-            if (value := figures_of(view, trial).get(fact, -math.inf)) > bound]
+    figures = figures_of(view, trial)
+    over = [f"{fact} {figures[fact]:.3g} > {bound:g}" for fact, bound in trial.conditions
+            if figures.get(fact, -math.inf) > bound]
     ident = f"back-{trial.change}"
     is_tried = fate(view, ident) is not None  # and was aborted: an operator has to look
     if is_tried or head.version != trial.version or age_ms >= trial.span_ms:
@@ -156,8 +156,9 @@
     if not told.owed:
         return _end(view, change, True, "", told.left_out)
     if is_late:
-        named = [*told.owed[:REASONS_MOST], *([f"{len(told.owed) - REASONS_MOST} more"]
-                                              if len(told.owed) > REASONS_MOST else [])]
+        named = list(told.owed[:REASONS_MOST])
+        if more := len(told.owed) - len(named):
+            named.append(f"{more} more")
         return _end(view, change, False, f"no word in time from {', '.join(named)}")
     return None
 
@@ -216,12 +217,11 @@
 
     `wants` is asked with what the member has last seen; a proposer's own program counts without the duty."""
 
-    __slots__ = ("_at", "_busy", "_seen_since", "_strikes", "change", "keys", "last", "name", "needs_duty")
+    __slots__ = ("_at", "_busy", "_seen_since", "_strikes", "change", "keys", "name", "needs_duty")
 
     def __init__(self, keys: Keys, name: str, needs_duty: bool = True) -> None:
         self.keys, self.name, self.needs_duty = keys, name, needs_duty
         self.change = ""
-        self.last: View | None = None  # the last whole view
         self._seen_since = self._at = 0.0
         self._busy = False
         self._strikes = 0  # counts in a row at which a figure on trial was too high
@@ -251,8 +251,7 @@
         self._busy = True
         return Read(whole(self.keys), Lane.SETTLE)
 
-    def told(self, now: float, want: Want, outcome: Outcome,
-             judge: Callable[[View, bool], Commit | None] = settle) -> Commit | None:
+    def told(self, now: float, want: Want, outcome: Outcome) -> Commit | None:
         """What is to be done upon that, if anything: its outcome is owed as well."""
         self._busy = False
         age = now - self._seen_since
@@ -261,10 +260,10 @@
             self._at = now
         if not isinstance(outcome, Snapshot):
             return None
-        self.last = view = View(self.keys, outcome)
+        view = View(self.keys, outcome)
         change, trial, commit = view.change, view.trial, None
         if change and change.id == self.change:
-            commit = judge(view, age >= change.deadline_ms)
+            commit = settle(view, age >= change.deadline_ms)
         elif trial and trial_id(trial) == self.change:
             commit, self._strikes = try_out(view, age, self._strikes)
         self._busy = commit is not None
