Fleet: no word of another engine, and no reading from before a lost lease, counts

Cause: the search may now have another engine (an older copy under an id of its own, or an empty one) answer for a while, and drawn walks went other ways than before. The client's deadline makes this rare, a process that is frozen with an answer in its socket does not. Ruled out: the model's clock and books (the trail has no swap of engines, and the member itself says SERVING). Two more by reading: a lease that another engine keeps alive was believed, and a member with no folder believed whichever engine it heard first.

Change: a read under way when the registration is lost is void. Every answer now tells engine and revision (Done, Leased); one of another engine, or older than what was known when its question was sent, is no answer. store_id in the fleet's file names the only engine that is believed; commands keep to it as well, fleet status tells it. Nothing is settled on an engine that is in doubt.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -67,7 +67,11 @@
         self.client = Client(self.fleet)
 
     async def view(self, *more: str) -> View:
-        return View(self.keys, await self.client.read((*whole(self.keys), *more), TIMEOUT_MS))
+        """StoreAway as well where another engine answers than the file names."""
+        snapshot = await self.client.read((*whole(self.keys), *more), TIMEOUT_MS)
+        if self.fleet.store_id not in (0, snapshot.cluster):
+            raise StoreAway(f"another engine answers: {snapshot.cluster:x}, not {self.fleet.store_id:x}")
+        return View(self.keys, snapshot)
 
     async def commit(self, commit: Commit) -> Done | None:
         """None: no answer came, and it may have taken effect."""
@@ -143,7 +147,7 @@
             program=live.program if live else "", absent=roster.absent,
             vote=None if vote is None else "yes" if vote.yes else f"no: {vote.why}"))
     return dict(
-        fleet=view.keys.fleet, revision=view.snapshot.revision,
+        fleet=view.keys.fleet, store_id=f"{view.snapshot.cluster:x}", revision=view.snapshot.revision,
         policy=dict(version=head.version, digest=head.digest, author=head.author, note=head.note,
                     at=_when(head.at)) if head else None,
         change=dict(id=change.id, version=change.version, author=change.author, note=change.note,
@@ -163,9 +167,10 @@
 
 def _lines(told: dict[str, Any]) -> list[str]:
     policy, change = told["policy"], told["change"]
-    lines = [f"{told['fleet']}: " + (f"version {policy['version']} in force since {policy['at']} "
-                                     f"({policy['author'] or 'unnamed'}: {policy['note'] or 'no note'})"
-                                     if policy else "no policy yet: each server goes by its own files")]
+    in_force = (f"version {policy['version']} in force since {policy['at']} "
+                f"({policy['author'] or 'unnamed'}: {policy['note'] or 'no note'})"
+                if policy else "no policy yet: each server goes by its own files")
+    lines = [f"{told['fleet']}, on the store {told['store_id']}: {in_force}"]
     if told["trial"]:
         trial = told["trial"]
         lines.append(f"on trial: goes back if {trial['conditions']}; now {trial['now']}")
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -57,7 +57,8 @@
         self.store, self.folder, self.orders = store, folder, orders
         place = record.folder if record else secrets.token_hex(8)
         self.member = Member(clock.monotonic(), keys, name, epoch, place, fleet.rules, judge, record=record,
-                             has_disk=folder is not None, live=msgspec.structs.replace(live, epoch=epoch))
+                             has_disk=folder is not None, live=msgspec.structs.replace(live, epoch=epoch),
+                             cluster=fleet.store_id)
         self.settler = Settler(keys, name)
         self.wake = anyio.Event()
         self.standing: Standing | None = None
@@ -121,6 +122,7 @@
         member, seen = self.member, self.member.seen
         wants = member.wants(now)
         change = seen.open.id if seen and seen.open else trial_id(seen.trial) if seen and seen.trial else ""
+        change = "" if member.doubt else change  # nothing is settled on an engine that is not believed
         if seen and seen.trial:  # nobody asks for them else
             member.figures = tuple(self.facts().items())
         duty = bool(seen and seen.has_duty)
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -17,7 +17,18 @@
 from aetcd import rpc
 
 from otterrudder.fleet.configuration import Fleet
-from otterrudder.fleet.store import Changed, Compare, Delete, Done, Entry, Put, Snapshot, StoreAway, Write
+from otterrudder.fleet.store import (
+    Changed,
+    Compare,
+    Delete,
+    Done,
+    Entry,
+    Leased,
+    Put,
+    Snapshot,
+    StoreAway,
+    Write,
+)
 
 # A channel that lost its engine tries again soon, and shares no connection with the one made after it.
 OPTIONS = [
@@ -61,19 +72,19 @@
             answer = await self._call("kv", "Txn", request, timeout_ms)
         except _Refused:
             return Done(False, 0)
-        return Done(answer.succeeded, answer.header.revision)
+        return Done(answer.succeeded, answer.header.revision, answer.header.cluster_id)
 
-    async def lease(self, span_ms: float, timeout_ms: float) -> int:
+    async def lease(self, span_ms: float, timeout_ms: float) -> Leased:
         request = rpc.LeaseGrantRequest(TTL=max(round(span_ms / 1000), 1))
-        return int((await self._call("leases", "LeaseGrant", request, timeout_ms)).ID)
+        return _leased(await self._call("leases", "LeaseGrant", request, timeout_ms))
 
-    async def renew(self, lease: int, timeout_ms: float) -> bool:
+    async def renew(self, lease: int, timeout_ms: float) -> Leased:
         self._connect()
         call = self._leases.LeaseKeepAlive([rpc.LeaseKeepAliveRequest(ID=lease)], timeout=timeout_ms / 1000)
         async with self._heard(call):
             async for answer in call:
                 self._silent = 0
-                return bool(answer.TTL > 0)
+                return _leased(answer)
         raise StoreAway("the renewal ended without an answer")
 
     async def revoke(self, lease: int, timeout_ms: float) -> None:
@@ -164,6 +175,11 @@
                                         cert.read_bytes() if cert else None)
 
 
+def _leased(answer: Any) -> Leased:
+    header = answer.header
+    return Leased(answer.ID if answer.TTL > 0 else 0, header.revision, header.cluster_id)
+
+
 def _end_of(prefix: bytes) -> bytes:
     """The end of the range of all keys with this prefix, which ends in a slash: never 0xff."""
     return prefix[:-1] + bytes([prefix[-1] + 1])
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -40,6 +40,7 @@
     ca: Path | None
     cert: Path | None
     key: Path | None
+    store_id: int = 0  # of the only engine that is believed; 0: the first that is heard
 
     @property
     def timeout_ms(self) -> float:
@@ -63,6 +64,7 @@
     lease_ms: float = 6000.0
     folder: str | None = None
     zone: str = ""
+    store_id: str = ""
     tls: _Tls | None = None
 
 
@@ -96,6 +98,12 @@
     if told.start == "folder" and told.absent != "wait":
         raise bad("start", f'"folder" goes with absent = "wait" only: under "{told.absent}" a change may '
                            "have been made without this server")
+    try:
+        store_id = int(told.store_id or "0", 16)
+    except ValueError:
+        store_id = -1
+    if not 0 <= store_id < 2**64:
+        raise bad("store_id", f"the engine's cluster id in hex is wanted, not {told.store_id!r}")
     folder = (path.parent / told.folder) if told.folder else None
     tls = told.tls
     if tls and (tls.cert is None) != (tls.key is None):
@@ -104,7 +112,7 @@
     return Fleet(told.fleet, tuple(_address(text, bad) for text in told.store),
                  Rules(told.absent, told.bound_ms, told.lease_ms, told.start == "folder"), folder, told.zone,
                  beside / tls.ca if tls else None, beside / tls.cert if tls and tls.cert else None,
-                 beside / tls.key if tls and tls.key else None)
+                 beside / tls.key if tls and tls.key else None, store_id)
 
 
 def _address(text: str, bad: "type[BadFleet] | object") -> tuple[str, int]:
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -24,7 +24,7 @@
 from enum import Enum
 
 from otterrudder.fleet.records import Absent, BadRecord, Keys, Live, Roster, Trial, View, Vote, encode
-from otterrudder.fleet.store import Compare, Done, Put, Snapshot
+from otterrudder.fleet.store import Compare, Done, Leased, Put, Snapshot
 from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
 
 # of its span for which a lease is believed: two clocks may run apart by a tenth
@@ -126,26 +126,28 @@
 
 
 class Member:
-    __slots__ = ("_busy", "_disk_at", "_failed", "_judged", "_need_text", "_read_at", "_renew_at",
-                 "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_told",
-                 "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at",
-                 "has_disk", "head", "head_change", "joined", "judge", "keys", "known", "lease",
+    __slots__ = ("_busy", "_disk_at", "_failed", "_floors", "_is_void", "_judged", "_need_text", "_read_at",
+                 "_renew_at", "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_told", "_unfit",
+                 "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at", "has_disk",
+                 "head", "head_change", "joined", "judge", "keys", "known", "lease",
                  "lease_until", "live", "name", "on_duty", "pledge", "registered", "revision", "rules",
                  "seen", "sure", "vote_sent")
 
     def __init__(self, now: float, keys: Keys, name: str, epoch: str, folder: str, rules: Rules,
                  judge: Callable[[str], str], *, record: Record | None = None, has_disk: bool = True,
-                 live: Live | None = None) -> None:
+                 live: Live | None = None, cluster: int = 0) -> None:
         """`record`: what the folder held, None where it was empty; `folder`: its name, new with an empty one.
-        `judge`: what is wrong with a policy's text for this server, "" if nothing."""
+        `judge`: what is wrong with a policy's text for this server, "" if nothing. `cluster`: the only engine
+        that is believed, where the fleet's file names it; 0: the first that is heard."""
         self.keys, self.name, self.epoch, self.folder = keys, name, epoch, folder
         self.rules, self.judge, self.has_disk = rules, judge, has_disk
         self.live = live or Live(epoch)
         self.known = record.known if record else Policy()
         self.pledge = record.pledge if record else None
         self.joined = bool(record and record.joined)
-        self.cluster = record.cluster if record else 0
-        self.revision = record.revision if record else 0
+        self.cluster = cluster or (record.cluster if record else 0)
+        is_same = record is not None and record.cluster == self.cluster
+        self.revision = record.revision if record and is_same else 0
         self.head, self.head_change = self.known.version, self.known.change  # in force, as last seen
         self.vote_sent = self.pledge is not None  # by an earlier life: it may have been
         self.fresh_at = -math.inf  # when the read was sent that last showed the pledged change open
@@ -158,6 +160,8 @@
         self.on_duty = False
         self._saved = record
         self._busy: frozenset[Lane] = frozenset()
+        self._floors = (0, 0)  # the revision that was known when what is under way in two lanes was begun
+        self._is_void = False  # the read under way began before the registration was lost: it proves nothing
         self._stale = True
         self._need_text = ""
         self._texts: tuple[tuple[str, str], ...] = ()  # digest and text of what may come into force
@@ -215,15 +219,24 @@
         found = [self._store_want(now), self._disk_want(now), self._lease_want(now)]  # a vote wants a save
         begun = [want for want in found if want]
         self._busy |= {want.lane for want in begun}
+        reads, leases = (any(want.lane is lane for want in begun) for lane in (Lane.STORE, Lane.LEASE))
+        self._floors = (self.revision if reads else self._floors[0],
+                        self.revision if leases else self._floors[1])
         return begun
 
     def told(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
         """How a want ended; `sent`: when it was begun."""
         self._busy -= {want.lane}
+        is_void = self._is_void and want.lane is Lane.STORE
+        self._is_void = self._is_void and not is_void
+        if isinstance(outcome, Done | Leased) and not self._is_believed(outcome):
+            outcome, self._stale = None, True  # no word of an engine that is not believed counts
         if isinstance(want, Save):
             self._told_save(now, want, outcome)
         elif want.lane is Lane.LEASE:
             self._told_lease(now, want, sent, outcome)
+        elif is_void:
+            self._stale = True
         elif outcome is None:
             self._stale = True
             self._fail(now)
@@ -394,12 +407,12 @@
 
     def _told_lease(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
         if outcome is None:
-            self._renew_at = now + RETRY_MS
+            self._renew_at = now + (self.rules.lease_ms * RENEW_SHARE if self.doubt else RETRY_MS)
             return
         if isinstance(want, Lease):
-            assert isinstance(outcome, int)
-            self.lease = outcome
-        elif not outcome:
+            assert isinstance(outcome, Leased)
+            self.lease = outcome.lease
+        elif isinstance(outcome, Leased) and not outcome.lease:
             self._lose_registration()
             self.lease = 0
         if self.lease:
@@ -408,6 +421,8 @@
 
     def _lose_registration(self) -> None:
         self.registered, self.on_duty, self._stale = 0, False, True
+        # A read that was sent before, and comes late, would show the registration as it was.
+        self._is_void = Lane.STORE in self._busy
         if self.rules.absent == "leave-out":
             self.sure, self.lease_until = False, -math.inf
 
@@ -427,20 +442,37 @@
     def _doubt(self, view: View) -> str:
         """Why this engine is not the one that was heard before, or not as far as it was: its word would undo
         what the fleet has agreed."""
-        cluster, revision, _ = view.snapshot
-        if self.cluster not in (0, cluster):
-            return f"another engine answers: {cluster:x}, not {self.cluster:x}"
-        if revision < self.revision:
-            return f"the engine's revision went back, from {self.revision} to {revision}"
+        if doubt := self._doubt_engine(view.snapshot.cluster, view.snapshot.revision, self._floors[0]):
+            return doubt
         head = view.policy
         version, change = (head.version, head.change) if head else (0, "")
         if version < self.head or version == self.head and change != self.head_change:
             return f"the engine's policy went back, from version {self.head} to {version}, or is another one"
         return ""
 
+    def _doubt_engine(self, cluster: int, revision: int, floor: int) -> str:
+        if self.cluster not in (0, cluster):
+            return f"another engine answers: {cluster:x}, not {self.cluster:x}"
+        if revision < floor:
+            return f"the engine's revision went back, from {floor} to {revision}"
+        return ""
+
+    def _is_believed(self, outcome: Done | Leased) -> bool:
+        """Whether the engine that answered is the one that was heard before; a lease that another one keeps
+        alive has lapsed where it counts."""
+        if not outcome.cluster:
+            return True  # it has said nothing of itself, and that it did nothing
+        floor = self._floors[isinstance(outcome, Leased)]
+        if doubt := self._doubt_engine(outcome.cluster, outcome.revision, floor):
+            self.doubt = doubt
+            return False
+        self.revision = max(self.revision, outcome.revision)
+        return True
+
     def _take(self, now: float, sent: float, view: View) -> None:
         """A read that is believed."""
-        self.cluster, self.revision = view.snapshot.cluster, view.snapshot.revision
+        self.cluster = view.snapshot.cluster
+        self.revision = max(self.revision, view.snapshot.revision)
         self.seen = seen = self._seen(view)
         self._check_registration(seen)
         self._take_policy(view)
--- a/otterrudder/fleet/store.py
+++ b/otterrudder/fleet/store.py
@@ -67,6 +67,15 @@
 
     held: bool
     revision: int
+    cluster: int = 0  # 0: not told
+
+
+class Leased(NamedTuple):
+    """How a lease stands, and by which engine, as of which revision."""
+
+    lease: int  # its number; 0: it has lapsed
+    revision: int
+    cluster: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,11 +95,11 @@
     async def commit(self, compares: Sequence[Compare], writes: Sequence[Write], timeout_ms: float) -> Done:
         """All of the writes if all of the compares hold, else none."""
 
-    async def lease(self, span_ms: float, timeout_ms: float) -> int:
-        """A new lease's number, never 0."""
+    async def lease(self, span_ms: float, timeout_ms: float) -> Leased:
+        """A new lease."""
 
-    async def renew(self, lease: int, timeout_ms: float) -> bool:
-        """Whether it lives, with its whole span again; False: it has lapsed."""
+    async def renew(self, lease: int, timeout_ms: float) -> Leased:
+        """Its whole span again, if it lives."""
 
     def watch(self, prefix: str) -> AsyncIterator[Changed]:
         """Hints from now on; it ends by StoreAway, and whoever watches begins anew with a read."""
--- a/otterrudder/fleet/wants.py
+++ b/otterrudder/fleet/wants.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from otterrudder.fleet.store import Compare, Done, Snapshot, Write
+from otterrudder.fleet.store import Compare, Done, Leased, Snapshot, Write
 
 
 class Lane(Enum):
@@ -52,4 +52,4 @@
 
 
 Want = Read | Commit | Lease | Renew | Save
-Outcome = Snapshot | Done | int | bool | None  # of a read; a commit; a lease; a renewal or save; no answer
+Outcome = Snapshot | Done | Leased | bool | None  # of a read; a commit; a lease or renewal; a save; no answer
--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -7,7 +7,7 @@
 from otterrudder.fleet.change import count, settle
 from otterrudder.fleet.member import Member, Open, Pledge, Policy, Seen, Standing
 from otterrudder.fleet.records import View
-from otterrudder.fleet.store import Snapshot
+from otterrudder.fleet.store import Done, Leased, Snapshot
 from otterrudder.fleet.wants import Commit, Lane, Outcome, Save, Want
 from otterrudder.lab.fleet.world import RULES, Stage, Variant
 
@@ -162,6 +162,24 @@
     def _doubt(self, view: View) -> str:
         return ""
 
+    def _is_believed(self, outcome: Done | Leased) -> bool:
+        return True
+
+
+class BelievesAnyLease(_Loose):
+    """Holds its lease to live because some engine says so."""
+
+    def _is_believed(self, outcome: Done | Leased) -> bool:
+        return isinstance(outcome, Leased) or super()._is_believed(outcome)
+
+
+class BelievesLateReading(_Loose):
+    """A read that was sent before its lease was lost, and comes after, makes it sure again."""
+
+    def _lose_registration(self) -> None:
+        super()._lose_registration()
+        self._is_void = False
+
 
 class NeverReadsAgain(_Loose):
     """Reads when it is hinted at, and never by itself."""
@@ -235,6 +253,8 @@
 _HALF_KNOWN = ("0 dies", "time", "time", "time", "time", "0 starts", "0.2 read")
 _LAPSED_NAME = ("0 is cut off", *(("time", "~2.1 read") * 6), "~2.1 register", "~2.1 read", "~2.1 read",
                 "A reads", "A: propose", *(("~1.1 read", "~2.1 read") * 3), "~1.1 vote", "~2.1 vote")
+_KEPT_ALIVE = ("the store is copied", "an older copy answers", *(("time",) * 5), "0 is cut off",
+               "the store itself answers", "A reads", "A: propose", "count", "count: commit")
 # Each fault with the world that it shows in.
 FAULTS: dict[str, Hunt] = {
     "vote before disk": Hunt(Variant(VoteBeforeDisk, rules=FOLDER, fills_disks=True), Stage.CALM, _NO_ROOM,
@@ -254,6 +274,10 @@
     "two of one name": Hunt(Variant(TwoOfOneName, has_twin=True)),
     "any policy": Hunt(Variant(AnyPolicy)),
     "forgets its pledge": Hunt(Variant(ForgetsPledge, rules=FOLDER), Stage.COMMITTED, _HALF_KNOWN, 3, 9),
+    "believes any store": Hunt(Variant(BelievesAnyStore, copies=True)),
+    "believes any lease": Hunt(Variant(BelievesAnyLease, rules=LEAVE, copies=True), Stage.CALM, _KEPT_ALIVE,
+                               3, 2),
+    "believes a late reading": Hunt(Variant(BelievesLateReading, rules=LEAVE)),
     "never reads again": Hunt(Variant(NeverReadsAgain)),
     "most votes": Hunt(Variant(settle=most_votes)),
     "blind commit": Hunt(Variant(settle=blind)),
@@ -268,4 +292,7 @@
     "leave-out, no folder": Variant(rules=LEAVE, has_disk=False),
     "a name taken": Variant(has_twin=True),
     "a policy that is bad for one": Variant(bad_for=0),
+    "another engine answers": Variant(copies=True),
+    "another engine, leave-out": Variant(rules=LEAVE, copies=True),
+    "another engine, no folder": Variant(rules=LEAVE, has_disk=False, copies=True, names_store=True),
 }
--- a/otterrudder/lab/fleet/report.py
+++ b/otterrudder/lab/fleet/report.py
@@ -22,8 +22,8 @@
     return walk(replace(SOUND[name], members=members), seed, walks, LENGTH, FAULTS_MOST)
 
 
-def _search(name: str, stage: str, depth: int) -> Found:
-    return search(SOUND[name], depth, DEPTH_FAULTS, stage=Stage[stage])
+def _search(name: str, members: int, stage: str, depth: int) -> Found:
+    return search(replace(SOUND[name], members=members), depth, DEPTH_FAULTS, stage=Stage[stage])
 
 
 def _hunt(name: str) -> Found:
@@ -31,14 +31,16 @@
 
 
 def searched(walks: int, seed: int, depth: int, workers: int | None, say: Callable[[str], None]) -> bool:
-    """Whether no promise broke and each fault was found. `walks`: by variant and number of members."""
+    """Whether no promise broke and each fault was found. `walks`: by variant and number of members; `depth`:
+    of the search by breadth with two members, one less with three, two less with four."""
     good = True
     with ProcessPoolExecutor(workers) as pool:
         drawn = {(name, members): [pool.submit(_walk, name, members, seed * 1000 + n, min(CHUNK, walks))
                                    for n in range(max(walks // CHUNK, 1))]
                  for name in SOUND for members in (2, 3, 4)}
-        deep = {(name, stage.name): pool.submit(_search, name, stage.name, depth)
-                for name in SOUND for stage in Stage} if depth else {}
+        deep = {(name, members, stage.name): pool.submit(_search, name, members, stage.name, deep)
+                for members in (2, 3, 4) if (deep := depth + 2 - members) > 0
+                for name in SOUND for stage in Stage}
         hunted = {name: pool.submit(_hunt, name) for name in FAULTS}
         say("| variant | members | worlds by drawn walks | broken |")
         say("| --- | ---: | ---: | --- |")
@@ -48,11 +50,11 @@
             good = good and not broken
             say(f"| {name} | {members} | {sum(one.worlds for one in found)} | "
                 f"{f'{broken.broken}: {broken.trail}' if broken else 'none'} |")
-        for (name, stage_name), part in deep.items():
+        for (name, members, stage_name), part in deep.items():
             one = part.result()
             good = good and not one.broken
-            say(f"| {name}, from {stage_name.lower()} | 2 | {one.worlds}, each to depth {one.depth} | "
-                f"{f'{one.broken}: {one.trail}' if one.broken else 'none'} |")
+            say(f"| {name}, from {stage_name.lower()} | {members} | {one.worlds}, each to depth {one.depth} "
+                f"| {f'{one.broken}: {one.trail}' if one.broken else 'none'} |")
         say("")
         say("| fault put in | found after worlds | as |")
         say("| --- | ---: | --- |")
--- a/otterrudder/lab/fleet/search.py
+++ b/otterrudder/lab/fleet/search.py
@@ -14,9 +14,9 @@
 from otterrudder.lab.fleet.world import Apart, Stage, Variant, World, following, staged
 
 # What events are told apart by, in the words of their labels; the first that fits counts.
-KINDS = ("time goes on", "dies", "starts", "freezes", "wakes", "is cut off", "healed", "no room", "has room",
-         "gone", "answer lost", "given up", "slow answer", "late count", "count: commit", "propose", "count",
-         "vote", "register", "read")
+KINDS = ("time goes on", "copied", "copy answers", "empty store", "itself answers", "dies", "starts",
+         "freezes", "wakes", "is cut off", "healed", "no room", "has room", "gone", "answer lost", "given up",
+         "slow answer", "late count", "count: commit", "propose", "count", "vote", "register", "read")
 PEACE_EVERY = 64  # worlds from one that is left in peace to the next: that costs as much as a hundred others
 
 
@@ -33,21 +33,22 @@
     """Breadth first from a change that has come so far, and from the end of a story, if one is told; so that
     what is found is as short as it can be."""
     first = told(staged(variant, stage), story)
+    if trouble := first.broken():
+        return Found(1, 0, trouble, first.trail)
     depth += len(first.trail)
     seen, todo = {hash(first.key())}, deque([first])
-    deepest = 0
-    while todo:
+    deepest = len(first.trail)
+    while todo and depth > len(first.trail) and len(seen) < worlds_most:
         world = todo.popleft()
-        deepest = len(world.trail)
-        trouble = world.broken() or (world.in_peace() if len(seen) % PEACE_EVERY == 0 else "")
-        if trouble:
-            return Found(len(seen), deepest, trouble, world.trail)
-        if deepest == depth or len(seen) >= worlds_most:
-            continue
         for then in following(world, faults_most):
             key = hash(then.key())
-            if key not in seen:
-                seen.add(key)
+            if key in seen:
+                continue
+            seen.add(key)
+            deepest = len(then.trail)
+            if trouble := then.broken() or (then.in_peace() if len(seen) % PEACE_EVERY == 0 else ""):
+                return Found(len(seen), deepest, trouble, then.trail)
+            if deepest < depth:  # those at the depth itself are looked at, and need not be kept
                 todo.append(then)
     return Found(len(seen), deepest)
 
--- a/otterrudder/lab/fleet/world.py
+++ b/otterrudder/lab/fleet/world.py
@@ -20,6 +20,9 @@
 RULES = Rules(bound_ms=2000.0, lease_ms=4000.0)
 DEADLINE_MS = 8000.0  # of the changes
 PEACE_STEPS = 40  # of time that a world left in peace has to agree in: some leases, a deadline and polls
+STORE_ID = 1  # of the store, as a key space has it unless told another
+COPY_ID = 0xC0  # of an engine that was restored: the engine's own tool gives it a new one
+COPY_LEASES = 1000  # from which such an engine numbers its leases: an engine's are drawn, no two alike
 TURNS_MOST = 400  # events at one time in peace; more: it never rests
 
 
@@ -36,6 +39,8 @@
     has_twin: bool = False  # another process comes up under the first one's name, with a folder of its own
     fills_disks: bool = False
     bad_for: int = -1  # the member for which the second proposer's policy is no good
+    copies: bool = False  # another engine, restored from an older state or empty, may answer in its place
+    names_store: bool = False  # the fleet's file says which engine is believed
 
 
 @dataclass(slots=True)
@@ -83,6 +88,8 @@
     spent: int = 0  # faults so far
     trail: tuple[str, ...] = ()
     bug: str = ""  # of the books: something that must never be written was
+    kept: KeySpace | None = None  # an older state of the store, kept by somebody
+    right: KeySpace | None = None  # the store itself, while another engine answers in its place
 
     def copy(self, event: str = "", spent: int = 0) -> "World":
         hosts = [Host(h.name, h.folder, h.member and clone(h.member), h.life, h.disk, h.is_frozen, h.is_cut,
@@ -90,7 +97,8 @@
         flight = [Flight(f.host, f.life, f.want, f.sent, f.is_answer, f.outcome) for f in self.flight]
         trail = (*self.trail, event) if event else self.trail
         return World(self.variant, self.store.copy(), hosts, flight, dict(self.pending), self.proposed,
-                     self.now, dict(self.committed), self.spent + spent, trail, self.bug)
+                     self.now, dict(self.committed), self.spent + spent, trail, self.bug, self.kept,
+                     self.right and self.right.copy())
 
     # Its life.
 
@@ -109,7 +117,8 @@
             return "values.look: not known here" if is_bad_for and text.endswith("!") else ""
 
         host.member = self.variant.member(self.now, KEYS, host.name, epoch, host.folder, self.variant.rules,
-                                          judge, record=host.disk, has_disk=self.variant.has_disk)
+                                          judge, record=host.disk, has_disk=self.variant.has_disk,
+                                          cluster=STORE_ID if self.variant.names_store else 0)
         self.settle_down()
 
     def settle_down(self) -> None:
@@ -150,8 +159,8 @@
         before = self.view()
         done = self.store.commit(commit.compares, commit.writes)
         if done.held:
-            for put in commit.writes:
-                if isinstance(put, Put) and put.key == KEYS.policy:
+            for put in commit.writes:  # what another engine was told is not the fleet's
+                if isinstance(put, Put) and put.key == KEYS.policy and not self.right:
                     self._note(decode(put.value, PolicyHead), before)
             for host in self.hosts:
                 if host.member and not host.is_cut and not host.is_frozen and commit.what != "tell":
@@ -182,6 +191,20 @@
     def pass_time(self, span: float = STEP_MS) -> None:
         self.now += span
         self.store.lapse(self.now)
+        if self.right:
+            self.right.lapse(self.now)
+
+    def swap(self, other: KeySpace | None) -> None:
+        """Another engine answers from now on, or (None) the store itself again. Watches end, so all read.
+        What was reckoned from one's state is not sent to the other: whoever reckons has one channel."""
+        if other:
+            self.right, self.store = self.store, other
+        elif self.right:
+            self.store, self.right = self.right, None
+        self.pending.clear()
+        for host in self.hosts:
+            if host.runs and host.member and not host.is_cut:
+                host.member.hint()
 
     # What it promises.
 
@@ -225,6 +248,8 @@
         """From here on with everything delivered, everybody up, and one that settles: "" if all come to admit
         under the one version in force and no change is left open."""
         world = self.copy()
+        if world.right:
+            world.swap(None)
         for n, host in enumerate(world.hosts):
             host.is_frozen = host.is_cut = host.is_full = False
             if not host.member:
@@ -282,7 +307,9 @@
         leases = tuple(sorted((lease, _left(end, self.now)) for lease, (_, end) in ends))
         committed = tuple((version, change, _ago(at, self.now)) for version, (change, at) in
                           sorted(self.committed.items()))
-        return (hosts, flight, leases, committed, self.store.revision, self.proposed,
+        others = tuple(space and (space.cluster, space.revision, tuple(sorted(space.keys.items())))
+                       for space in (self.kept, self.right))
+        return (hosts, flight, leases, committed, self.store.revision, self.proposed, others,
                 tuple(sorted(self.store.keys.items())), tuple(sorted(map(repr, self.pending.items()))))
 
     def _started_key(self, host: Host) -> int:
@@ -332,6 +359,32 @@
     later.settle_down()
     yield later
     yield from _of_hosts(world, world.spent < faults_most)
+    if world.variant.copies:
+        yield from _of_store(world, world.spent < faults_most)
+
+
+def _of_store(world: World, may_harm: bool) -> Iterator[World]:
+    """Somebody keeps the store's state; later another engine with it, or an empty one, answers a while."""
+    if world.right:
+        back = world.copy("the store itself answers")
+        back.swap(None)
+        back.settle_down()
+        yield back
+        return
+    if not world.kept:
+        kept = world.copy("the store is copied")
+        kept.kept = kept.store.copy()
+        yield kept
+    for other, label in ((world.kept, "an older copy answers"), (KeySpace(), "an empty store answers")):
+        if may_harm and other:
+            swapped = world.copy(label, 1)
+            engine = other.copy()
+            engine.keeps_history = False
+            engine.cluster, engine.granted = COPY_ID, engine.granted + COPY_LEASES * (world.spent + 1)
+            engine.lapse(world.now)
+            swapped.swap(engine)
+            swapped.settle_down()
+            yield swapped
 
 
 def _of_flight(world: World, at: int, faults_most: int) -> Iterator[World]:
@@ -418,7 +471,8 @@
             up = world.copy(f"{n} starts")
             up.boot(n)
             yield up
-            if may_harm and not host.is_struck:
+            knows_store = world.variant.names_store or not world.variant.copies
+            if may_harm and not host.is_struck and knows_store:
                 yield from _struck(world, n)
             continue
         if may_harm:
--- a/otterrudder/lab/keyspace.py
+++ b/otterrudder/lab/keyspace.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from otterrudder.fleet.store import Compare, Delete, Done, Entry, Put, Snapshot, Write
+from otterrudder.fleet.store import Compare, Delete, Done, Entry, Leased, Put, Snapshot, Write
 
 HISTORY_MOST = 4096  # events kept for watches; past that the oldest are compacted away
 
@@ -68,9 +68,9 @@
 
     def commit(self, compares: Sequence[Compare], writes: Sequence[Write]) -> Done:
         if not all(map(self.holds, compares)):
-            return Done(False, self.revision)
+            return Done(False, self.revision, self.cluster)
         if any(isinstance(write, Put) and write.lease and write.lease not in self.leases for write in writes):
-            return Done(False, self.revision)  # etcd: the lease is not found, and nothing is written
+            return Done(False, self.revision, self.cluster)  # etcd: the lease is not found
         self.revision += 1
         self.writes += 1
         for write in writes:
@@ -79,19 +79,19 @@
             else:
                 for key in list(self._named(write)):
                     self._delete(key)
-        return Done(True, self.revision)
+        return Done(True, self.revision, self.cluster)
 
-    def grant(self, now: float, span_ms: float) -> int:
+    def grant(self, now: float, span_ms: float) -> Leased:
         self.granted += 1
         self.leases[self.granted] = (span_ms, now + span_ms)
-        return self.granted
+        return Leased(self.granted, self.revision, self.cluster)
 
-    def renew(self, now: float, lease: int) -> bool:
+    def renew(self, now: float, lease: int) -> Leased:
         if lease not in self.leases:
-            return False
+            return Leased(0, self.revision, self.cluster)
         span_ms = self.leases[lease][0]
         self.leases[lease] = (span_ms, now + span_ms)
-        return True
+        return Leased(lease, self.revision, self.cluster)
 
     def compact(self, revision: int) -> None:
         """Events up to this revision can no longer be watched."""
--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -132,7 +132,7 @@
 
     async def LeaseGrant(self, request: Any, context: Any) -> Any:  # noqa: N802
         await self.engine.answer(context)
-        ident = self.engine.space.grant(self.engine.now(), request.TTL * 1000.0)
+        ident = self.engine.space.grant(self.engine.now(), request.TTL * 1000.0).lease
         return rpc_pb2.LeaseGrantResponse(header=self.engine.header(), ID=ident, TTL=request.TTL)
 
     async def LeaseRevoke(self, request: Any, context: Any) -> Any:  # noqa: N802
@@ -148,7 +148,7 @@
             await self.engine.answer(context)
             self.engine.lapse()
             space = self.engine.space
-            lives = space.renew(self.engine.now(), request.ID)
+            lives = space.renew(self.engine.now(), request.ID).lease
             ttl = round(space.leases[request.ID][0] / 1000) if lives else 0
             yield rpc_pb2.LeaseKeepAliveResponse(header=self.engine.header(), ID=request.ID, TTL=ttl)
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -19,7 +19,7 @@
 from otterrudder.fleet.member import Member, Record, Rules, Standing
 from otterrudder.fleet.policy import BadPolicy, parse, trouble_in
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
-from otterrudder.fleet.wants import Commit, Read, Save
+from otterrudder.fleet.wants import Commit, Read, Renew, Save
 from otterrudder.interface import Effect, Product, Tenant
 from otterrudder.lab.fleet.hours import play
 from otterrudder.lab.keyspace import KeySpace
@@ -237,6 +237,58 @@
     assert fleet.start("a", "4").admits(fleet.now) is None
 
 
+def test_a_read_that_was_sent_before_a_lease_was_lost_and_comes_after_proves_nothing() -> None:
+    """Found by walks: it showed the registration as it had been, and with a new lease the member was sure."""
+    fleet = Fleet("ab", Rules(absent="leave-out"))
+    fleet.turn()
+    member = fleet.members["a"]
+    fleet.now += 6000.0  # frozen, say, with a read under way
+    late = Read(())
+    member.hint()
+    sent = fleet.now
+    wants = member.wants(fleet.now)
+    assert [type(want) for want in wants] == [Read, Renew]
+    late, renewal = wants
+    shown = fleet.space.read(late.names)  # type: ignore[union-attr]
+    fleet.space.lapse(fleet.now)
+    assert shown.entries[KEYS.live("a")]
+    member.told(fleet.now, renewal, sent, fleet.space.renew(fleet.now, renewal.lease))  # type: ignore
+    lease = member.wants(fleet.now)[0]
+    member.told(fleet.now, lease, fleet.now, fleet.space.grant(fleet.now, 6000.0))
+    member.told(fleet.now, late, sent, shown)
+    assert member.admits(fleet.now) is None
+    fleet.turn()
+    assert fleet.admits() == [0, 0]
+
+
+def test_a_lease_that_another_engine_keeps_alive_has_lapsed() -> None:
+    fleet = Fleet("a", Rules(absent="leave-out"))
+    fleet.turn()
+    true, fleet.space = fleet.space, fleet.space.copy()
+    fleet.space.cluster = 7
+    fleet.later(6000.0)
+    assert fleet.members["a"].standing(fleet.now) is Standing.LAPSED
+    assert "another engine answers: 7, not 1" in fleet.members["a"].why
+    fleet.space = true
+    fleet.later(3000.0)
+    assert fleet.admits() == [0]
+
+
+def test_where_the_file_names_the_engine_a_first_start_believes_no_other() -> None:
+    space = KeySpace(cluster=7)
+    for store_id, admits in ((0, 0), (7, 0), (9, None)):
+        member = Member(0.0, KEYS, "a", "1", "of a", Rules(absent="leave-out"), lambda text: "",
+                        has_disk=False, cluster=store_id)
+        for _ in range(6):
+            for want in member.wants(0.0):
+                outcome = (space.read(want.names) if isinstance(want, Read) else
+                           space.commit(want.compares, want.writes) if isinstance(want, Commit) else
+                           space.grant(0.0, 6000.0))
+                member.told(0.0, want, 0.0, outcome)
+        assert member.admits(0.0) == admits
+        space = KeySpace(cluster=7)
+
+
 def test_a_store_that_went_back_or_is_another_one_is_not_believed() -> None:
     fleet = Fleet("ab")
     fleet.turn()
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -15,7 +15,7 @@
 from otterrudder.fleet.configuration import Fleet, read_fleet
 from otterrudder.fleet.member import Rules
 from otterrudder.fleet.records import Keys, Live, View
-from otterrudder.fleet.store import Changed, Compare, Delete, Done, Put, Snapshot, StoreAway
+from otterrudder.fleet.store import Changed, Compare, Delete, Done, Leased, Put, Snapshot, StoreAway
 from otterrudder.lab.keyspace import KeySpace
 from otterrudder.lab.processes.rig import ROOT
 from otterrudder.net import clock
@@ -68,18 +68,19 @@
         assert (await client.commit([Compare("f/b", "created", 0)], writes, TIMEOUT_MS)).held
         assert space.commit([Compare("f/b", "created", 0)], writes).held
         assert not (await client.commit([Compare("f/b", "created", 0)], writes, TIMEOUT_MS)).held
-        lapses = await client.lease(1000.0, TIMEOUT_MS)
-        lasts = await client.lease(60_000.0, TIMEOUT_MS)
+        lapses = (await client.lease(1000.0, TIMEOUT_MS)).lease
+        lasts = (await client.lease(60_000.0, TIMEOUT_MS)).lease
         await client.commit([], [Put("f/live/c", b"5", lapses), Put("f/live/d", b"6", lasts)], TIMEOUT_MS)
         read = await client.read(["f/head/", "f/live/", "f/b", "f/none"], TIMEOUT_MS)
         assert sorted(read.entries) == ["f/b", "f/head/a", "f/head/ab", "f/live/a", "f/live/c", "f/live/d"]
         mine = space.read(["f/head/", "f/b"]).entries
         assert {key: read.entries[key] for key in mine} == mine
-        assert await client.renew(lasts, TIMEOUT_MS)
+        renewed = await client.renew(lasts, TIMEOUT_MS)
+        assert renewed == (lasts, read.revision, read.cluster)
         await anyio.sleep(1.3)
         left = await client.read(["f/live/"], TIMEOUT_MS)
         assert sorted(left.entries) == ["f/live/a", "f/live/d"]
-        assert not await client.renew(lapses, TIMEOUT_MS)
+        assert not (await client.renew(lapses, TIMEOUT_MS)).lease
         assert not (await client.commit([], [Put("f/x", b"", lapses)], TIMEOUT_MS)).held
         done = await client.commit([], [Delete("f/live/", True), Delete("f/b")], TIMEOUT_MS)
         assert sorted((await client.read(["f/head/", "f/live/", "f/b"], TIMEOUT_MS)).entries) == [
@@ -200,11 +201,11 @@
         async def commit(self, compares: list[Compare], writes: list[Put], timeout_ms: float) -> Done:
             return space.commit(compares, writes)
 
-        async def lease(self, span_ms: float, timeout_ms: float) -> int:
+        async def lease(self, span_ms: float, timeout_ms: float) -> Leased:
             return space.grant(0.0, span_ms)
 
-        async def renew(self, lease: int, timeout_ms: float) -> bool:
-            return True
+        async def renew(self, lease: int, timeout_ms: float) -> Leased:
+            return space.renew(0.0, lease)
 
         async def revoke(self, lease: int, timeout_ms: float) -> None:
             space.revoke(lease)
@@ -255,7 +256,8 @@
                               text=True, cwd=ROOT, env=env)
         return told.returncode, told.stdout + told.stderr
 
-    assert run("status") == (0, "f: no policy yet: each server goes by its own files\n")
+    assert run("status") == (
+            0, "f, on the store e7cd: no policy yet: each server goes by its own files\n")
     assert run("policy", "back")[0] == 3
     assert run("policy", "apply", str(first), "--note", "one") == (0, "version 1 is in force\n")
     code, text = run("policy", "diff", str(second))
