Fleet: a folder says by which rule its server is on the roster, and is believed by that

Walks with processes of both rules, swapped at each restart, found a server admitting under 1 at 25 s though 2 had been committed before it started: its file said wait and start = folder now, its folder had been on the roster, and the change that left it out had gone by leave-out, which the roster still said. Member._may_believe_folder took the file's word for the roster's.

Change: the record keeps whether changes wait for this name (waited), as far as any process of the folder can have asked for: set once the roster says wait, taken back on disk before a registration that ends it.

--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -89,7 +89,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """What the folder keeps. `joined`: the store has had this folder's name on the roster."""
+    """What the folder keeps. `joined`: the store has had this folder's name on the roster; `waited`: changes
+    wait for it there, as far as any process of this folder can have asked for."""
 
     name: str
     folder: str
@@ -98,6 +99,7 @@
     joined: bool = False
     cluster: int = 0
     revision: int = 0
+    waited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +133,7 @@
                  "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at", "has_disk",
                  "head", "head_change", "joined", "judge", "keys", "known", "lease",
                  "lease_until", "live", "name", "on_duty", "pledge", "registered", "revision", "rules",
-                 "seen", "sure", "vote_sent")
+                 "seen", "sure", "vote_sent", "waited")
 
     def __init__(self, now: float, keys: Keys, name: str, epoch: str, folder: str, rules: Rules,
                  judge: Callable[[str], str], *, record: Record | None = None, has_disk: bool = True,
@@ -145,6 +147,7 @@
         self.known = record.known if record else Policy()
         self.pledge = record.pledge if record else None
         self.joined = bool(record and record.joined)
+        self.waited = bool(record and record.waited and rules.absent == "wait")
         self.cluster = cluster or (record.cluster if record else 0)
         is_same = record is not None and record.cluster == self.cluster
         self.revision = record.revision if record and is_same else 0
@@ -257,7 +260,7 @@
         if self._is_others(seen):
             return None
         if not self.registered:
-            return self._register(seen) if self.lease else None
+            return self._register(seen) if self.lease and not self._must_unsay() else None
         if vote := self._vote(now, seen):
             return vote
         if self._stale:  # a text is wanted
@@ -284,6 +287,10 @@
             return self._read_at + self.rules.lease_ms * RENEW_SHARE
         return self._read_at + self.rules.lease_ms  # where no hint came: a watch may be dead and not know it
 
+    def _must_unsay(self) -> bool:
+        """The folder says that changes wait for this name, and what is about to be registered ends that."""
+        return self.has_disk and not self.waited and bool(self._saved and self._saved.waited)
+
     def _is_others(self, seen: Seen) -> bool:
         return self._is_taken(seen) or self._is_foreign(seen)
 
@@ -380,7 +387,7 @@
 
     def _record(self) -> Record:
         return Record(self.name, self.folder, self.known, self.pledge, self.joined, self.cluster,
-                      self.revision)
+                      self.revision, self.waited)
 
     def _must_save(self) -> bool:
         """A folder that failed is tried again, so that it is known when it works."""
@@ -390,8 +397,8 @@
         """Whether the folder lacks something that a start would need to know."""
         if not self.has_disk:
             return False
-        now, saved = (self.known, self.pledge, self.joined), self._saved
-        return not saved or (saved.known, saved.pledge, saved.joined) != now
+        now, saved = (self.known, self.pledge, self.joined, self.waited), self._saved
+        return not saved or (saved.known, saved.pledge, saved.joined, saved.waited) != now
 
     # How a want ended.
 
@@ -500,6 +507,7 @@
         is_ours = seen.live is not None and seen.live.epoch == self.epoch
         if is_ours:
             self.registered, self.joined = seen.live_created, True
+            self.waited = seen.roster is not None and seen.roster.absent == "wait"
         elif self.registered:
             self._lose_registration()
         if self._is_taken(seen):
@@ -552,9 +560,9 @@
 
     def _may_believe_folder(self) -> bool:
         """No change can have been committed without this name's vote, and it has given none that it does not
-        know the end of. A new folder has never been asked, so it can't know."""
-        return (self.rules.starts_from_folder and self.rules.absent == "wait" and self.joined
-                and self.pledge is None)
+        know the end of. A new folder has never been asked, so it can't know; and where the file has said
+        "leave-out" until now, the roster still does."""
+        return self.rules.starts_from_folder and self.waited and self.joined and self.pledge is None
 
     def _why_unsure(self) -> Standing:
         if self.seen is None:
--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -43,6 +43,13 @@
         return self.rules.starts_from_folder and self.joined
 
 
+class BelievesItsFile(_Loose):
+    """Starts by its folder because its file says `wait` now, whatever the roster says."""
+
+    def _may_believe_folder(self) -> bool:
+        return self.rules.starts_from_folder and self.joined and self.pledge is None
+
+
 class SleepsThrough(_Loose):
     """Goes by what was so when it last heard the store: a frozen one wakes and admits."""
 
@@ -255,11 +262,15 @@
                 "A reads", "A: propose", *(("~1.1 read", "~2.1 read") * 3), "~1.1 vote", "~2.1 vote")
 _KEPT_ALIVE = ("the store is copied", "an older copy answers", *(("time",) * 5), "0 is cut off",
                "the store itself answers", "A reads", "A: propose", "count", "count: commit")
+_OLD_RULE = ("0 dies", *(("time",) * 5), "A reads", "A: propose", "1.1 read", "~1.1 read", "~1.1 read",
+             "1.1 vote", "count", "count: commit")
 # Each fault with the world that it shows in.
 FAULTS: dict[str, Hunt] = {
     "vote before disk": Hunt(Variant(VoteBeforeDisk, rules=FOLDER, fills_disks=True), Stage.CALM, _NO_ROOM,
                              4, 0),
     "believes its folder": Hunt(Variant(BelievesFolder, rules=FOLDER), Stage.VOTED, (), 5, 2),
+    "believes its file": Hunt(Variant(BelievesItsFile, rules=LEAVE, others=FOLDER), Stage.CALM, _OLD_RULE,
+                              4, 1),
     "sleeps through": Hunt(Variant(SleepsThrough), Stage.VOTED, (), 7, 1),
     "fresh by answer": Hunt(Variant(FreshByAnswer)),
     "never aside": Hunt(Variant(NeverAside)),
@@ -292,6 +303,7 @@
     "leave-out, no folder": Variant(rules=LEAVE, has_disk=False),
     "a name taken": Variant(has_twin=True),
     "a policy that is bad for one": Variant(bad_for=0),
+    "rules that are mixed and change": Variant(rules=LEAVE, others=FOLDER),
     "another engine answers": Variant(copies=True),
     "another engine, leave-out": Variant(rules=LEAVE, copies=True),
     "another engine, no folder": Variant(rules=LEAVE, has_disk=False, copies=True, names_store=True),
--- a/otterrudder/lab/fleet/world.py
+++ b/otterrudder/lab/fleet/world.py
@@ -40,6 +40,7 @@
     fills_disks: bool = False
     bad_for: int = -1  # the member for which the second proposer's policy is no good
     copies: bool = False  # another engine, restored from an older state or empty, may answer in its place
+    others: Rules | None = None  # of every second process, by place and life: rules are mixed, and change
     names_store: bool = False  # the fleet's file says which engine is believed
 
 
@@ -116,8 +117,10 @@
         def judge(text: str) -> str:
             return "values.look: not known here" if is_bad_for and text.endswith("!") else ""
 
-        host.member = self.variant.member(self.now, KEYS, host.name, epoch, host.folder, self.variant.rules,
-                                          judge, record=host.disk, has_disk=self.variant.has_disk,
+        is_other = self.variant.others and (n + host.life) % 2 == 0
+        rules = self.variant.others if is_other and self.variant.others else self.variant.rules
+        host.member = self.variant.member(self.now, KEYS, host.name, epoch, host.folder, rules, judge,
+                                          record=host.disk, has_disk=self.variant.has_disk,
                                           cluster=STORE_ID if self.variant.names_store else 0)
         self.settle_down()
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -289,6 +289,30 @@
         space = KeySpace(cluster=7)
 
 
+def test_a_folder_is_not_believed_where_the_roster_left_out_its_server_until_now() -> None:
+    """Found by walks once rules may change with a restart: the file says `wait` now, and the change that was
+    made while the server was down went by what the roster said."""
+    waits = Rules(starts_from_folder=True)
+    fleet = Fleet("ab", Rules(absent="leave-out"))
+    fleet.turn()
+    del fleet.members["a"]
+    fleet.later(7000.0)
+    fleet.open("one", "first")
+    fleet.turn()
+    assert fleet.do(settle(fleet.view, False))
+    fleet.rules = waits
+    assert fleet.start("a", "2").admits(fleet.now) is None
+    fleet.turn()
+    assert fleet.admits() == [1, 1] and fleet.disks["a"].waited
+    assert fleet.start("a", "3").admits(fleet.now) == 1
+    fleet.rules = Rules(absent="leave-out")  # and back: the folder says so before the roster does
+    back = fleet.start("a", "4")
+    fleet.later(7000.0, "a")
+    assert not fleet.disks["a"].waited and back.admits(fleet.now) is None
+    fleet.later(3000.0)
+    assert View(KEYS, fleet.space.read([KEYS.rosters])).rosters["a"].absent == "leave-out"
+
+
 def test_a_store_that_went_back_or_is_another_one_is_not_believed() -> None:
     fleet = Fleet("ab")
     fleet.turn()
