--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -65,12 +65,14 @@
 
         self.keys = Keys(self.fleet.name)
         self.client = Client(self.fleet)
+        self.store_id = self.fleet.store_id  # of the engine that is believed; 0: the first that is heard
 
     async def view(self, *more: str) -> View:
-        """StoreAway as well where another engine answers than the file names."""
+        """StoreAway as well where another engine answers than the file names, or than answered before."""
         snapshot = await self.client.read((*whole(self.keys), *more), TIMEOUT_MS)
-        if self.fleet.store_id not in (0, snapshot.cluster):
-            raise StoreAway(f"another engine answers: {snapshot.cluster:x}, not {self.fleet.store_id:x}")
+        self.store_id = self.store_id or snapshot.cluster
+        if snapshot.cluster != self.store_id:
+            raise StoreAway(f"another engine answers: {snapshot.cluster:x}, not {self.store_id:x}")
         return View(self.keys, snapshot)
 
     async def commit(self, commit: Commit) -> Done | None:
@@ -277,6 +279,7 @@
     deadline_ms: float
     trial_ms: float
     conditions: tuple[tuple[str, float], ...]
+    is_first: bool = False  # it may come into force where nobody is of the fleet yet
 
 
 def _conditions(told: tuple[str, ...]) -> tuple[tuple[str, float], ...]:
@@ -302,8 +305,9 @@
 @_AUTHOR
 @_NOTE
 @_DEADLINE
+@click.option("--first", is_flag=True, help="Also where nobody is of the fleet yet.")
 def apply(file: str, policy_file: Path, trial_s: float | None, conditions: tuple[str, ...], author: str,
-          note: str, deadline_s: float) -> None:
+          note: str, deadline_s: float, first: bool) -> None:
     """Bring POLICY_FILE into force on all servers, or on none.
 
     Prints each vote as it comes. Interrupted, the change goes on by itself: `fleet status` shows it. On trial
@@ -312,7 +316,7 @@
         give_up("--trial and --if go together")
     text = _text_of(policy_file)
     _check(text, policy_file)
-    _change(file, text, author, note, deadline_s, trial_s or 0.0, _conditions(conditions))
+    _change(file, text, author, note, deadline_s, trial_s or 0.0, _conditions(conditions), first)
 
 
 @policy.command()
@@ -333,9 +337,9 @@
 
 
 def _change(file: str, text: str, author: str, note: str, deadline_s: float, trial_s: float = 0.0,
-            conditions: tuple[tuple[str, float], ...] = ()) -> None:
+            conditions: tuple[tuple[str, float], ...] = (), first: bool = False) -> None:
     ident = secrets.token_hex(8)
-    asked = Asked(ident, text, author, note, deadline_s * 1000, trial_s * 1000, conditions)
+    asked = Asked(ident, text, author, note, deadline_s * 1000, trial_s * 1000, conditions, first)
     end = _run(file, lambda store: _play(store, asked))
     if end.committed:
         left = f", without {', '.join(end.left_out)}: aside until they know" if end.left_out else ""
@@ -383,6 +387,9 @@
         view = await store.view()
         if fate(view, ident):
             return view
+        if not (view.rosters or view.policy or asked.is_first):  # so looks a store that was lost, too
+            _end(ABORTED, f"nobody is of {view.keys.fleet} yet on the store {view.snapshot.cluster:x}: is it "
+                          "the right one? --first puts a policy in force for servers to come")
         try:
             commit = propose(view, ident, asked.text, asked.author, asked.note, time.time() * 1000,
                              asked.deadline_ms, asked.trial_ms, asked.conditions)
--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -57,7 +57,7 @@
         return super().standing(min(now, self.__dict__.get("ticked", now)))
 
     def told(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
-        if want.lane is Lane.STORE:
+        if want.lane is Lane.STORE and outcome is not None:
             self.__dict__["ticked"] = now
         super().told(now, want, sent, outcome)
 
--- a/otterrudder/lab/processes/books.py
+++ b/otterrudder/lab/processes/books.py
@@ -12,6 +12,7 @@
 
 SLACK_MS = 60.0  # of the bound: the rig's look at the store, a turn of a server's loop, the way there
 LATE_MS = 400.0  # beyond its patience that an answer may come on a machine whose cores are shared
+GAP_MS = 3000.0  # that a server may be unheard of until the list strikes it off
 SHOWN_MOST = 12  # breaches that are listed
 
 
@@ -25,6 +26,14 @@
     by: float
 
 
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """When the list heard of a server, and from when to when it was owed no report, by the rig's clock."""
+
+    heard: list[float]
+    excused: list[tuple[float, float]]
+
+
 @dataclass(slots=True)
 class Verdict:
     breaches: list[str] = field(default_factory=list)
@@ -41,10 +50,10 @@
     return False
 
 
-def judge(wire: Wire, versions: list[InForce], bound_ms: float, harmed: dict[int, list[tuple[float, float]]]
-          ) -> Verdict:
-    """`harmed`: by server, when its process was killed or frozen: what was open then is owed no answer in
-    time."""
+def judge(wire: Wire, versions: list[InForce], bound_ms: float, harmed: dict[int, list[tuple[float, float]]],
+          listed: dict[str, Listed] | None = None) -> Verdict:
+    """`harmed`: by server, when its process was killed or frozen, or its gateway's link harmed: what was open
+    then is owed no answer in time."""
     verdict, shown = Verdict(), Counter[str]()
 
     def breach(rule: str, asked: Asked, what: str) -> None:
@@ -62,7 +71,7 @@
         if times > 1:
             shown["run twice"] += 1
             verdict.breaches.append(f"run twice: mark {mark} ran {times} times on server {server}")
-    settled_marks: dict[str, bytes] = {}
+    settled = {asked.call: asked for asked in wire.asked if asked.outcome == "settled"}
     old = 0
     for asked in wire.asked:
         spoiled = any(asked.sent <= end and (asked.answered or float("inf")) >= start
@@ -79,21 +88,36 @@
             run = first_run.get(f"{asked.server}/{asked.mark}", asked.call) if asked.mark else asked.call
             if asked.body != f"r:{run}".encode():
                 breach("another result", asked, repr(asked.body))
-            if asked.call == asked.first and not may_have_been(asked, versions, bound_ms):
+            if run == asked.call and not may_have_been(asked, versions, bound_ms):
                 old += 1
                 breach("wrong version", asked, "no policy that serves it was in force by then")
-            if asked.mark:
-                settled_marks[f"{asked.server}/{asked.life}/{asked.mark}"] = asked.body
-        elif asked.call != asked.first and asked.outcome == "declined":
+        elif asked.outcome == "declined" and _is_known(settled.get(asked.first), asked):
             breach("repeat declined", asked, f"{asked.first} had been settled")
         if asked.outcome == "declined" and asked.is_final and not versions:
             breach("final", asked, "declined for good")
+    for name, told in (listed or {}).items():
+        for since, to in _gaps(told):
+            shown["unlisted"] += 1
+            verdict.breaches.append(f"unlisted: {name} was not heard of from {since:.0f} to {to:.0f}")
     verdict.figures = _figures(wire, versions, bound_ms, old)
     for rule, count in shown.items():
         verdict.figures[f"breaches of '{rule}'"] = count
     return verdict
 
 
+def _is_known(earlier: Asked | None, repeat: Asked) -> bool:
+    """Whether this process had settled it before it was asked again."""
+    return earlier is not None and earlier.life == repeat.life and earlier.answered <= repeat.sent
+
+
+def _gaps(told: Listed) -> list[tuple[float, float]]:
+    """Of over `GAP_MS` that nothing excuses."""
+    pairs = zip(told.heard, told.heard[1:], strict=False)
+    long = [(start, end) for start, end in pairs if end - start > GAP_MS + LATE_MS]
+    return [(start, end) for start, end in long
+            if not any(start <= to and end >= since for since, to in told.excused)]
+
+
 def _figures(wire: Wire, versions: list[InForce], bound_ms: float, old: int) -> dict[str, float]:
     """What the rig's tables show. A txn that the policy of its time serves, and is declined, stood before a
     server that stood aside."""
--- a/otterrudder/lab/processes/double.py
+++ b/otterrudder/lab/processes/double.py
@@ -3,15 +3,21 @@
 Each claim of the checker has a fault here that it finds. The fleet's are the doubles of the search; the four
 rules' are spoilt on the way out."""
 
+import asyncio
+import socket
 import sys
+import time
 from collections.abc import Callable
 
 from otterrudder.fleet import agent
 from otterrudder.fleet.member import Member, Standing
+from otterrudder.interface import Outcome
 from otterrudder.lab.fleet.faults import AnyPolicy, NeverAside, SleepsThrough
-from otterrudder.net import core
+from otterrudder.net import core, registry
 
 EACH = 6  # txns, of which one is spoilt
+LATE_S = 4.6  # s until an answer that is late: the gateways wait 4 s
+PAUSE_S = 5.0  # s, in a fifth of which the list is told anything
 
 
 def _member(kind: type[Member]) -> Callable[[], None]:
@@ -66,6 +72,60 @@
     setattr(core.Core, "ended", ended)  # noqa: B010
 
 
+def _answers_twice() -> None:
+    """Says the same again."""
+    real = core.Core._answer
+
+    def answer(self: core.Core, txn: core.Txn, *rest: object) -> None:
+        sent = len(self.out)
+        real(self, txn, *rest)  # type: ignore[arg-type]
+        self.out += self.out[sent:]
+
+    setattr(core.Core, "_answer", answer)  # noqa: B010
+
+
+def _answers_late() -> None:
+    """Now and then an answer lies about until its caller has given up."""
+    real, count = core.Core._answer, [0]
+
+    def answer(self: core.Core, txn: core.Txn, *rest: object) -> None:
+        count[0] += 1
+        if count[0] % EACH or txn.answered:
+            real(self, txn, *rest)  # type: ignore[arg-type]
+            return
+
+        def later() -> None:
+            txn.answered = False
+            real(self, txn, *rest)  # type: ignore[arg-type]
+
+        txn.answered = True
+        asyncio.get_running_loop().call_later(LATE_S, later)
+
+    setattr(core.Core, "_answer", answer)  # noqa: B010
+
+
+def _declines_repeats() -> None:
+    """A repeat of what ran is turned away."""
+    def reuse(self: core.Core, txn: core.Txn) -> None:
+        self._decline(txn, False, 0.0)
+        assert self.rudder
+        self.rudder.finished(txn.number, Outcome.MOOT)
+
+    setattr(core.Core, "_reuse", reuse)  # noqa: B010
+    core._OF_A_TXN["reuse"] = reuse
+
+
+def _unlisted() -> None:
+    """Tells the list of itself when it feels like it."""
+    real, start = registry.Registry._report, time.monotonic()
+
+    def report(self: registry.Registry, sock: socket.socket) -> None:
+        if (time.monotonic() - start) % PAUSE_S < PAUSE_S / 5:
+            real(self, sock)
+
+    setattr(registry.Registry, "_report", report)  # noqa: B010
+
+
 FAULTS: dict[str, Callable[[], None]] = {
     "never aside": _member(NeverAside),
     "sleeps through": _member(SleepsThrough),
@@ -74,6 +134,10 @@
     "loses": _loses,
     "runs twice": _runs_twice,
     "another result": _other_result,
+    "answers twice": _answers_twice,
+    "answers late": _answers_late,
+    "declines repeats": _declines_repeats,
+    "unlisted": _unlisted,
 }
 
 if __name__ == "__main__":
--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -12,22 +12,29 @@
     {"compact": 1}            the history goes
     {"mark": 1}               remembers all it holds ... {"back": 1} goes back to it; {"empty": 1} to nothing
 
-It ends with its input: no child outlives whoever started it."""
+`--state FILE` keeps what it holds there over a kill, but for its history: watches from before are compacted
+away, and leases have their whole span again, as with the engine. `--cluster HEX`: its id, for one that is
+restored from another's state. It ends with its input: no child outlives whoever started it."""
 
+import argparse
 import asyncio
 import json
+import os
 import sys
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
 from typing import Any
 
 import grpc
+import msgspec
 from aetcd import rpc
 from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
 
 from otterrudder.fleet.store import Compare, Delete, Entry, Put, Write
 from otterrudder.lab.keyspace import Event, KeySpace
 
+CLUSTER = 0xE7CD  # its id, unless told another
 LAPSE_S = 0.05  # s between looks for leases that have lapsed
 WATCHES_MOST = 4096  # events that wait for one watch; past that it is cancelled, as a slow reader is
 
@@ -35,8 +42,17 @@
 class Engine:
     """The key space with its faults, and whoever watches."""
 
-    def __init__(self) -> None:
-        self.space = KeySpace(cluster=0xE7CD)
+    def __init__(self, state: Path | None = None, cluster: int = 0) -> None:
+        self.state, self.space = state, KeySpace(cluster=CLUSTER)
+        if state and state.exists():
+            self.space = msgspec.msgpack.decode(state.read_bytes(), type=KeySpace)
+            self.space.compacted = self.space.revision
+            for lease, (span_ms, _) in self.space.leases.items():
+                self.space.leases[lease] = (span_ms, self.now() + span_ms)
+        self.space.cluster = cluster or self.space.cluster
+        if cluster:  # engines draw the numbers of their leases: no two have the same
+            self.space.granted += cluster
+        self.save()
         self.marked: KeySpace | None = None
         self.slow_ms = 0.0
         self.is_down = self.is_deaf = False
@@ -47,6 +63,14 @@
     def now(self) -> float:
         return time.monotonic() * 1000
 
+    def save(self) -> None:
+        if self.state:
+            beside = self.state.with_suffix(".new")
+            bare = self.space.copy()
+            bare.history = []
+            beside.write_bytes(msgspec.msgpack.encode(bare))
+            os.replace(beside, self.state)
+
     async def answer(self, context: Any, took_effect: bool = False) -> None:
         """Waits as it is told, or for ever: the caller's deadline ends it."""
         if self.is_down or took_effect and self.lose > 0:
@@ -56,7 +80,8 @@
             await asyncio.sleep(self.slow_ms / 1000)
 
     def tell(self, before: int) -> None:
-        """Hands what was written since a revision to the watches."""
+        """Keeps what was written, and hands what is new since a revision to the watches."""
+        self.save()
         events = [] if self.is_deaf else self.space.since("", before + 1) or []
         for queue in list(self.watches):
             if queue.qsize() + len(events) > WATCHES_MOST:
@@ -133,6 +158,7 @@
     async def LeaseGrant(self, request: Any, context: Any) -> Any:  # noqa: N802
         await self.engine.answer(context)
         ident = self.engine.space.grant(self.engine.now(), request.TTL * 1000.0).lease
+        self.engine.save()
         return rpc_pb2.LeaseGrantResponse(header=self.engine.header(), ID=ident, TTL=request.TTL)
 
     async def LeaseRevoke(self, request: Any, context: Any) -> Any:  # noqa: N802
@@ -229,9 +255,9 @@
     return Compare(compare.key.decode(), "modified", compare.mod_revision)
 
 
-async def serve(port: int, lines: asyncio.StreamReader) -> None:
+async def serve(port: int, lines: asyncio.StreamReader, engine: Engine) -> None:
     """Until its input ends."""
-    engine, server = Engine(), grpc.aio.server()
+    server = grpc.aio.server()
     rpc_pb2_grpc.add_KVServicer_to_server(Keys(engine), server)
     rpc_pb2_grpc.add_LeaseServicer_to_server(Leases(engine), server)
     rpc_pb2_grpc.add_WatchServicer_to_server(Watches(engine), server)
@@ -252,11 +278,16 @@
         engine.lapse()
 
 
-async def _main(words: Iterable[str]) -> None:
+async def _main(words: Sequence[str]) -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("port", type=int, nargs="?", default=0)
+    parser.add_argument("--state", type=Path)
+    parser.add_argument("--cluster", type=lambda text: int(text, 16), default=0)
+    told = parser.parse_args(words)
     lines = asyncio.StreamReader()
     loop = asyncio.get_running_loop()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
-    await serve(int(next(iter(words), "0")), lines)
+    await serve(told.port, lines, Engine(told.state, told.cluster))
 
 
 if __name__ == "__main__":
--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -20,13 +20,15 @@
 
 VERSION = 1
 SERVERS_MOST = 24  # processes of one machine; more of them measure its scheduler
-RULES = ("lost", "answered twice", "late", "another result", "run twice", "repeat declined", "wrong version")
+RULES = ("lost", "answered twice", "late", "another result", "run twice", "repeat declined", "wrong version",
+         "unlisted")
 
 
 class _Variant(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     name: str
     absent: str = "wait"
     baseline: bool = False
+    names_store: bool = False
 
 
 class _File(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -111,7 +113,7 @@
     with tempfile.TemporaryDirectory() as folder:
         rig = Rig(Path(folder), servers, absent=variant.absent, bound_ms=told.bound_ms,
                   lease_ms=told.lease_ms, pace_ms=told.pace_ms, with_fleet=not variant.baseline,
-                  double=double)
+                  double=double, names_store=variant.names_store)
         played = anyio.run(_perform, rig, rounds, tell)
     lines = [(a.sent, a.server, a.product, a.outcome) for a in rig.wire.asked if a.call == a.first]
     return Run(name, seed, variant.baseline, played, rig.marks, rig.versions, lines, servers)
--- a/otterrudder/lab/processes/link.py
+++ b/otterrudder/lab/processes/link.py
@@ -1,5 +1,5 @@
-"""A link of ours between two ends on loopback, TCP, that a rig can harm: cut, cut one way, delayed, read
-slowly, reset in the middle of a message, and healed.
+"""Links of ours between two ends on loopback that a rig can harm: cut, cut one way, delayed, read slowly,
+reset in the middle of a message, and healed; for datagrams cut, delayed and lossy.
 
 A cut link resets what is open and takes nothing new; one that is shut one way holds what comes from that side
 and lets neither end know."""
@@ -7,6 +7,7 @@
 import contextlib
 import socket
 import struct
+import zlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -27,6 +28,7 @@
     delay_ms: float = 0.0
     breaks_after: int = 0  # bytes from the far end after which a connection is reset, amid a message
     per_s: float = 0.0  # bytes a second that the near end reads; 0: all there is
+    loss: float = 0.0  # share of datagrams that go, drawn by their number
 
 
 async def accept_all(sock: socket.socket,
@@ -118,3 +120,41 @@
                     with contextlib.suppress(BlockingIOError):
                         data = data[sink.send(data) :]
         scope.cancel()
+
+
+class Datagrams:
+    """One way, to one end. Listens on a port of the system's; whoever runs `run` owns its socket."""
+
+    def __init__(self, target: tuple[str, int], number: int) -> None:
+        """`number`: which of a rig's it is, for its losses."""
+        self.target, self.number, self.harm = target, number, Harm()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self.count = 0
+
+    def set(self, harm: Harm) -> None:
+        self.harm = harm
+
+    async def run(self) -> None:
+        try:
+            async with anyio.create_task_group() as group:
+                while True:
+                    await anyio.wait_readable(self.sock)
+                    with contextlib.suppress(OSError):
+                        self._pass_on(self.sock.recv(CHUNK), group)
+        finally:
+            self.sock.close()
+
+    def _pass_on(self, data: bytes, group: anyio.abc.TaskGroup) -> None:
+        self.count += 1
+        drawn = zlib.crc32(f"{self.number}/{self.count}".encode()) / 2**32
+        if self.harm.is_cut or drawn < self.harm.loss:
+            return
+        group.start_soon(self._send, data, self.harm.delay_ms)
+
+    async def _send(self, data: bytes, delay_ms: float) -> None:
+        await anyio.sleep(delay_ms / 1000)
+        with contextlib.suppress(OSError):
+            self.sock.sendto(data, self.target)
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -15,7 +15,7 @@
 from otterrudder.lab.processes.books import Verdict, judge
 from otterrudder.lab.processes.link import Harm
 from otterrudder.lab.processes.rig import Place, Rig, policy_text
-from otterrudder.lab.processes.standins import PRODUCTS
+from otterrudder.lab.processes.standins import PRODUCTS, clock
 
 DEADLINE_S = 6.0  # of a change, in a run: beyond the longest fault
 SETTLE_S = 20.0  # s in which a change must have ended once all is mended
@@ -27,12 +27,37 @@
 
 POINTS = ("before save", "after save", "before vote", "after vote", "before duty", "after duty")
 PROPOSER_POINTS = ("before propose", "after propose", "before commit", "after commit")
-SERVER_FAULTS = ("kill", "kill at point", "halt at point", "freeze", "freeze later", "cut", "one way there",
-                 "one way back", "slow link", "slow reader", "half a message", "disk full", "name taken",
-                 "folder lost")
+# Harms to links: which one, and what is done to it.
+HARMS = {
+    "cut": ("store", Harm(is_cut=True)), "one way there": ("store", Harm(holds_there=True)),
+    "one way back": ("store", Harm(holds_back=True)), "slow link": ("store", Harm(delay_ms=150.0)),
+    "slow reader": ("store", Harm(per_s=4000.0)), "half a message": ("store", Harm(breaks_after=700)),
+    "gateway cut": ("gateway", Harm(is_cut=True)),
+    "gateway one way there": ("gateway", Harm(holds_there=True)),
+    "gateway one way back": ("gateway", Harm(holds_back=True)),
+    "gateway slow": ("gateway", Harm(delay_ms=150.0)),
+    "gateway half a message": ("gateway", Harm(breaks_after=3000)),
+    "runtime cut": ("runtime", Harm(is_cut=True)),
+    "runtime one way there": ("runtime", Harm(holds_there=True)),
+    "runtime one way back": ("runtime", Harm(holds_back=True)),
+    "runtime slow": ("runtime", Harm(delay_ms=60.0)),
+    "runtime half a message": ("runtime", Harm(breaks_after=700)),
+    "list cut": ("list", Harm(is_cut=True)), "list loses": ("list", Harm(loss=0.5, delay_ms=100.0)),
+    "network gone": ("network", Harm(is_cut=True))}
+SERVER_FAULTS = ("kill", "freeze", "freeze later", "cut later", "disk full", "name taken", "folder lost",
+                 *HARMS)
+POINT_FAULTS = ("kill at point", "halt at point", "store killed at point")  # of a server, at each point
 STORE_FAULTS = ("store slow", "store loses answers", "store frozen", "watches cancelled", "watches deaf",
-                "watches flooded")
-CHANGE_FAULTS = ("proposer killed", "two at once", "bad policy")
+                "watches flooded", "store killed", "older copy answers", "older copy later",
+                "empty store answers")
+PROPOSER_FAULTS = ("proposer killed", "store killed at proposal")  # at each of its points
+CHANGE_FAULTS = ("two at once", "bad policy")
+# Each of them once: a plan deals them all before it deals one again.
+DECK = (*((kind, "") for kind in SERVER_FAULTS + STORE_FAULTS + CHANGE_FAULTS),
+        *((kind, point) for kind in POINT_FAULTS for point in POINTS),
+        *((kind, point) for kind in PROPOSER_FAULTS for point in PROPOSER_POINTS))
+REPLACED = ("older copy answers", "older copy later", "empty store answers")
+STORE_DOWN = ("store killed", "store killed at point", "store killed at proposal", *REPLACED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,28 +91,45 @@
 def draw(seed: int, servers: int, changes: int, baseline: bool = False) -> list[Round]:
     """The plan of a seed. The baseline has no store and no proposer that could fail."""
     chance = random.Random(f"plan/{seed}")
-    rounds = []
+    rounds: list[Round] = []
+    deck: list[tuple[str, str]] = []
     for n in range(1, changes + 1):
-        faults = [_fault(chance, servers) for _ in range(chance.choice((1, 1, 2, 3)))]
-        # One a server, one for the store, one for the change: a frozen store could be told nothing more.
-        kept = {(fault.kind in STORE_FAULTS, fault.server): fault for fault in faults}
+        kept: list[Fault] = []
+        passed: list[tuple[str, str]] = []
+        for _ in range(chance.choice((1, 1, 2, 3))):
+            if not deck:
+                deck = list(DECK)
+                chance.shuffle(deck)
+            kind, point = deck.pop()
+            is_server_s = kind in SERVER_FAULTS + POINT_FAULTS
+            fault = Fault(kind, chance.randrange(servers) if is_server_s else -1, point)
+            if _go_together([*kept, fault]):
+                kept.append(fault)
+            else:  # its time comes
+                passed.append((kind, point))
+        deck[:0] = passed
         if baseline:
-            kept = {key: Fault(_PLAIN[f.kind], f.server) for key, f in kept.items() if f.kind in _PLAIN}
-        rounds.append(Round(n, PRODUCTS[n % 2], tuple(kept.values()), chance.uniform(*HOLD_S)))
+            kept = [Fault(_PLAIN[f.kind], f.server) for f in kept if f.kind in _PLAIN]
+        rounds.append(Round(n, PRODUCTS[n % 2], tuple(kept), chance.uniform(*HOLD_S)))
     return rounds
 
 
+def _go_together(faults: list[Fault]) -> bool:
+    """One a server, one for the store, one for the change: a frozen store could be told nothing more. Who has
+    no folder believes the first engine that it hears, unless the fleet's file names one."""
+    ends: list[object] = []
+    for fault in faults:
+        ends += [fault.server] if fault.server >= 0 else []
+        ends += ["store"] if fault.kind in STORE_FAULTS + STORE_DOWN else []
+        ends += ["change"] if fault.kind in PROPOSER_FAULTS + CHANGE_FAULTS else []
+    kinds = {fault.kind for fault in faults}
+    return len(ends) == len(set(ends)) and not ("folder lost" in kinds and kinds & set(REPLACED))
+
+
 # What a fault is to servers that are told by hand: down, frozen, or out of the operator's reach.
 _PLAIN = {"kill": "kill", "folder lost": "kill", "kill at point": "kill", "halt at point": "freeze",
           "freeze": "freeze", "freeze later": "freeze", "cut": "cut", "one way there": "cut",
-          "one way back": "cut"}
-
-
-def _fault(chance: random.Random, servers: int) -> Fault:
-    kind = chance.choice(SERVER_FAULTS * 2 + STORE_FAULTS + CHANGE_FAULTS)
-    if kind in SERVER_FAULTS:
-        return Fault(kind, chance.randrange(servers), chance.choice(POINTS) if "point" in kind else "")
-    return Fault(kind, -1, chance.choice(PROPOSER_POINTS) if kind == "proposer killed" else "")
+          "one way back": "cut", "network gone": "network gone"}
 
 
 async def play(rig: Rig, rounds: list[Round], tell: Callable[[str], None] = lambda line: None) -> Played:
@@ -95,6 +137,7 @@
     played = Played(Verdict())
     for this in rounds:
         before = rig.versions[-1].version
+        rig.keep_copy()
         for fault in this.faults:
             await _prepare(rig, fault)
         for fault in this.faults:
@@ -123,13 +166,13 @@
 
 def conclude(rig: Rig, played: Played) -> Played:
     """The books of a run that is over."""
-    played.verdict = judge(rig.wire, rig.versions, rig.bound_ms, rig.harmed())
+    played.verdict = judge(rig.wire, rig.versions, rig.bound_ms, rig.harmed(), rig.listed())
     return played
 
 
 async def _prepare(rig: Rig, fault: Fault) -> None:
     """What has to be so before the round: a process that will stop itself is started anew."""
-    if fault.kind in ("kill at point", "halt at point") and rig.with_fleet:
+    if fault.kind in POINT_FAULTS and rig.with_fleet:
         place = rig.places[fault.server]
         rig.kill(place)
         rig.start_server(place, fault.point)
@@ -138,8 +181,9 @@
 
 async def _harm(rig: Rig, fault: Fault) -> None:
     place = rig.places[fault.server] if fault.server >= 0 else None
-    if place and fault.kind in _HARMS:
-        rig.set_link(place, fault.kind, _HARMS[fault.kind])
+    if place and fault.kind in HARMS:
+        which, harm = HARMS[fault.kind]
+        rig.set_link(place, fault.kind, harm, which)
     elif place and fault.kind in ("kill", "folder lost"):
         rig.kill(place)
         if fault.kind == "folder lost":
@@ -152,13 +196,14 @@
         rig.take_name(place)
     elif fault.kind == "store frozen":
         rig.signal_store(signal.SIGSTOP)
+    elif fault.kind == "store killed":
+        rig.kill_store()
+    elif fault.kind in ("older copy answers", "empty store answers"):
+        await rig.replace_store(with_copy=fault.kind == "older copy answers")
     elif fault.kind in _STORE:
         await rig.tell_store(**_STORE[fault.kind])
 
 
-_HARMS = {"cut": Harm(is_cut=True), "one way there": Harm(holds_there=True),
-          "one way back": Harm(holds_back=True), "slow link": Harm(delay_ms=150.0),
-          "slow reader": Harm(per_s=4000.0), "half a message": Harm(breaks_after=700)}
 _STORE: dict[str, dict[str, object]] = {
     "store slow": {"slow_ms": 150}, "store loses answers": {"lose_answers": 3},
     "watches cancelled": {"cancel_watches": 1}, "watches deaf": {"deaf_watches": True},
@@ -172,10 +217,11 @@
 async def _change(rig: Rig, this: Round) -> subprocess.Popen[bytes]:
     """The change of a round, with what is done while it is open; its proposer's process."""
     kinds = {fault.kind: fault for fault in this.faults}
-    killed = kinds.get("proposer killed")
+    killed, at_proposal = kinds.get("proposer killed"), kinds.get("store killed at proposal")
+    halted, since = killed or at_proposal, clock()
     is_bad = "bad policy" in kinds
     text = policy_text("no-such-product", this.number) if is_bad else ""  # good TOML, and no server knows it
-    child = rig.propose(this.number, this.declines, DEADLINE_S, killed.point if killed else "", text)
+    child = rig.propose(this.number, this.declines, DEADLINE_S, halted.point if halted else "", text)
     if "two at once" in kinds:
         rig.propose(this.number + 100_000, PRODUCTS[(this.number + 1) % 2], DEADLINE_S)
     later = [fault for fault in this.faults if fault.kind in LATER]
@@ -185,15 +231,26 @@
             if fault.kind == "freeze later":
                 rig.freeze(rig.places[fault.server])
             else:
-                rig.set_link(rig.places[fault.server], fault.kind, _HARMS["one way back"])
+                rig.set_link(rig.places[fault.server], fault.kind, HARMS["one way back"][1])
+    if "older copy later" in kinds:
+        await _until(lambda: bool(rig.voted), LATER_S)
+        await rig.replace_store(with_copy=True)
     with anyio.move_on_after(this.hold_s):
         for fault in this.faults:
-            if fault.kind == "kill at point" and await rig.halted(rig.places[fault.server], this.hold_s):
-                rig.kill(rig.places[fault.server])
+            if fault.kind in POINT_FAULTS and await rig.halted(rig.places[fault.server].process, this.hold_s):
+                rig.places[fault.server].halts(since)
+                if fault.kind == "kill at point":
+                    rig.kill(rig.places[fault.server])
+                elif fault.kind == "store killed at point":
+                    rig.kill_store()
+        if at_proposal and await rig.halted(child, this.hold_s):
+            rig.kill_store()
         await anyio.sleep(this.hold_s)
     if killed:
         child.kill()
         child.wait()
+    elif at_proposal:
+        child.send_signal(signal.SIGCONT)
     return child
 
 
@@ -201,6 +258,8 @@
     """All is as it should be again: what was killed is started, what was frozen goes on, links heal."""
     if not rig.with_fleet:
         await anyio.sleep(this.hold_s)
+    if any(fault.kind in STORE_DOWN for fault in this.faults) and rig.with_fleet:
+        await rig.restart_store()
     down = [place for place in rig.places if not place.is_up]
     for back in down:
         rig.start_server(back)
@@ -208,12 +267,13 @@
         await anyio.sleep(BACK_S)
     for fault in this.faults:
         place = rig.places[fault.server] if fault.server >= 0 else None
-        if place and (fault.kind in _HARMS or fault.kind == "cut later"):
-            rig.set_link(place, "healed", Harm())
+        if place and (fault.kind in HARMS or fault.kind == "cut later"):
+            rig.set_link(place, "healed", Harm(), HARMS[fault.kind][0] if fault.kind in HARMS else "store")
         elif place and fault.kind in ("freeze", "freeze later"):
             rig.thaw(place)
-        elif place and fault.kind in ("kill at point", "halt at point") and place not in down:
-            if fault.kind == "halt at point" and await rig.halted(place, 0.1):
+        elif place and fault.kind in POINT_FAULTS and place not in down:
+            if fault.kind != "kill at point" and await rig.halted(place.process, 0.1):
+                place.halts(clock() - this.hold_s * 1000)
                 rig.thaw(place)
             else:  # it never came to its point, and must not come to it in a later round
                 rig.kill(place)
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -1,8 +1,9 @@
 """Several servers as the operators start them, their stand-ins, the store, and faults between all of them.
 
-Each server has a folder of its own (its disk, kept over a kill), a runtime, a gateway, and a link to the
-store that can be harmed. Everything is on loopback, on ports of the system's. All children are ended by their
-own ids on every way out, Ctrl-C included; the store's stand-in ends with its input."""
+Each server has a folder of its own (its disk, kept over a kill), a runtime, a gateway, and links that can be
+harmed: from it to the store, the runtime and the list, and from the gateway to it. Everything is on loopback,
+on ports of the system's. All children are ended by their own ids on every way out, Ctrl-C included; the
+store's stand-in ends with its input."""
 
 import contextlib
 import json
@@ -25,15 +26,20 @@
 from otterrudder.fleet.points import NAMED
 from otterrudder.fleet.records import Keys, View, digest_of
 from otterrudder.fleet.store import StoreAway
-from otterrudder.lab.processes.books import InForce
-from otterrudder.lab.processes.link import Harm, Link
-from otterrudder.lab.processes.standins import SETTINGS, Gateway, Runtime, Wire, clock, registry
+from otterrudder.lab.processes.books import InForce, Listed
+from otterrudder.lab.processes.etcd import CLUSTER
+from otterrudder.lab.processes.link import Datagrams, Harm, Link
+from otterrudder.lab.processes.standins import SETTINGS, Gateway, Listing, Runtime, Wire, clock
 
 ROOT = Path(__file__).parents[3]
 LOOK_S = 0.015  # s between the rig's looks at the store
 REST_S = 0.5  # s at the end in which what was asked is answered
 UP_S = 20.0  # s that a server may take until it admits
 FOLDER = "state"  # of a server's place: what outlives its processes
+COPY_ID = 0xC0B1  # of an engine that answers in the store's place
+LISTED_MS = 1500.0  # ms that a start, or a link that is whole again, may take until the list hears of it
+HEALED_MS = 800.0  # ms from when a link is whole until what was sent on it before is answered or lost
+ON_ONE_MACHINE = ("runtime",)  # links that a lost network leaves alone
 
 LEVELS = """version = 1
 start = "cut"
@@ -68,27 +74,38 @@
     folder: Path
     runtime: Runtime
     gateway: Gateway
-    link: Link
-    address: tuple[str, int]
+    links: dict[str, Link]  # store, runtime, gateway
+    listing: Datagrams  # to the list
     process: subprocess.Popen[bytes] | None = None
     frozen_at: float = 0.0
+    # From when to when something was done to it: what was open then is owed no answer in time; or the list is
+    # owed no report.
     harmed: list[tuple[float, float]] = field(default_factory=list)
+    unlisted: list[tuple[float, float]] = field(default_factory=list)
+    begun: dict[str, float] = field(default_factory=dict)  # of links: since when the harm lasts
 
     @property
     def is_up(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    def halts(self, since: float) -> None:
+        """It has stopped itself, at some time since then."""
+        self.frozen_at = self.frozen_at or since
+
 
 class Rig:
     """`with_fleet`: the servers are of a fleet; else each has a table of levels of its own, the baseline."""
 
     def __init__(self, folder: Path, servers: int, *, absent: str = "wait", bound_ms: float = 1000.0,
                  lease_ms: float = 3000.0, pace_ms: float = 40.0, with_fleet: bool = True,
-                 start: str = "wait", double: str = "") -> None:
-        """`double`: the fault that is put into the first server's program."""
+                 start: str = "wait", double: str = "", names_store: bool = False) -> None:
+        """`double`: the fault that is put into the first server's program; `names_store`: the fleet's file
+        says which engine is believed."""
         self.folder, self.count, self.absent, self.start = folder, servers, absent, start
         self.bound_ms, self.lease_ms, self.pace_ms, self.with_fleet = bound_ms, lease_ms, pace_ms, with_fleet
-        self.wire = Wire()
+        self.names_store = names_store
+        self.wire, self.list = Wire(), Listing()
+        self.copies: list[bytes] = []  # what the store held a while ago, the oldest first
         self.places: list[Place] = []
         self.extra: list[subprocess.Popen[bytes]] = []  # proposers, and processes under a name that is taken
         self.kinds: dict[str, str] = {}  # by digest: the product that a policy declines
@@ -110,15 +127,14 @@
             async with anyio.create_task_group() as group:
                 if self.with_fleet:
                     await self._start_store()
-                sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-                sock.setblocking(False)
-                sock.bind(("127.0.0.1", 0))
-                group.start_soon(registry, sock)
+                group.start_soon(self.list.run)
                 for n in range(self.count):
-                    self._make(n, sock.getsockname())
+                    self._make(n)
                 for place in self.places:
                     group.start_soon(place.runtime.run)
-                    group.start_soon(place.link.run)
+                    group.start_soon(place.listing.run)
+                    for link in place.links.values():
+                        group.start_soon(link.run)
                     self.start_server(place)
                 if self.with_fleet:
                     group.start_soon(self._look)
@@ -144,23 +160,55 @@
 
     # The store.
 
-    async def _start_store(self) -> None:
-        self.store = subprocess.Popen([sys.executable, "-m", "otterrudder.lab.processes.etcd"], cwd=ROOT,
-                                      stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    async def _start_store(self, state: str = "store", cluster: int = 0) -> None:
+        """The engine, with what the file of that name holds."""
+        words = [str(self.store_at), "--state", str(self.folder / state), "--cluster", f"{cluster:x}"]
+        line = [sys.executable, "-m", "otterrudder.lab.processes.etcd", *words]
+        self.store = subprocess.Popen(line, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         assert self.store.stdout
         self.store_at = int(await anyio.to_thread.run_sync(self.store.stdout.readline))
 
+    def kill_store(self) -> None:
+        if self.store:
+            self.store.kill()
+            self.store.wait()
+            self.store = None
+            self.note(-1, "store killed")
+
+    async def restart_store(self) -> None:
+        """With all that it held, whatever answers in its place."""
+        self.kill_store()
+        await self._start_store()
+        self.note(-1, "store starts")
+
+    async def replace_store(self, with_copy: bool) -> None:
+        """Another engine answers: one restored from an older state, if there is one, or an empty one."""
+        self.kill_store()
+        copy = self.folder / "copy"
+        copy.unlink(missing_ok=True)
+        if with_copy and self.copies:
+            copy.write_bytes(self.copies[0])
+        await self._start_store("copy", COPY_ID)
+        self.note(-1, "an older copy answers" if with_copy else "an empty store answers")
+
+    def keep_copy(self) -> None:
+        """Of the present state, and of the one before."""
+        if self.store:
+            self.copies = [*self.copies[-1:], (self.folder / "store").read_bytes()]
+
     async def tell_store(self, **fault: object) -> None:
-        assert self.store and self.store.stdin and self.store.stdout
+        if not self.store:
+            return  # it is dead
+        assert self.store.stdin and self.store.stdout
         self.store.stdin.write(json.dumps(fault).encode() + b"\n")
         self.store.stdin.flush()
         await anyio.to_thread.run_sync(self.store.stdout.readline)
         self.note(-1, " ".join(fault))
 
     def signal_store(self, number: signal.Signals) -> None:
-        assert self.store
-        self.store.send_signal(number)
-        self.note(-1, number.name)
+        if self.store:
+            self.store.send_signal(number)
+            self.note(-1, number.name)
 
     async def _look(self) -> None:
         """When which version came into force, by a reader of the rig's own that no fault touches."""
@@ -170,9 +218,12 @@
         client, keys, looked = Client(fleet), Keys(fleet.name), clock()
         try:
             while True:
+                await anyio.sleep(LOOK_S)
                 began = clock()
                 with contextlib.suppress(StoreAway):
                     view = View(keys, await client.read([keys.policy, keys.change, keys.votes], 1000.0))
+                    if view.snapshot.cluster != CLUSTER:  # what another engine is told is not the fleet's
+                        continue
                     head = view.policy
                     if head and head.version > self.versions[-1].version:
                         kind = self.kinds.get(head.digest, "")
@@ -180,7 +231,6 @@
                     self.opened = view.change.id if view.change else ""
                     self.voted = set(view.votes)
                     looked = began
-                await anyio.sleep(LOOK_S)
         finally:
             with anyio.CancelScope(shield=True):
                 await client.close()
@@ -188,32 +238,36 @@
     def _fleet_file(self, port: int, folder: str | None) -> str:
         lasting = f'folder = "{folder}"\n' if folder else ""
         absent = self.absent if folder else "leave-out"
+        lasting += f'store_id = "{CLUSTER:x}"\n' if self.names_store else ""
         return (f'version = 1\nfleet = "rig"\nstore = ["127.0.0.1:{port}"]\nabsent = "{absent}"\n'
                 f'start = "{self.start if folder else "wait"}"\n'
                 f"bound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n{lasting}")
 
     # The servers.
 
-    def _make(self, n: int, listed_at: tuple[str, int]) -> None:
+    def _make(self, n: int) -> None:
         folder = self.folder / f"n{n}"
         folder.mkdir(parents=True)
         runtime = Runtime(n, self.wire)
         with socket.create_server(("127.0.0.1", 0)) as free:
             address = free.getsockname()
-        link = Link(("127.0.0.1", self.store_at))
-        gateway = Gateway(n, address, runtime, self.wire, self.pace_ms)
+        links = {"store": Link(("127.0.0.1", self.store_at)), "runtime": Link(runtime.address),
+                 "gateway": Link(address)}
+        listing = Datagrams(self.list.address, n)
+        gateway = Gateway(n, links["gateway"].address, runtime, self.wire, self.pace_ms)
         where = "{}:{}".format
-        told = {"name": f"n{n}", "listen": where(*address), "runtime": where(*runtime.address),
-                "registry": where(*listed_at), "seed": f"{n:016x}", "stop_ms": 2000,
+        told = {"name": f"n{n}", "listen": where(*address), "runtime": where(*links["runtime"].address),
+                "registry": where(*listing.address), "seed": f"{n:016x}", "stop_ms": 2000,
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS}
         (folder / "config.json").write_text(json.dumps(told))
-        (folder / "fleet.toml").write_text(self._fleet_file(link.address[1], FOLDER))
+        (folder / "fleet.toml").write_text(self._fleet_file(links["store"].address[1], FOLDER))
         (folder / "levels.toml").write_text(levels_text("look"))
-        self.places.append(Place(n, f"n{n}", folder, runtime, gateway, link, address))
+        self.places.append(Place(n, f"n{n}", folder, runtime, gateway, links, listing))
 
     def start_server(self, place: Place, halt_at: str = "") -> None:
         """A new process at that place; `halt_at`: the named point at which it is to stop itself."""
         place.gateway.life += 1
+        place.runtime.begin_life()
         env = os.environ | {"NODE_CONFIG": str(place.folder / "config.json"), "TMPDIR": str(place.folder)}
         name = "FLEET" if self.with_fleet else "LEVELS"
         env[f"OTTERRUDDER_{name}"] = str(place.folder / f"{name.lower()}.toml")
@@ -223,6 +277,8 @@
         line = self.double_line if self.double_line and place.number == 0 else self.run_line
         with (place.folder / "log.txt").open("ab") as log:
             place.process = subprocess.Popen(["/bin/sh", "-c", line], cwd=ROOT, env=env, stderr=log)
+        if "down" in place.begun:
+            self._healed(place, "down")
         self.note(place.number, f"starts{', to halt ' + halt_at if halt_at else ''}")
 
     def kill(self, place: Place) -> None:
@@ -231,6 +287,7 @@
             place.process.kill()
             place.process.wait()
             place.harmed.append((began - 50.0, clock() + 200.0))
+            place.begun["down"] = began
             place.frozen_at = 0.0
             self.note(place.number, "killed")
 
@@ -245,13 +302,32 @@
             place.process.send_signal(signal.SIGCONT)
             if place.frozen_at:
                 place.harmed.append((place.frozen_at - 50.0, clock() + 200.0))
+                place.unlisted.append((place.frozen_at - LISTED_MS, clock() + LISTED_MS))
             place.frozen_at = 0.0
             self.note(place.number, "thawed")
 
-    def set_link(self, place: Place, what: str, harm: Harm) -> None:
-        place.link.set(harm)
+    def set_link(self, place: Place, what: str, harm: Harm, which: str = "store") -> None:
+        """`which`: of the place's links, "list", or "network", all that leave its machine."""
+        network = [*(name for name in place.links if name not in ON_ONE_MACHINE), "list"]
+        for name in network if which == "network" else [which]:
+            if name == "list":
+                place.listing.set(harm)
+            else:
+                place.links[name].set(harm)
+            if harm != Harm():
+                place.begun.setdefault(name, clock())
+            elif name in place.begun:
+                self._healed(place, name)
         self.note(place.number, what)
 
+    def _healed(self, place: Place, name: str) -> None:
+        """The harm to a link is over; what is owed to whom again."""
+        began, now = place.begun.pop(name), clock()
+        if name == "gateway":
+            place.harmed.append((began - 50.0, now + HEALED_MS))
+        elif name in ("list", "down"):
+            place.unlisted.append((began - LISTED_MS, now + LISTED_MS))
+
     def fill_disk(self, place: Place, is_full: bool) -> None:
         """A file of state can't be written there: as good as no room."""
         beside = place.folder / FOLDER / "member.new"
@@ -261,13 +337,12 @@
             beside.rmdir()
         self.note(place.number, "disk full" if is_full else "room again")
 
-    async def halted(self, place: Place, most_s: float) -> bool:
-        """Whether it has stopped itself at its named point."""
+    async def halted(self, child: subprocess.Popen[bytes] | None, most_s: float) -> bool:
+        """Whether a process has stopped itself at its named point."""
         with anyio.move_on_after(most_s):
-            while place.process and place.process.poll() is None:
-                stat = Path(f"/proc/{place.process.pid}/stat").read_text()
+            while child and child.poll() is None:
+                stat = Path(f"/proc/{child.pid}/stat").read_text()
                 if stat.rpartition(")")[2].split()[0] == "T":
-                    place.frozen_at = place.frozen_at or clock()
                     return True
                 await anyio.sleep(0.02)
         return False
@@ -334,16 +409,17 @@
         return child
 
     async def ended(self, child: subprocess.Popen[bytes], most_s: float) -> int | None:
-        """Its exit code, or None: it has not ended by then."""
+        """Its exit code, or None: it has not ended by then. One that halts at a point goes on."""
         with anyio.move_on_after(most_s):
             while child.poll() is None:
+                child.send_signal(signal.SIGCONT)
                 await anyio.sleep(0.02)
         return child.poll()
 
     def hand_out(self, declines: str) -> None:
         """The baseline: one server after another is told, by its own file and a signal."""
         for place in self.places:
-            if place.is_up and not place.link.harm.is_cut:
+            if place.is_up and not place.links["store"].harm.is_cut:
                 (place.folder / "levels.toml").write_text(levels_text(declines))
                 assert place.process
                 place.process.send_signal(signal.SIGHUP)
@@ -356,7 +432,15 @@
 
     def harmed(self) -> dict[int, list[tuple[float, float]]]:
         now = clock()
-        return {p.number: p.harmed + ([(p.frozen_at, now)] if p.frozen_at else []) for p in self.places}
+        return {p.number: p.harmed + [(at, now) for at in (p.frozen_at, p.begun.get("gateway", 0.0)) if at]
+                for p in self.places}
+
+    def listed(self) -> dict[str, Listed]:
+        """By server: from when to when it was to be heard by the list, and when it was not."""
+        heard: dict[str, list[float]] = {place.name: [] for place in self.places}
+        for at, name, _ in self.list.heard:
+            heard[name].append(at)
+        return {place.name: Listed(heard[place.name], place.unlisted) for place in self.places}
 
     async def shown(self, place: Place) -> str:
         """Which product the server declines now, by what its gateway sees: "?" while that is not clear."""
--- a/otterrudder/lab/processes/standins.py
+++ b/otterrudder/lab/processes/standins.py
@@ -11,6 +11,7 @@
 
 import anyio
 import anyio.abc
+from anyio.streams.buffered import BufferedByteReceiveStream
 
 from otterrudder.lab.processes.link import accept_all
 
@@ -19,6 +20,9 @@
 PRODUCTS = ("look", "pay")  # inquiry-like; referenced
 OPEN_MOST = 30  # txns on one connection: the platform allows 32
 REPEAT_MS = 15_000.0  # from a first try's sending in which it is asked for again: the window is 20 s
+OLD_MS = 60_000.0  # that the runtimes are up at the start: no server is cold
+NOTICES_MOST = 4000  # that a runtime keeps
+KNOWN_MOST = 200  # txns of a connection whose answers are known as theirs, answered ones too
 AGAIN_MS = 50.0  # until a lost connection is tried again
 SETTINGS: dict[str, object] = {
     "classes": [
@@ -81,61 +85,91 @@
 
 
 class Runtime:
-    """The runtime of one server; it outlives the server's processes."""
+    """The runtime of one server; it outlives links and the server's processes. Runs go on while no link
+    exists, and a new link hears what it has missed."""
 
     def __init__(self, server: int, wire: Wire) -> None:
         self.server, self.wire = server, wire
         self.marks: dict[str, str] = {}  # by call, told by the gateway: the runtime is not told them
+        self.over: set[str] = set()  # calls that no answer is owed to any more, told by the gateway as well
+        self.life = 0  # of the server's process: notices are numbered anew with each
+        self.notices: list[tuple[int, bytes]] = []
+        self.number = 0
+        self.running: set[str] = set()
+        self.born = clock() - OLD_MS
+        self.link: anyio.abc.SocketStream | None = None
+        self.lock = anyio.Lock()
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
         self.address: tuple[str, int] = self.sock.getsockname()
+        self.group: anyio.abc.TaskGroup | None = None
+
+    def begin_life(self) -> None:
+        """The server's process is another one: what ran for the one before ends unheard."""
+        self.life += 1
+        self.number = 0
+        self.notices.clear()
+        self.running.clear()
 
     async def run(self) -> None:
-        await accept_all(self.sock, self._serve)
+        async with anyio.create_task_group() as self.group:
+            await accept_all(self.sock, self._serve)
 
     async def _serve(self, sock: socket.socket) -> None:
         try:
             async with await anyio.abc.SocketStream.from_socket(sock) as stream:
-                await self._speak(stream)
+                before, self.link = self.link, stream
+                if before:
+                    await before.aclose()
+                await self._hear(stream)
         except* _GONE:
             pass
 
-    async def _speak(self, stream: anyio.abc.SocketStream) -> None:
-        from anyio.streams.buffered import BufferedByteReceiveStream
-
+    async def _hear(self, stream: anyio.abc.SocketStream) -> None:
         heard = BufferedByteReceiveStream(stream)
-        number, running, lock = 0, set[str](), anyio.Lock()
-
-        async def say(data: bytes) -> None:
-            with contextlib.suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                async with lock:
+        while True:
+            words = (await heard.receive_until(b"\r\n", 512)).decode().split(" ")
+            if words[0] == "sync":
+                since = int(words[1])
+                told = b"".join(data for number, data in self.notices if number > since)
+                await self._say(stream, f"ready hot {clock() - self.born:.0f}\r\n".encode() + told)
+            elif words[0] == "gauges":
+                await self._say(stream, f"load {words[1]} 0.2 1 0.1 5\r\n".encode())
+            elif words[0] == "start":
+                await heard.receive_exactly(int(words[3]) + 2)
+                await self._start(words[1])
+
+    async def _say(self, stream: anyio.abc.SocketStream | None, data: bytes) -> None:
+        with contextlib.suppress(*_GONE):
+            async with self.lock:
+                if stream:
                     await stream.send(data)
 
-        async def finish(call: str) -> None:
-            nonlocal number
-            await anyio.sleep(RUN_MS / 1000)
-            running.discard(call)
-            number += 1
-            body = f"r:{call}".encode()
-            head = f"end {number} {call} complete {RUN_MS} {len(body)}\r\n".encode()
-            await say(head + body + b"\r\n")
+    async def _start(self, call: str) -> None:
+        """For what runs already nothing happens, and nothing starts for a request that is over."""
+        if call in self.running:
+            return
+        if call in self.over:
+            await self._notify(f"{call} unknown 0 0", b"")
+            return
+        self.running.add(call)
+        self.wire.started.append(Started(self.server, call, self.marks.get(call, ""), clock()))
+        assert self.group
+        self.group.start_soon(self._finish, call, self.life)
+
+    async def _finish(self, call: str, life: int) -> None:
+        await anyio.sleep(RUN_MS / 1000)
+        if life != self.life:
+            return
+        self.running.discard(call)
+        body = f"r:{call}".encode()
+        await self._notify(f"{call} complete {RUN_MS} {len(body)}", body)
 
-        async with anyio.create_task_group() as group:
-            while True:
-                words = (await heard.receive_until(b"\r\n", 512)).decode().split(" ")
-                if words[0] == "sync":
-                    number = int(words[1])
-                    await say(b"ready hot 60000\r\n")
-                elif words[0] == "gauges":
-                    await say(f"load {words[1]} 0.2 1 0.1 5\r\n".encode())
-                elif words[0] == "start":
-                    await heard.receive_exactly(int(words[3]) + 2)
-                    call = words[1]
-                    if call not in running:
-                        running.add(call)
-                        mark = self.marks.get(call, "")
-                        self.wire.started.append(Started(self.server, call, mark, clock()))
-                        group.start_soon(finish, call)
+    async def _notify(self, what: str, body: bytes) -> None:
+        self.number += 1
+        data = f"end {self.number} {what}\r\n".encode() + body + b"\r\n"
+        self.notices = [*self.notices[1 - NOTICES_MOST :], (self.number, data)]
+        await self._say(self.link, data)
 
 
 class Gateway:
@@ -149,7 +183,9 @@
         self.life = 0  # of the server's process, as the rig counts them
         self.count = 0
         self.is_asking = True
-        self.settled: list[Asked] = []  # of referenced ones of this life
+        self.settled: list[Asked] = []  # of referenced ones, of the process that is the ...
+        self.settled_in = 0
+        self.doubtful: list[Asked] = []  # that had no answer when a connection ended
 
     async def run(self) -> None:
         while True:
@@ -161,9 +197,12 @@
             await anyio.sleep(AGAIN_MS / 1000)
 
     async def _speak(self, stream: anyio.abc.SocketStream) -> None:
+        """One connection. What is open at its end has no answer: of referenced ones the same process is asked
+        again by the mark, as gateways do."""
         open_: dict[int, Asked] = {}
         life = self.life
-        self.settled = []
+        if life != self.settled_in:  # results do not outlive a process
+            self.settled, self.doubtful, self.settled_in = [], [], life
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._ask, stream, open_, life)
@@ -174,20 +213,33 @@
         finally:
             now = clock()
             for asked in open_.values():
-                asked.outcome, asked.answered = "lost", now
+                if not asked.outcome:
+                    asked.outcome, asked.answered = "lost", now
+                    self.runtime.over.add(asked.call)
+                    if asked.mark and life == self.life:
+                        self.doubtful.append(asked)
+
+    def _earlier(self, product: str) -> Asked | None:
+        """The try that is asked for again, if it is time for one; past the window it would be a new one."""
+        if product != "pay":
+            return None
+        while self.doubtful:
+            again = self.doubtful.pop()
+            if clock() - again.sent <= REPEAT_MS:
+                return again
+        last = self.settled[-1] if self.settled and self.count % 5 == 0 else None
+        return last if last and clock() - last.sent <= REPEAT_MS else None
 
     async def _ask(self, stream: anyio.abc.SocketStream, open_: dict[int, Asked], life: int) -> None:
         number = 0
         while True:
             await anyio.sleep(self.pace / 1000)
-            if len(open_) >= OPEN_MOST or not self.is_asking:
+            if sum(not asked.outcome for asked in open_.values()) >= OPEN_MOST or not self.is_asking:
                 continue
             number += 1
             self.count += 1
             product, call = PRODUCTS[self.count % 2], f"{self.server:04x}{self.count:012x}"
-            again = self.settled[-1] if product == "pay" and self.settled and self.count % 5 == 0 else None
-            if again and clock() - again.sent > REPEAT_MS:  # past the window a repeat is a new request
-                again = None
+            again = self._earlier(product)
             mark = (again.mark if again else call * 2) if product == "pay" else ""
             first = again.first if again else call
             asked = Asked(self.server, life, product, call, mark, first, clock())
@@ -199,6 +251,7 @@
             params |= {"rep": 1} if again else {}
             line = json.dumps({"jsonrpc": "2.0", "id": number, "method": product, "params": params})
             open_[number] = asked
+            open_.pop(number - KNOWN_MOST, None)
             self.wire.asked.append(asked)
             await stream.send(line.encode() + b"\n")
 
@@ -209,13 +262,16 @@
             *lines, data = data.split(b"\n")
             for line in lines:
                 told = json.loads(line)
-                asked = open_.pop(told.get("id"), None)
-                if asked:
+                asked = open_.get(told.get("id"))
+                if asked:  # answered or not: a second answer counts as one
                     self._note(asked, told)
 
     def _note(self, asked: Asked, told: dict[str, object]) -> None:
-        asked.answered = clock()
         asked.answers += 1
+        self.runtime.over.add(asked.call)
+        if asked.answers > 1:
+            return
+        asked.answered = clock()
         if isinstance(result := told.get("result"), dict):
             asked.outcome, asked.body = "settled", base64.b64decode(result["blob"])
             if asked.mark and asked.call == asked.first:
@@ -228,9 +284,22 @@
         asked.is_final, asked.stay_away_ms = bool(data.get("stop")), float(data.get("pushback") or 0.0)
 
 
-async def registry(sock: socket.socket) -> None:
+class Listing:
     """The list: hears reports, and nobody asks it."""
-    while True:
-        await anyio.wait_readable(sock)
-        with contextlib.suppress(BlockingIOError):
-            sock.recv(512)
+
+    def __init__(self) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self.heard: list[tuple[float, str, str]] = []  # when, who, and in which state
+
+    async def run(self) -> None:
+        try:
+            while True:
+                await anyio.wait_readable(self.sock)
+                with contextlib.suppress(BlockingIOError):
+                    _, name, state = self.sock.recv(512).decode().split(" ")
+                    self.heard.append((clock(), name, state))
+        finally:
+            self.sock.close()
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -4,16 +4,18 @@
 from pathlib import Path
 
 import anyio
+import msgspec
 import pytest
 
 from otterrudder.lab.processes.books import judge
-from otterrudder.lab.processes.experiment import perform_one, read, shrink
-from otterrudder.lab.processes.plan import Fault, Round, draw
+from otterrudder.lab.processes.experiment import Experiment, perform_one, read, shrink
+from otterrudder.lab.processes.plan import DECK, Fault, Round, draw
 from otterrudder.lab.processes.rig import Rig
 
 EXPERIMENT = read(Path(__file__).parents[2] / "experiments/fleet-policy.toml")
 CALM = [Round(1, "look", (), 0.3), Round(2, "pay", (), 0.3)]
 VOTED = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("freeze later", 0),), 2.8)]
+SLOWLY = Experiment(msgspec.structs.replace(EXPERIMENT.told, pace_ms=170.0))  # what waits is read in one go
 
 
 def test_changes_take_hold_everywhere_or_nowhere_through_faults() -> None:
@@ -32,6 +34,20 @@
     assert run.played.verdict.figures["settled"] > 300
 
 
+def test_with_faults_between_all_ends_and_another_engine_in_the_store_s_place() -> None:
+    rounds = [
+        Round(1, "look", (Fault("gateway cut", 0), Fault("runtime half a message", 1)), 1.0),
+        Round(2, "pay", (Fault("older copy later"), Fault("gateway half a message", 1)), 1.2),
+        Round(3, "look", (Fault("store killed at point", 2, "after vote"), Fault("runtime cut", 0)), 1.2),
+        Round(4, "pay", (Fault("network gone", 1), Fault("list loses", 0)), 1.5),
+        Round(5, "look", (Fault("empty store answers"), Fault("runtime one way back", 2)), 1.2),
+        Round(6, "pay", (Fault("store killed at proposal", -1, "after propose"),), 1.0),
+    ]
+    run = perform_one(EXPERIMENT, "wait", 1, rounds, 3)
+    assert not run.broken, (run.broken, run.played.verdict.breaches, run.played.rounds)
+    assert run.played.committed >= 4 and run.played.verdict.figures["repeats"] > 10
+
+
 def test_who_is_away_is_left_out_and_stands_aside() -> None:
     rounds = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("cut", 0),), 4.5),
               Round(3, "look", (Fault("store frozen"),), 1.5)]
@@ -57,9 +73,13 @@
     ("loses", "wait", CALM, "lost"),
     ("runs twice", "wait", CALM, "run twice"),
     ("another result", "wait", CALM, "another result"),
+    ("answers twice", "wait", CALM, "answered twice"),
+    ("answers late", "wait", [Round(1, "look", (), 2.8), Round(2, "pay", (), 2.8)], "late"),
+    ("declines repeats", "wait", CALM, "repeat declined"),
+    ("unlisted", "wait", [Round(1, "look", (), 2.8), Round(2, "pay", (), 2.8)], "unlisted"),
 ])
 def test_the_books_find_what_is_put_in(double: str, variant: str, rounds: list[Round], says: str) -> None:
-    run = perform_one(EXPERIMENT, variant, 1, rounds, 2, double=double)
+    run = perform_one(SLOWLY if rounds is VOTED else EXPERIMENT, variant, 1, rounds, 2, double=double)
     assert any(line.startswith(says) for line in run.broken), (run.broken, run.played.rounds)
 
 
@@ -87,6 +107,8 @@
 def test_a_plan_is_its_seed_s_and_is_cut_down_to_what_breaks() -> None:
     plan = draw(5, 12, 20)
     assert plan == draw(5, 12, 20) != draw(6, 12, 20)
+    dealt = {(fault.kind, fault.point) for this in draw(5, 12, 60) for fault in this.faults}
+    assert dealt == set(DECK)  # all of them once at the least
     wanted = plan[7].faults[0]
     fewest = shrink(lambda rounds: any(wanted in this.faults for this in rounds), plan)
     assert [this.faults for this in fewest] == [(wanted,)]
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -259,7 +259,9 @@
     assert run("status") == (
             0, "f, on the store e7cd: no policy yet: each server goes by its own files\n")
     assert run("policy", "back")[0] == 3
-    assert run("policy", "apply", str(first), "--note", "one") == (0, "version 1 is in force\n")
+    code, text = run("policy", "apply", str(first))
+    assert code == 3 and "nobody is of f yet on the store e7cd: is it the right one?" in text
+    assert run("policy", "apply", str(first), "--first", "--note", "one") == (0, "version 1 is in force\n")
     code, text = run("policy", "diff", str(second))
     assert code == 1 and "-value = 2.0\n+value = 3.0" in text
     assert run("policy", "apply", str(second), "--trial", "5")[0] == 2  # without a condition
