Policy: limits and the calls' budget of a fleet, in service from the commit on

Need: a policy held levels, products' values and tenants' shares; the list also has limits and budgets that the module takes.

Change: [limits] stay_away_ms (never above what callers honour by the server's own configuration) and over_share_value; [budgets] calls, the fleet's, of which each server has an even part; a no where nothing shared lies below. What an operator may set anew is one plain Limits that the module's stages read (interface.Limits, Rudder.revalue), in place of three figures kept in three stages.

--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -1,6 +1,6 @@
 """From the settings object, as a server is told it at its start, to a Rudder: for drill and server alike."""
 
-from otterrudder.interface import Effect, Product, Tenant
+from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.logic import Rudder
 
 _EFFECTS = {"safe": Effect.INQUIRY, "keyed": Effect.REFERENCED, "unsafe": Effect.ONCE}
@@ -41,6 +41,18 @@
     ]
 
 
+def limits_of(settings: dict) -> Limits:
+    told = settings.get("limits") or {}
+    return Limits(_ms(told, "maxRetryAfterUs") if told.get("retryAfter") else 0.0,
+                  (settings.get("familyInfo") or {}).get("callsOut") or 0.0,
+                  settings.get("overShareWorth") or 0.0)
+
+
+def below_of(settings: dict) -> str:
+    """What lies below: "shared", one service for all servers; "tier"; "": nothing."""
+    return _BELOW.get((settings.get("familyInfo") or {}).get("below"), "")
+
+
 def can_stop(settings: dict) -> bool:
     """Whether running work can be stopped: a stop of an answered txn ends it where work is paused as well."""
     return (settings.get("familyInfo") or {}).get("stopMode") in ("drop", "pause")
@@ -54,7 +66,6 @@
 def boot(now: float, instance: int, seed: int, settings: dict, **told: object) -> Rudder:
     """`told`: what this start knows better than the settings, by the Rudder's own names."""
     info, rules = settings.get("familyInfo") or {}, settings.get("rules") or {}
-    limits = settings.get("limits") or {}
     facts = dict(
         products=products_of(settings),
         tenants=tenants_of(settings),
@@ -70,15 +81,13 @@
         drain_grace_ms=_ms(rules, "drainGraceUs"),
         tick_ms=_ms(settings, "tickUs", 1000),
         say=_SAY.get(info.get("say"), ""),
-        stay_away_max_ms=_ms(limits, "maxRetryAfterUs") if limits.get("retryAfter") else 0.0,
+        limits=limits_of(settings),
         idle_max_ms=_ms(info, "callerIdleUs"),
         may_stop=can_stop(settings),
-        below=_BELOW.get(info.get("below"), ""),
-        calls_share=info.get("callsOut") or 0.0,
+        below=below_of(settings),
         calls_span_ms=_ms(info, "depWindowUs"),
         linger_ms=_ms(info, "lingerUs"),
         marks_retry=(settings.get("clients") or {}).get("marksRetry") is not False,
-        over_value=settings.get("overShareWorth") or 0.0,
     )
     rudder = Rudder(now, instance=instance, seed=seed, **(facts | told))
     rudder.begin()
--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -33,7 +33,7 @@
 )
 from otterrudder.fleet.configuration import BadFleet, Fleet, read_fleet
 from otterrudder.fleet.points import reached
-from otterrudder.fleet.policy import BadPolicy, parse
+from otterrudder.fleet.policy import BadPolicy, Own, parse
 from otterrudder.fleet.records import BadRecord, Change, Keys, Settled, View
 from otterrudder.fleet.store import Done, StoreAway
 from otterrudder.fleet.wants import Commit
@@ -465,6 +465,6 @@
             named += [{key: list(told[key])} for key in ("products", "tenants")
                       if isinstance(told.get(key), dict)]
             products, tenants = named_in(named)
-        parse(text, products, tenants)
+        parse(text, Own(products, tenants))
     except (BadPolicy, BadConfiguration, ValueError) as trouble:
         give_up(f"{path.name}: {trouble}")
--- a/otterrudder/fleet/policy.py
+++ b/otterrudder/fleet/policy.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from otterrudder.files import convert
-from otterrudder.interface import Product, Tenant
+from otterrudder.interface import Limits, Product, Tenant
 from otterrudder.levels.table import BadTable, Table, build
 
 VERSION = 1  # of the form
@@ -24,6 +24,8 @@
 
 NO_POLICY = f"version = {VERSION}"  # says nothing: all is as each server's configuration has it
 VALUE_MOST = 1e9  # of a product; a larger one is a slip
+STAY_AWAY_MOST_MS = 3_600_000.0
+CALLS_MOST = 1e6  # calls in hand at a service below, in the mean, of the whole fleet
 PER_S_MOST = 1e7  # txns a second of a tenant, in the whole fleet
 
 
@@ -34,6 +36,19 @@
     levels: Table | None
     products: list[Product]
     tenants: list[Tenant]
+    limits: Limits
+
+
+@dataclass(frozen=True, slots=True)
+class Own:
+    """What a server's own configuration says, against which a policy is checked. `limits`: None where it is
+    not known; `servers`: of the fleet; `shares_below`: what lies below is one service for all servers."""
+
+    products: Sequence[Product]
+    tenants: Sequence[Tenant]
+    servers: int = 1
+    limits: Limits | None = None
+    shares_below: bool = True
 
 
 class _Product(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -45,16 +60,27 @@
     per_s: float
 
 
+class _Limits(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
+    stay_away_ms: float | None = None
+    over_share_value: float | None = None
+
+
+class _Budgets(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
+    calls: float | None = None
+
+
 class _Policy(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     version: int
     levels: dict[str, Any] | None = None
     products: dict[str, _Product] = {}
     tenants: dict[str, _Tenant] = {}
+    limits: _Limits = _Limits()
+    budgets: _Budgets = _Budgets()
 
 
-def parse(text: str, products: Sequence[Product], tenants: Sequence[Tenant], servers: int = 1) -> Content:
-    """BadPolicy says what is wrong, by the key. `products`, `tenants` and `servers` (of the fleet): as the
-    server's configuration has them."""
+def parse(text: str, own: Own) -> Content:
+    """BadPolicy says what is wrong, by the key."""
+    products, tenants = own.products, own.tenants
     try:
         whole = tomllib.loads(text)
     except tomllib.TOMLDecodeError as why:
@@ -65,14 +91,14 @@
     valued = [_valued(product, told.products.get(product.name)) for product in products]
     for name in told.products.keys() - {product.name for product in products}:
         raise BadPolicy(f"products.{name}: no product is named so")
-    shared = [_shared(tenant, told.tenants.get(tenant.name), servers) for tenant in tenants]
+    shared = [_shared(tenant, told.tenants.get(tenant.name), own.servers) for tenant in tenants]
     for name in told.tenants.keys() - {tenant.name for tenant in tenants}:
         raise BadPolicy(f"tenants.{name}: no tenant is named so")
     try:
         levels = None if told.levels is None else build(told.levels, products, tenants)
     except BadTable as trouble:
         raise BadPolicy(f"levels.{trouble}") from None
-    return Content(levels, valued, shared)
+    return Content(levels, valued, shared, _limited(told, own))
 
 
 def _valued(product: Product, told: _Product | None) -> Product:
@@ -92,16 +118,34 @@
     return replace(tenant, per_ms=per_s / 1000 / servers)
 
 
+def _limited(told: _Policy, own: Own) -> Limits:
+    """Limits are one server's, budgets the fleet's: each server has an even part."""
+    limits = own.limits or Limits(stay_away_ms=STAY_AWAY_MOST_MS)
+    found = limits
+    if (away := told.limits.stay_away_ms) is not None:
+        if _within(away, STAY_AWAY_MOST_MS, "limits.stay_away_ms") > limits.stay_away_ms:
+            raise BadPolicy(f"limits.stay_away_ms: {away:g} is more than callers honour here, "
+                            f"{limits.stay_away_ms:g}")
+        found = replace(found, stay_away_ms=away)
+    if (share := told.limits.over_share_value) is not None:
+        found = replace(found, over_value=_within(share, 1.0, "limits.over_share_value"))
+    if (calls := told.budgets.calls) is not None:
+        if not own.shares_below:
+            raise BadPolicy("budgets.calls: here no service lies below that all servers share")
+        found = replace(found, calls=_within(calls, CALLS_MOST, "budgets.calls") / own.servers)
+    return found
+
+
 def _within(value: float, most: float, key: str) -> float:
     if not 0.0 <= value <= most:  # NaN is neither
         raise BadPolicy(f"{key}: {value:g} is not from 0 to {most:g}")
     return value
 
 
-def trouble_in(text: str, products: Sequence[Product], tenants: Sequence[Tenant], servers: int = 1) -> str:
+def trouble_in(text: str, own: Own) -> str:
     """What is wrong with a policy for this server; "": nothing."""
     try:
-        parse(text, products, tenants, servers)
+        parse(text, own)
     except BadPolicy as trouble:
         return str(trouble)
     return ""
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -70,6 +70,15 @@
     per_ms: float = 0.0  # txns of its share that are one server's part; 0: nobody says
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What an operator may set anew while a server runs."""
+
+    stay_away_ms: float = 0.0  # for how long callers may be asked to keep away; 0: they do not hear it
+    calls: float = 0.0  # mean calls in hand at a shared service below that are this server's part
+    over_value: float = 0.0  # share of its value that a txn beyond its tenant's share is worth
+
+
 class Cut(Enum):
     """What a level of reduced service does with what it trims, the mildest first."""
 
@@ -145,6 +154,10 @@
         self.tries = 0  # calls made at the present stop
         self.followers: list[Txn] = []
 
+    @property
+    def referenced(self) -> bool:
+        return self.spec.effect is Effect.REFERENCED
+
     @property
     def effectful(self) -> bool:
         return self.spec.effect is not Effect.INQUIRY
--- a/otterrudder/lab/site.py
+++ b/otterrudder/lab/site.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from otterrudder.interface import Effect, Product, Tenant
+from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.logic import Rudder
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -168,11 +168,10 @@
                 drain_grace_ms=s.grace_ms,
                 tick_ms=4.0,
                 say=s.say,
-                stay_away_max_ms=s.away_most_ms,
+                limits=Limits(stay_away_ms=s.away_most_ms),
                 idle_max_ms=math.inf,
                 may_stop=False,
                 below="tier",
-                calls_share=0.0,
                 calls_span_ms=0.0,
                 linger_ms=0.0,
                 up_ms=up_ms,
--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -15,7 +15,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
-from otterrudder.interface import Cut, Effect, Outcome, Part, Place, Product, Relief, Step, Tenant, Trim, Txn
+from otterrudder.interface import Cut, Limits, Outcome, Part, Place, Product, Relief, Step, Tenant, Trim, Txn
 
 # Constants: unit and reason. None is a site's figure.
 RETIRED = "retired"  # the drain that has no way back
@@ -184,7 +184,7 @@
         txn.followers = []
 
     def back(self, txn: Txn) -> None:
-        if txn.ran or txn.spec.effect is not Effect.REFERENCED:
+        if txn.ran or not txn.referenced:
             return
         self.unrun[0].add(txn.ident)
         heirs, txn.followers = [f for f in txn.followers if not f.answered], []
@@ -209,7 +209,7 @@
         return self.txns_kb + len(self.repeats.refs) * self.repeats.ref_kb
 
     def arrive(self, txn: Txn) -> bool:
-        keeps = txn.spec.effect is Effect.REFERENCED
+        keeps = txn.referenced
         full = keeps and len(self.repeats.refs) >= self.refs_most  # its results lie elsewhere
         if full or self.used + self.repeats.ref_kb * keeps > self.read_room:
             return self.rudder.refuse(txn, room=False)
@@ -230,10 +230,9 @@
 class Sessions(Stage):
     """SBOC's table of established keys, entered when a txn settles."""
 
-    def __init__(self, rudder: "Rudder", tenants: list[Tenant], over_value: float) -> None:
-        self.rudder = rudder
+    def __init__(self, rudder: "Rudder", tenants: list[Tenant]) -> None:
+        self.rudder, self.tenants = rudder, tenants
         self.table: OrderedDict[int, float] = OrderedDict()
-        self.tenants, self.over_value = tenants, over_value
         self.left = [(rudder.now, SHARE_LEAST) for _ in tenants]  # txns left of each share, as of when
         self.groups: dict[int, int] = {}  # txns held of each key
         self.held = 0
@@ -259,7 +258,8 @@
     def worth(self, txn: Txn) -> float:
         """What it may be expected to earn: within a share is what is served up to it, whoever comes first."""
         known = txn.tenant < len(self.tenants) and self.tenants[txn.tenant].per_ms
-        return txn.spec.value * (self.over_value if known and self._left(txn.tenant) < 1 else 1.0)
+        is_over = known and self._left(txn.tenant) < 1
+        return txn.spec.value * (self.rudder.limits.over_value if is_over else 1.0)
 
     def _left(self, tenant: int) -> float:
         since, left = self.left[tenant]
@@ -519,21 +519,23 @@
     """Calls below: how long to wait, whether to repeat, and when to stop calling.
     A call of a txn with an effect is repeated only if the one before is known not to have run."""
 
-    def __init__(self, rudder: "Rudder", below: str, share: float, span_ms: float, linger_ms: float) -> None:
+    def __init__(self, rudder: "Rudder", below: str, span_ms: float, linger_ms: float) -> None:
         self.rudder, self.shared, self.linger = rudder, below == "shared", linger_ms
-        self.share, self.room = share, share * span_ms * CALLS_ROOM
         self.debt, self.counted, self.out = 0.0, rudder.now, 0  # ms beyond the share, as of; calls out
-        self.failed, self.next_trial = 0, 0.0  # failures in a row
+        self.failed, self.next_trial, self.room = 0, 0.0, span_ms * CALLS_ROOM  # in a row; of debt, in shares
         self.queue: deque[Txn] = deque()  # waiting for leave to call
 
     def _count(self, by: int) -> None:
-        self.debt = max(self.debt + (self.out - self.share) * (self.rudder.now - self.counted), 0.0)
+        beyond, span = self.out - self.rudder.limits.calls, self.rudder.now - self.counted
+        self.debt = max(self.debt + beyond * span, 0.0)
         self.counted, self.out = self.rudder.now, self.out + by
 
     def _allowed(self) -> bool:
         self._count(0)
-        shut = self.failed >= BREAK_AFTER and self.rudder.now < self.next_trial
-        return not shut and not (self.shared and (self.out + 1 > max(self.share, 1) or self.debt > self.room))
+        if self.failed >= BREAK_AFTER and self.rudder.now < self.next_trial:
+            return False
+        share = self.rudder.limits.calls
+        return not self.shared or self.out + 1 <= max(share, 1) and self.debt <= share * self.room
 
     def want(self, txn: Txn) -> None:
         self.queue.append(txn)
@@ -585,11 +587,9 @@
 class Signals:
     """What callers are told: health, the free value, when to stay away. One timer an instance renews it."""
 
-    def __init__(self, rudder: "Rudder", say: str, callers: int, stay_away_max_ms: float,
-                 idle_max_ms: float, marks: bool) -> None:
+    def __init__(self, rudder: "Rudder", say: str, callers: int, idle_max_ms: float, marks: bool) -> None:
         self.rudder, self.marks, self.kind, self.idle_max = rudder, marks, say, idle_max_ms
-        self.callers, self.away_max = max(callers, 1), stay_away_max_ms
-        self.gap, self.last = GAP_GUESS_MS, rudder.now  # mean ms between arrivals
+        self.callers, self.gap, self.last = max(callers, 1), GAP_GUESS_MS, rudder.now  # gap: ms, mean
         self.told: float | None = None  # the value last advertised
         self.idle, self.told_idle = (LINK_SHORT_MS if self.seldom() else idle_max_ms), idle_max_ms
         self.shed = self.retries = 0.0  # shares of recent arrivals: declined here, and later tries
@@ -600,12 +600,12 @@
         If this server is itself slow, cold or going, others may have room. If it is full at its usual speed,
         the others are full as well, for callers spread their load: a further try would only cost a read."""
         if gone or self.rudder.expiry.is_shut():
-            return False, self.away_max
+            return False, self.rudder.limits.stay_away_ms
         alone = self.rudder.slots.warmth() < 1.0 or self.rudder.slots.pace > SLOW_PACE
         crowded = retry or self.retries > RETRIES_MOST
         if away_ms is None:  # else a level is in force, and knows how long it lasts at the least
             away_ms = math.inf if self.retries > STORM else STAY_AWAY_MS
-        return room and not alone or crowded, min(away_ms, self.away_max)
+        return room and not alone or crowded, min(away_ms, self.rudder.limits.stay_away_ms)
 
     def arrived(self, retry: bool) -> None:
         # Where later tries are not marked, what is declined stands in: most of it comes back somewhere.
@@ -653,26 +653,26 @@
     def __init__(self, now: float, *, instance: int, seed: int, products: list[Product],
                  tenants: list[Tenant], cores: int, callers: int, memory_kb: float, run_factor: float,
                  ref_kb: float, crowd_per_core: float, fresh: bool, cold_from: float, cold_ms: float,
-                 drain_grace_ms: float, tick_ms: float, say: str, stay_away_max_ms: float,
-                 idle_max_ms: float, may_stop: bool, below: str, calls_share: float, calls_span_ms: float,
-                 linger_ms: float, up_ms: float = 0.0, refs_most: float = math.inf,
-                 over_value: float = 0.0, marks_retry: bool = True) -> None:
+                 drain_grace_ms: float, tick_ms: float, say: str, limits: Limits, idle_max_ms: float,
+                 may_stop: bool, below: str, calls_span_ms: float, linger_ms: float, up_ms: float = 0.0,
+                 refs_most: float = math.inf, marks_retry: bool = True) -> None:
         self.now, self.instance, self.products, self.may_stop = now, instance, products, may_stop
+        self.limits = limits
         self.counter, self.steps = seed, list[Step]()
         self.txns: dict[int, Txn] = {}  # everything in the hold, on the cores or at a call
         self.agenda = Agenda()
         self.expiry = Expiry(self, drain_grace_ms)
         self.repeats = Repeats(self, ref_kb, tick_ms)
         self.memory = Memory(self, memory_kb, run_factor, refs_most)
-        self.sessions = Sessions(self, tenants, over_value)
+        self.sessions = Sessions(self, tenants)
         self.slots = Slots(self, self.memory, self.repeats, products, cores, crowd_per_core,
                            cold_ms, cold_from, now - up_ms if fresh else -math.inf)
-        self.calls = Calls(self, below, calls_share, calls_span_ms, linger_ms)
+        self.calls = Calls(self, below, calls_span_ms, linger_ms)
         self.holds = Holds(self, self.sessions, self.slots, self.calls)
         self.levels = Levels(self)
         self.chain: list[Stage] = [self.expiry, self.repeats, self.sessions, self.levels, self.memory]
         self.chain += [self.holds, self.slots, self.calls]
-        self.signals = Signals(self, say, callers, stay_away_max_ms, idle_max_ms, marks_retry)
+        self.signals = Signals(self, say, callers, idle_max_ms, marks_retry)
 
     def at(self, now: float) -> None:
         self.now = now
@@ -730,9 +730,9 @@
         """The level of reduced service in force from now on; None: there are no levels."""
         self.levels.take(relief)
 
-    def revalue(self, products: list[Product], tenants: list[Tenant]) -> None:
-        """What txns that come from now on are worth, and tenants' shares; what is in hand keeps its own."""
-        self.products, self.sessions.tenants = products, tenants
+    def revalue(self, products: list[Product], tenants: list[Tenant], limits: Limits) -> None:
+        """What txns that come from now on are worth, shares and limits; what is in hand keeps its worth."""
+        self.products, self.sessions.tenants, self.limits = products, tenants, limits
 
     def facts(self) -> dict[str, float]:
         """What a ladder of levels goes by. With nothing in hand there is no run to be slow or late."""
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -21,7 +21,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
-from otterrudder.interface import Cut, Effect, Outcome, Part, Product, Relief, Step, Tenant, Trim
+from otterrudder.interface import Cut, Effect, Limits, Outcome, Part, Product, Relief, Step, Tenant, Trim
 from otterrudder.logic import Rudder
 
 if TYPE_CHECKING:  # a server without levels does not carry them
@@ -75,7 +75,7 @@
         self.levels = levels
         self.left_parts: list[Part] = []  # served by another, as the gate last said
         self.is_aside = False  # it does not know which policy is in force, and admits nothing
-        self.values: tuple[list[Product], list[Tenant]] | None = None  # as a policy has them
+        self.values: tuple[list[Product], list[Tenant], Limits] | None = None  # as a policy has them
         self.aside = Relief("aside", ((Trim(Cut.DECLINE),),) * len(products), elsewhere=True)
         self.boot, self.products, self.gauges = boot, products, gauges
         self.names = {product.name: n for n, product in enumerate(products)}
@@ -272,12 +272,12 @@
             self._tell_level(self.levels.take(table, self.now))
 
     def take_policy(self, table: "Table | None", make: "Callable[[Table], Watch]", products: list[Product],
-                    tenants: list[Tenant]) -> None:
+                    tenants: list[Tenant], limits: Limits) -> None:
         """A policy is in force: its table of levels takes the place of any other, or of none; what comes from
         now on is worth what it says."""
-        self.values = products, tenants
+        self.values = products, tenants, limits
         if self.rudder:
-            self.rudder.revalue(products, tenants)
+            self.rudder.revalue(*self.values)
         if table and self.levels:
             self.take_levels(table)
         else:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -11,7 +11,7 @@
 import anyio
 
 from otterrudder import __version__
-from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
+from otterrudder.boot import below_of, boot, can_stop, gauge_names, limits_of, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
 from otterrudder.net import clock, core
@@ -200,24 +200,25 @@
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
     from otterrudder.fleet.client import Client
-    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, parse, trouble_in
+    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Own, parse, trouble_in
     from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
     settings = told["settings"]
-    products, tenants = helm.core.products, tenants_of(settings)
-    servers = max(settings.get("servers") or 1, 1)
+    products = helm.core.products
+    own = Own(products, tenants_of(settings), max(settings.get("servers") or 1, 1), limits_of(settings),
+              below_of(settings) == "shared")
 
     def take(text: str) -> None:
         try:
-            told = parse(text or NO_POLICY, products, tenants, servers)
+            told = parse(text or NO_POLICY, own)
         except BadPolicy:
             return  # it stands aside for that, and says why
         helm.post(helm.core.take_policy, told.levels, lambda table: Watch(table, spread), told.products,
-                  told.tenants)
+                  told.tenants, told.limits)
 
     def judge(text: str) -> str:
-        trouble = trouble_in(text, products, tenants, servers)
+        trouble = trouble_in(text, own)
         return f"{told['name']}: {trouble}" if trouble else ""
 
     try:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -17,10 +17,10 @@
 )
 from otterrudder.fleet.configuration import BadFleet, read_fleet
 from otterrudder.fleet.member import Member, Record, Rules, Standing
-from otterrudder.fleet.policy import BadPolicy, parse, trouble_in
+from otterrudder.fleet.policy import BadPolicy, Own, parse, trouble_in
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
 from otterrudder.fleet.wants import Commit, Read, Renew, Save
-from otterrudder.interface import Effect, Product, Tenant
+from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.lab.fleet.hours import play
 from otterrudder.lab.keyspace import KeySpace
 
@@ -55,28 +55,37 @@
     fleet = read_fleet(ROOT / "deploy/fleet.toml")
     assert fleet.rules == Rules() and fleet.timeout_ms == 500.0
     assert fleet.folder == ROOT / "deploy/fleet-state"
-    content = parse((ROOT / "deploy/policy.toml").read_text(), PRODUCTS, [])
+    content = parse((ROOT / "deploy/policy.toml").read_text(), Own(PRODUCTS, []))
     assert content.levels and [rung.name for rung in content.levels.rungs] == ["checks-when-free"]
-    assert parse("version = 1", PRODUCTS, []).levels is None
+    assert parse("version = 1", Own(PRODUCTS, [])).levels is None
 
 
 def test_a_policy_is_refused_by_its_key() -> None:
     text = (ROOT / "deploy/policy.toml").read_text()
-    assert trouble_in(text, PRODUCTS, []) == ""
-    assert "form-check" in trouble_in(text, PRODUCTS[:1], [])
-    assert trouble_in(text, PRODUCTS[:1], []).startswith("levels.level[1].cut[1]")
-    with pytest.raises(BadPolicy, match="unknown field `limits`"):  # of a newer program
-        parse(text.replace("version = 1", "version = 1\nlimits = 3", 1), PRODUCTS, [])
-    assert "products.x: no product" in trouble_in("version = 1\n[products.x]\nvalue = 1", PRODUCTS, [])
-    assert "tenants.x: no tenant" in trouble_in("version = 1\n[tenants.x]\nper_s = 1", PRODUCTS, [])
-    assert trouble_in("version = 1\n[products.form-check]\nlate_value = 2", PRODUCTS, []) == (
+    assert trouble_in(text, Own(PRODUCTS, [])) == ""
+    assert "form-check" in trouble_in(text, Own(PRODUCTS[:1], []))
+    assert trouble_in(text, Own(PRODUCTS[:1], [])).startswith("levels.level[1].cut[1]")
+    with pytest.raises(BadPolicy, match="unknown field `drains`"):  # of a newer program
+        parse(text.replace("version = 1", "version = 1\ndrains = 3", 1), Own(PRODUCTS, []))
+    assert "products.x: no product" in trouble_in("version = 1\n[products.x]\nvalue = 1", Own(PRODUCTS, []))
+    assert "tenants.x: no tenant" in trouble_in("version = 1\n[tenants.x]\nper_s = 1", Own(PRODUCTS, []))
+    assert trouble_in("version = 1\n[products.form-check]\nlate_value = 2", Own(PRODUCTS, [])) == (
         "products.form-check.late_value: 2 is not from 0 to 1")
-    told = parse("version = 1\n[products.form-check]\nvalue = 7\n[tenants.north]\nper_s = 400", PRODUCTS,
-                 [Tenant("north", 0.5), Tenant("south", 0.5, 0.02)], servers=4)
+    told = parse("version = 1\n[products.form-check]\nvalue = 7\n[tenants.north]\nper_s = 400",
+                 Own(PRODUCTS, [Tenant("north", 0.5), Tenant("south", 0.5, 0.02)], servers=4))
     assert [product.value for product in told.products] == [1.0, 7.0, 1.0]
     assert [tenant.per_ms for tenant in told.tenants] == [0.1, 0.02]
+    told = parse("version = 1\n[limits]\nstay_away_ms = 300\n[budgets]\ncalls = 24",
+                 Own(PRODUCTS, [], 8, Limits(500.0, 1.0, 0.1)))
+    assert told.limits == Limits(300.0, 3.0, 0.1)
+    assert "limits.stay_away_ms: 600 is more than callers honour here, 500" in trouble_in(
+        "version = 1\n[limits]\nstay_away_ms = 600", Own(PRODUCTS, [], 8, Limits(500.0)))
+    assert trouble_in("version = 1\n[budgets]\ncalls = 24", Own(PRODUCTS, [], shares_below=False)) == (
+        "budgets.calls: here no service lies below that all servers share")
+    assert "limits.over_share_value: 3 is not from 0 to 1" in trouble_in(
+        "version = 1\n[limits]\nover_share_value = 3", Own(PRODUCTS, []))
     with pytest.raises(BadPolicy, match="not TOML"):
-        parse("version = ", PRODUCTS, [])
+        parse("version = ", Own(PRODUCTS, []))
 
 
 class Fleet:
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -8,8 +8,8 @@
 from helpers import SETTINGS, Server
 
 from otterrudder.boot import boot, gauge_names, products_of, tenants_of
-from otterrudder.fleet.policy import parse
-from otterrudder.interface import Outcome
+from otterrudder.fleet.policy import Own, parse
+from otterrudder.interface import Limits, Outcome
 from otterrudder.levels import Watch
 from otterrudder.net.core import Core
 
@@ -44,8 +44,9 @@
         self.core.done()
 
     def policy(self, text: str) -> None:
-        told = parse(text, PRODUCTS, TENANTS)
-        self.core.take_policy(told.levels, lambda table: Watch(table, 0.0), told.products, told.tenants)
+        told = parse(text, Own(PRODUCTS, TENANTS))
+        self.core.take_policy(told.levels, lambda table: Watch(table, 0.0), told.products, told.tenants,
+                              told.limits)
 
     def ask(self, product: int, mark: str = "", retry: bool = False) -> list[tuple]:
         self.now += 5.0
@@ -114,6 +115,20 @@
     assert [txn.spec for txn in played.core.rudder.txns.values()][-1] == replace(PRODUCTS[1], value=50.0)
 
 
+def test_limits_and_budgets_are_in_force_at_once_and_go_with_the_policy() -> None:
+    played = Played()
+    played.up()
+    rudder = played.core.rudder
+    before = rudder.limits
+    played.policy("version = 1\n[limits]\nstay_away_ms = 120\nover_share_value = 0.5\n[budgets]\ncalls = 2")
+    assert rudder.limits == Limits(120.0, 2.0, 0.5) != before
+    played.core.stand_aside(True)
+    (declined,) = words(played.ask(0))
+    assert declined[0] == "declined" and declined[2] <= 120.0  # as long as callers are asked to keep away
+    played.policy("version = 1")
+    assert rudder.limits.over_value == before.over_value
+
+
 def test_a_server_without_a_fleet_imports_nothing_of_it() -> None:
     code = ("import sys, otterrudder.cli.serve, otterrudder.net.serve; "
             "print([m for m in sys.modules if 'fleet' in m or 'grpc' in m or 'durable' in m])")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,7 +25,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from otterrudder.interface import Cut, Effect, Outcome, Part, Product, Relief, Tenant, Trim
+from otterrudder.interface import Cut, Effect, Limits, Outcome, Part, Product, Relief, Tenant, Trim
 from otterrudder.logic import Rudder
 
 ROOT = Path(__file__).parent.parent
@@ -61,9 +61,9 @@
             now, instance=1, seed=1, products=self.products, tenants=self.tenants, cores=int(t["cores"]),
             callers=int(t["callers"]), memory_kb=t["memory"], run_factor=t["factor"], ref_kb=t["ref"],
             crowd_per_core=t["crowd"], fresh=bool(t["fresh"]), cold_from=t["cold_from"], cold_ms=t["cold"],
-            drain_grace_ms=t["grace"], tick_ms=t["tick"], say=t["say"], stay_away_max_ms=t["away"],
-            idle_max_ms=t["idle"], may_stop=bool(t["stop"]), below=t["below"], calls_share=t["share"],
-            calls_span_ms=t["span"], linger_ms=t["linger"], over_value=t["over"],
+            drain_grace_ms=t["grace"], tick_ms=t["tick"], say=t["say"],
+            limits=Limits(t["away"], t["share"], t["over"]), idle_max_ms=t["idle"],
+            may_stop=bool(t["stop"]), below=t["below"], calls_span_ms=t["span"], linger_ms=t["linger"],
             marks_retry=bool(t["marks"]),
         )  # fmt: skip
         rudder.begin()
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -57,7 +57,7 @@
 
 def test_the_module_is_told_what_the_settings_say() -> None:
     rudder = boot(0.0, 1, 7, OLD)
-    assert (rudder.may_stop, rudder.signals.marks, rudder.sessions.over_value) == (False, True, 0.1)
+    assert (rudder.may_stop, rudder.signals.marks, rudder.limits.over_value) == (False, True, 0.1)
     assert rudder.sessions.tenants[0].per_ms == pytest.approx(0.0034)  # a tenth of 34 a second
     assert boot(0.0, 1, 7, settings_with("familyInfo.stopMode", "pause")).may_stop
     assert not boot(0.0, 1, 7, settings_with("clients.marksRetry", False)).signals.marks
