Rig: servers and store listen where no connection is given their port meanwhile

Ports were the system's, given back before the server listened on them, and again for the seconds that a killed server or store is down, out of the range that connections are made from. They are now below that range, and a server that does not start is told with its last words.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,6 +17,7 @@
 from otterrudder.lab.processes.rig import Rig  # noqa: E402
 
 PACE_MS = 5.0  # 200 txns a second: what a server of the platform gets
+SKIPPED = 1  # the first line of turns: the start is in it
 SPAN_S = 21.0  # two of the server's own reports
 FAULTS: dict[str, dict[str, object]] = {
     "off": {}, "on": {}, "slow": {"slow_ms": 300}, "silent": {"down": True}, "flood": {"flood": 4000}}
@@ -26,6 +27,7 @@
     """The server's own last report, by its words."""
     with tempfile.TemporaryDirectory() as folder:
         rig = Rig(Path(folder), 1, with_fleet=name != "off", pace_ms=PACE_MS)
+        rig.run_line = f"exec {sys.executable} -m benchmarks.turns"
         async with rig.running():
             if FAULTS[name]:
                 await rig.tell_store(**FAULTS[name])
@@ -35,11 +37,15 @@
                     if name == "flood":
                         await rig.tell_store(**FAULTS[name])
         log = (rig.places[0].folder / "log.txt").read_text()
+        turns = [dict(re.findall(r"(\w+)=([\d.]+)", line)) for line in log.splitlines()
+                 if line.startswith("turns ")][SKIPPED:]
         last = [line for line in log.splitlines() if "event=doing" in line][-1]
         told = dict(re.findall(r"(\w+)=([\d.]+)", last))
         txns = sum(a.answered > 0 for a in rig.wire.asked) / SPAN_S * 10
         wanted = ("cpu_s", "rss_mb", "worst_turn_ms", "worst_ring_late_ms")
-        return {word: float(told[word]) for word in wanted} | {"txns": txns}
+        found = {word: float(told[word]) for word in wanted} | {"txns": txns}
+        found |= {word: sum(float(one[word]) for one in turns) for word in ("over_1ms", "turns")}
+        return found | {"worst_cpu_ms": max(float(one["worst_ms"]) for one in turns)}
 
 
 async def main() -> None:
@@ -47,7 +53,9 @@
         told = await measure(name)
         cpu = told["cpu_s"] * 1e6 / max(told["txns"], 1)
         print(f"{name:8} {cpu:7.0f} us of CPU a txn, ticks and all; {told['rss_mb']:5.1f} MB; worst turn "
-              f"{told['worst_turn_ms']:4.1f} ms, worst ring late by {told['worst_ring_late_ms']:4.1f} ms")
+              f"{told['worst_cpu_ms']:4.2f} ms of CPU ({told['over_1ms']:.0f} of {told['turns']:.0f} over "
+              f"1 ms), {told['worst_turn_ms']:4.1f} ms, worst ring late by "
+              f"{told['worst_ring_late_ms']:4.1f} ms")
 
 
 if __name__ == "__main__":
--- a/otterrudder/lab/processes/link.py
+++ b/otterrudder/lab/processes/link.py
@@ -5,6 +5,8 @@
 and lets neither end know."""
 
 import contextlib
+import itertools
+import os
 import socket
 import struct
 import zlib
@@ -17,8 +19,21 @@
 
 CHUNK = 65536  # bytes that are moved in one go
 SLICE_S = 0.05  # s of reading at a slow reader's rate
+PORTS = range(12_000, 32_000)  # below those that Linux makes connections from, unless it is told otherwise
 RESET = struct.pack("ii", 1, 0)  # closes with a reset
 
+_numbers = itertools.count()
+
+
+def free_port() -> int:
+    """For a process that listens itself, and again after its death: one that no connection is given
+    meanwhile. OSError: none was found."""
+    for _ in range(len(PORTS)):
+        at = zlib.crc32(f"{os.getpid()}/{next(_numbers)}".encode()) % len(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", PORTS[at])):
+            return PORTS[at]
+    raise OSError("no port is free")
+
 
 @dataclass(slots=True)
 class Harm:
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -10,7 +10,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tomllib
@@ -28,12 +27,13 @@
 from otterrudder.fleet.store import StoreAway
 from otterrudder.lab.processes.books import InForce, Listed
 from otterrudder.lab.processes.etcd import CLUSTER
-from otterrudder.lab.processes.link import Datagrams, Harm, Link
+from otterrudder.lab.processes.link import Datagrams, Harm, Link, free_port
 from otterrudder.lab.processes.standins import SETTINGS, Gateway, Listing, Runtime, Wire, clock
 
 ROOT = Path(__file__).parents[3]
 LOOK_S = 0.015  # s between the rig's looks at the store
 REST_S = 0.5  # s at the end in which what was asked is answered
+LINES = 3  # of a server's log that are told where it does not start
 UP_S = 20.0  # s that a server may take until it admits
 FOLDER = "state"  # of a server's place: what outlives its processes
 COPY_ID = 0xC0B1  # of an engine that answers in the store's place
@@ -114,7 +114,7 @@
         self.voted: set[str] = set()  # on that one
         self.marks: list[tuple[float, int, str]] = []  # when, which server (-1: the store), what was done
         self.store: subprocess.Popen[bytes] | None = None
-        self.store_at = 0
+        self.store_at = free_port() if with_fleet else 0
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.run_line = run if (ROOT / ".venv").exists() else f"exec {sys.executable} -m otterrudder"
         spoilt = f'exec {sys.executable} -m otterrudder.lab.processes.double "{double}"'
@@ -249,8 +249,7 @@
         folder = self.folder / f"n{n}"
         folder.mkdir(parents=True)
         runtime = Runtime(n, self.wire)
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = free.getsockname()
+        address = ("127.0.0.1", free_port())
         links = {"store": Link(("127.0.0.1", self.store_at)), "runtime": Link(runtime.address),
                  "gateway": Link(address)}
         listing = Datagrams(self.list.address, n)
@@ -356,8 +355,7 @@
         folder = self.folder / f"twin-{place.number}-{len(self.extra)}"
         folder.mkdir()
         told = json.loads((place.folder / "config.json").read_text())
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            told["listen"] = "{}:{}".format(*free.getsockname())
+        told["listen"] = f"127.0.0.1:{free_port()}"
         (folder / "config.json").write_text(json.dumps(told))
         (folder / "fleet.toml").write_text(self._fleet_file(self.store_at, FOLDER))
         env = os.environ | {"NODE_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
@@ -369,11 +367,14 @@
         return child
 
     async def until_serving(self, place: Place) -> None:
-        """Until something was settled there from now on."""
+        """Until something was settled there from now on. RuntimeError, with its last words: it never was."""
         at = len(self.wire.asked)
-        with anyio.fail_after(UP_S):
+        with anyio.move_on_after(UP_S):
             while not any(a.server == place.number and a.outcome == "settled" for a in self.wire.asked[at:]):
                 await anyio.sleep(0.05)
+            return
+        log = (place.folder / "log.txt").read_text().splitlines()
+        raise RuntimeError(f"{place.name} does not serve: {'; '.join(log[-LINES:])}")
 
     # Changes.
 
