Fleet: an address at which another engine answers is left for the next one

Cause: with several addresses, one of them another engine's (a stale one, a test's), a client that had moved there because the first was silent stayed for good: it answers, so it was never silent, and the member doubted it for ever. Store.leave, called by the agent at most every 2 s while an engine is in doubt.

--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -34,6 +34,7 @@
 HINT_MS = 50.0
 WATCH_AGAIN_MS = 500.0  # ms until a watch that ended is begun again
 LEAVE_MS = 500.0  # ms that the way out may take: the name is free at once for the next life
+DOUBT_MS = 2000.0  # ms that an engine in doubt is stayed with: the one before it may be back by then
 FAILED_MS = 200.0  # ms until what failed is tried again: it must not spin
 NAP_MS = 1000.0  # ms of sleep at the most where nothing is due
 
@@ -65,6 +66,7 @@
         self.taken: Policy | None = None
         self.counts = {"asked": 0, "unanswered": 0, "hints": 0, "asides": 0, "watches_ended": 0}
         self.away_since = 0.0  # when the store first did not answer; 0: it answers
+        self.leave_at = 0.0  # when an engine in doubt may next be left for another address
         self.worst_ms = 0.0  # longest wait for an answer since it was last shown
 
     # In the helm's turn.
@@ -153,8 +155,12 @@
             if more:
                 log.info("settling a change", change=self.settler.change, how=more.what)
                 await self._play(more, now)
-        else:
-            self.member.told(now, want, sent, outcome)
+            return
+        self.member.told(now, want, sent, outcome)
+        if self.member.doubt and now >= self.leave_at:
+            self.leave_at = now + DOUBT_MS
+            log.warning("the store is not believed", why=self.member.doubt)
+            await self.store.leave()
 
     async def _outcome(self, want: Want) -> Outcome:
         self.counts["asked"] += 1
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -104,6 +104,11 @@
                     yield Changed(answer.header.revision)
         raise StoreAway("the watch ended")
 
+    async def leave(self) -> None:
+        if len(self._stores) > 1:
+            self._silent, self._at = 0, (self._at + 1) % len(self._stores)
+            await self.close()
+
     async def close(self) -> None:
         if self._channel:
             channel, self._channel = self._channel, None
@@ -136,8 +141,7 @@
             raise _Refused(str(code)) from None
         self._silent += 1
         if self._silent >= SILENT_MOST:
-            self._silent = 0
-            self._at = (self._at + 1) % len(self._stores)
+            self._silent, self._at = 0, (self._at + 1) % len(self._stores)
             await self.close()
         raise StoreAway(f"{code.name if code else why}") from None
 
--- a/otterrudder/fleet/store.py
+++ b/otterrudder/fleet/store.py
@@ -107,4 +107,7 @@
     async def revoke(self, lease: int, timeout_ms: float) -> None:
         """The lease ends now, and the keys that hang on it go."""
 
+    async def leave(self) -> None:
+        """The engine that answers is not believed: the next address is tried, if there is one."""
+
     async def close(self) -> None: ...
