Fleet: a policy is judged off the loop, and parsed once

Member.told judged a policy's text in the loop, and the helm's turn parsed it once more as it came into force. Change: Judge is a want with a lane of its own, carried out by a thread; who has not judged yet does not vote, and stands aside as behind where the policy is in force already. What was judged is kept parsed. A judgement that raises is a no with its reason.

--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -24,7 +24,7 @@
 from otterrudder.fleet.points import reached
 from otterrudder.fleet.records import Keys, Live
 from otterrudder.fleet.store import Store, StoreAway
-from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Save, Want
 from otterrudder.net import clock
 from otterrudder.net.log import log
 
@@ -52,7 +52,7 @@
                  orders: Orders, folder: Folder | None, record: Record | None,
                  facts: Callable[[], Mapping[str, float]] = dict) -> None:
         """`record`: what the folder holds, see `open_folder`; `facts`: how the server does, for trials."""
-        self.facts = facts
+        self.facts, self.judge = facts, judge
         keys, epoch = Keys(fleet.name), secrets.token_hex(8)
         self.timeout = fleet.timeout_ms
         self.store, self.folder, self.orders = store, folder, orders
@@ -167,6 +167,8 @@
         try:
             if isinstance(want, Save):
                 return await anyio.to_thread.run_sync(self._save, want)
+            if isinstance(want, Judge):
+                return await anyio.to_thread.run_sync(self._judge, want.text)
             outcome = await self._ask(want)
         except Exception as why:  # whatever a library raises is no answer, and its lane must be free again
             self.counts["unanswered"] += 1
@@ -191,6 +193,14 @@
             return await self.store.renew(want.lease, self.timeout)
         return await self.store.commit(want.compares, want.writes, self.timeout)
 
+    def _judge(self, text: str) -> str:
+        """In a thread: a policy of hundreds of names would hold up the loop for tens of ms."""
+        try:
+            return self.judge(text)
+        except Exception as why:  # it is a no, with what there is of a reason
+            log.exception("a policy could not be judged")
+            return f"{self.member.name}: {type(why).__name__}: {why}"
+
     def _save(self, want: Save) -> bool:
         """In a thread: it blocks until the disk has it."""
         try:
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -25,7 +25,7 @@
 
 from otterrudder.fleet.records import Absent, BadRecord, Keys, Live, Roster, Trial, View, Vote, encode
 from otterrudder.fleet.store import Compare, Done, Leased, Put, Snapshot
-from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Save, Want
 
 # of its span for which a lease is believed: two clocks may run apart by a tenth
 LEASE_BELIEVED = 0.9
@@ -129,20 +129,20 @@
 
 class Member:
     __slots__ = ("_busy", "_disk_at", "_failed", "_floors", "_is_void", "_judged", "_need_text", "_read_at",
-                 "_renew_at", "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_told", "_unfit",
-                 "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at", "has_disk",
-                 "head", "head_change", "joined", "judge", "keys", "known", "lease",
-                 "lease_until", "live", "name", "on_duty", "pledge", "registered", "revision", "rules",
+                 "_renew_at", "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_to_judge", "_told",
+                 "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at",
+                 "has_disk", "head", "head_change", "joined", "keys", "known", "lease", "lease_until",
+                 "live", "name", "on_duty", "pledge", "registered", "revision", "rules",
                  "seen", "sure", "vote_sent", "waited")
 
     def __init__(self, now: float, keys: Keys, name: str, epoch: str, folder: str, rules: Rules,
                  judge: Callable[[str], str], *, record: Record | None = None, has_disk: bool = True,
                  live: Live | None = None, cluster: int = 0) -> None:
         """`record`: what the folder held, None where it was empty; `folder`: its name, new with an empty one.
-        `judge`: what is wrong with a policy's text for this server, "" if nothing. `cluster`: the only engine
-        that is believed, where the fleet's file names it; 0: the first that is heard."""
+        `judge`: what is wrong for this server with the text that the record holds, "" if nothing. `cluster`:
+        the only engine that is believed, where the fleet's file names it; 0: the first that is heard."""
         self.keys, self.name, self.epoch, self.folder = keys, name, epoch, folder
-        self.rules, self.judge, self.has_disk = rules, judge, has_disk
+        self.rules, self.has_disk = rules, has_disk
         self.live = live or Live(epoch)
         self.known = record.known if record else Policy()
         self.pledge = record.pledge if record else None
@@ -168,8 +168,9 @@
         self._stale = True
         self._need_text = ""
         self._texts: tuple[tuple[str, str], ...] = ()  # digest and text of what may come into force
-        self._judged: tuple[str, str] = ("", "")  # a digest, and what is wrong with that text here
-        self._unfit = self.judge(self.known.text) if self.known.version else ""
+        self._unfit = judge(self.known.text) if self.known.version else ""
+        self._judged = (self.known.digest, self._unfit)  # and what is wrong with that text here
+        self._to_judge = ""  # a digest whose text is here and is to be judged
         self._read_at = -math.inf
         self._retry_at, self._failed = now, 0
         self._renew_at, self._disk_at = now, now
@@ -201,6 +202,7 @@
         """When `wants` may next say something by itself; -inf: now."""
         times = [self._retry_at if self._stale else self._next_read()] if Lane.STORE not in self._busy else []
         times += [self._renew_at] if Lane.LEASE not in self._busy and self._may_lease() else []
+        times += [-math.inf] if self._judge_want() else []
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
         if Lane.STORE not in self._busy and self.registered:
             times.append(max(self._tell_at, self._retry_at))
@@ -218,8 +220,8 @@
         self._stale = True
 
     def wants(self, now: float) -> list[Want]:
-        """What is to be begun now; each of them owes `told` one outcome."""
-        found = [self._store_want(now), self._disk_want(now), self._lease_want(now)]  # a vote wants a save
+        """What is to be begun now; each of them owes `told` one outcome. A vote wants a judgement, a save."""
+        found = [self._store_want(now), self._judge_want(), self._disk_want(now), self._lease_want(now)]
         begun = [want for want in found if want]
         self._busy |= {want.lane for want in begun}
         reads, leases = (any(want.lane is lane for want in begun) for lane in (Lane.STORE, Lane.LEASE))
@@ -236,6 +238,8 @@
             outcome, self._stale = None, True  # no word of an engine that is not believed counts
         if isinstance(want, Save):
             self._told_save(now, want, outcome)
+        elif isinstance(want, Judge):
+            self._told_judge(want, outcome)
         elif want.lane is Lane.LEASE:
             self._told_lease(now, want, sent, outcome)
         elif is_void:
@@ -321,7 +325,7 @@
             return None
         pledged = self.pledge == Pledge(change.id, change.created)
         trouble = "" if pledged else self._trouble_with(change)
-        if trouble is None:  # its text is not here yet
+        if trouble is None:  # its text is not here yet, or not judged
             return None
         if not trouble and not pledged:
             self.pledge, self.vote_sent = Pledge(change.id, change.created), False
@@ -337,7 +341,7 @@
         return Commit("vote", compares, (Put(keys.vote(self.name), encode(vote)),))
 
     def _trouble_with(self, change: Open) -> str | None:
-        """Why the answer is no; "": it is yes; None: the text has to be read first."""
+        """Why the answer is no; "": it is yes; None: the text has to be read or judged first."""
         if self.disk_trouble:
             return f"{self.name}: its folder: {self.disk_trouble}"
         if self._judged[0] != change.digest:
@@ -347,7 +351,8 @@
                     return f"the text {change.digest} is not in the store"
                 self._need_text, self._stale = change.digest, True
                 return None
-            self._judged = (change.digest, self.judge(text))
+            self._to_judge = change.digest
+            return None
         return self._judged[1]
 
     def _tell(self, now: float) -> Commit:
@@ -372,6 +377,10 @@
         return Live(self.epoch, live.program, live.zone, version, self.known.digest, state, live.products,
                     figures)
 
+    def _judge_want(self) -> Want | None:
+        text = dict(self._texts).get(self._to_judge)
+        return None if text is None or Lane.JUDGE in self._busy else Judge(self._to_judge, text)
+
     def _lease_want(self, now: float) -> Want | None:
         if Lane.LEASE in self._busy or now < self._renew_at or not self._may_lease():
             return None
@@ -412,6 +421,13 @@
             if self.pledge and not self.vote_sent:
                 self.pledge = None  # nothing was sent: it is a no
 
+    def _told_judge(self, want: Judge, outcome: Outcome) -> None:
+        if self._to_judge == want.digest:
+            self._to_judge = ""
+        if isinstance(outcome, str):
+            self._judged = (want.digest, outcome)
+            self._stale = self._stale or self.head > self.known.version
+
     def _told_lease(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
         if outcome is None:
             self._renew_at = now + (self.rules.lease_ms * RENEW_SHARE if self.doubt else RETRY_MS)
@@ -533,8 +549,11 @@
             self._stale = self._need_text != head.digest  # else it was asked for just now, and is not there
             self._need_text = head.digest
             return
+        if self._judged[0] != head.digest:
+            self._to_judge = head.digest
+            return
         self.known = Policy(head.version, head.change, head.digest, text)
-        self._unfit = self._judged[1] if self._judged[0] == head.digest else self.judge(text)
+        self._unfit = self._judged[1]
 
     def _take_pledge(self, sent: float, seen: Seen) -> None:
         opened = Pledge(seen.open.id, seen.open.created) if seen.open else None
--- a/otterrudder/fleet/wants.py
+++ b/otterrudder/fleet/wants.py
@@ -15,6 +15,7 @@
     LEASE = "lease"
     DISK = "disk"
     SETTLE = "settle"
+    JUDGE = "judge"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,5 +52,16 @@
     lane: Lane = Lane.DISK
 
 
-Want = Read | Commit | Lease | Renew | Save
-Outcome = Snapshot | Done | Leased | bool | None  # of a read; a commit; a lease or renewal; a save; no answer
+@dataclass(frozen=True, slots=True)
+class Judge:
+    """Check a policy's text against the server's own configuration: what is wrong with it, "" if nothing. Off
+    the loop: a long one takes as long as many txns."""
+
+    digest: str
+    text: str
+    lane: Lane = Lane.JUDGE
+
+
+Want = Read | Commit | Lease | Renew | Save | Judge
+# Of a read; a commit; a lease or renewal; a save; a judgement; no answer.
+Outcome = Snapshot | Done | Leased | bool | str | None
--- a/otterrudder/lab/fleet/hours.py
+++ b/otterrudder/lab/fleet/hours.py
@@ -17,12 +17,13 @@
 from otterrudder.fleet.member import Member, Record, Rules
 from otterrudder.fleet.records import Keys, Live, PolicyHead, View, decode
 from otterrudder.fleet.store import Put, Snapshot
-from otterrudder.fleet.wants import Commit, Lane, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Save, Want
 from otterrudder.lab.keyspace import KeySpace
 
 KEYS = Keys("f")
 LATENCY_MS = (1.0, 12.0)  # of a request and its answer, together
 HINT_MS = (1.0, 30.0)  # of a watch event
+JUDGE_MS = (0.3, 12.0)  # of a policy: 200 products and 500 tenants take the most
 SAVE_MS = (0.5, 8.0)  # of a synced write
 LOOK_MS = 50.0  # between checks of what everybody admits under
 START_MS = 700.0  # from a restart until a process asks the store
@@ -196,6 +197,9 @@
 
     def _send(self, host: Host, life: int, want: Want) -> None:
         sent = self.now
+        if isinstance(want, Judge):
+            self.at(sent + self.between(JUDGE_MS), lambda: self._told(host, life, want, sent, ""))
+            return
         if isinstance(want, Save):
             def saved() -> None:
                 host.disk = want.record if host.life == life else host.disk  # type: ignore[assignment]
--- a/otterrudder/lab/fleet/world.py
+++ b/otterrudder/lab/fleet/world.py
@@ -12,7 +12,7 @@
 from otterrudder.fleet.member import Member, Record, Rules, Standing
 from otterrudder.fleet.records import Keys, PolicyHead, View, decode
 from otterrudder.fleet.store import Put
-from otterrudder.fleet.wants import Commit, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.fleet.wants import Commit, Judge, Lease, Outcome, Read, Renew, Save, Want
 from otterrudder.lab.keyspace import KeySpace
 
 KEYS = Keys("f")
@@ -112,10 +112,9 @@
             host.disk, host.folder = None, f"{host.folder}'"
             host.is_struck = False
         epoch = f"{n}.{host.life}"
-        is_bad_for = n == self.variant.bad_for
 
         def judge(text: str) -> str:
-            return "values.look: not known here" if is_bad_for and text.endswith("!") else ""
+            return self.judge(n, text)
 
         is_other = self.variant.others and (n + host.life) % 2 == 0
         rules = self.variant.others if is_other and self.variant.others else self.variant.rules
@@ -124,6 +123,9 @@
                                           cluster=STORE_ID if self.variant.names_store else 0)
         self.settle_down()
 
+    def judge(self, n: int, text: str) -> str:
+        return "values.look: not known here" if n == self.variant.bad_for and text.endswith("!") else ""
+
     def settle_down(self) -> None:
         """What members want goes out. What no order of events hangs on is done at once: leases, saves, and
         what is told for operators' eyes; their losses are those of a host that is cut off, dies or has a
@@ -136,6 +138,7 @@
                         self.flight.append(flight)
                         continue
                     is_lost = host.is_full if isinstance(want, Save) else host.is_cut
+                    is_lost = is_lost and not isinstance(want, Judge)
                     flight.outcome = None if is_lost else self.arrive(flight)
                     self.answer(flight)
 
@@ -148,6 +151,8 @@
             if flight.life == host.life:
                 host.disk = want.record
             return True
+        if isinstance(want, Judge):
+            return self.judge(flight.host, want.text)
         if isinstance(want, Read):
             return self.store.read(want.names)
         if isinstance(want, Lease):
@@ -331,7 +336,7 @@
 
 _IS_TIME = {"fresh_at": -1, "lease_until": 1, "_read_at": -1, "_retry_at": 1, "_renew_at": 1, "_disk_at": 1,
             "_tell_at": 1}
-_PASSED_OVER = {"judge", "keys", "rules", "live", "name", "epoch", "folder", "has_disk", "_failed", "cluster"}
+_PASSED_OVER = {"keys", "rules", "live", "name", "epoch", "folder", "has_disk", "_failed", "cluster"}
 
 
 def _member_key(member: Member, now: float) -> tuple[object, ...]:
@@ -511,7 +516,7 @@
 
 
 def _is_plain(want: Want) -> bool:
-    return isinstance(want, Save | Lease | Renew) or isinstance(want, Commit) and want.what == "tell"
+    return isinstance(want, Save | Lease | Renew | Judge) or isinstance(want, Commit) and want.what == "tell"
 
 
 def _named(want: Want) -> str:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -200,7 +200,7 @@
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
     from otterrudder.fleet.client import Client
-    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Own, parse, trouble_in
+    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, Own, parse
     from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
@@ -209,17 +209,24 @@
     own = Own(products, tenants_of(settings), max(settings.get("servers") or 1, 1), limits_of(settings),
               below_of(settings) == "shared")
 
+    parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
+
     def take(text: str) -> None:
         try:
-            told = parse(text or NO_POLICY, own)
+            content = parsed.get(text) or parse(text or NO_POLICY, own)
         except BadPolicy:
             return  # it stands aside for that, and says why
-        helm.post(helm.core.take_policy, told.levels, lambda table: Watch(table, spread), told.products,
-                  told.tenants, told.limits)
+        helm.post(helm.core.take_policy, content.levels, lambda table: Watch(table, spread), content.products,
+                  content.tenants, content.limits)
 
     def judge(text: str) -> str:
-        trouble = trouble_in(text, own)
-        return f"{told['name']}: {trouble}" if trouble else ""
+        try:
+            content = parse(text, own)
+        except BadPolicy as trouble:
+            return f"{told['name']}: {trouble}"
+        parsed.clear()
+        parsed[text] = content
+        return ""
 
     try:
         store = Client(fleet)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -1,5 +1,6 @@
 """The fleet's file, a policy, the change's commits, and a member's standing, each by itself."""
 
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -19,7 +20,7 @@
 from otterrudder.fleet.member import Member, Record, Rules, Standing
 from otterrudder.fleet.policy import BadPolicy, Own, parse, trouble_in
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
-from otterrudder.fleet.wants import Commit, Read, Renew, Save
+from otterrudder.fleet.wants import Commit, Judge, Read, Renew, Save
 from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.lab.fleet.hours import play
 from otterrudder.lab.keyspace import KeySpace
@@ -92,6 +93,7 @@
     """Members on a key space, in step."""
 
     def __init__(self, names: str, rules: Rules | None = None) -> None:
+        self.judges: dict[str, Callable[[str], str]] = {}
         self.rules = rules or Rules()
         self.space, self.now = KeySpace(), 0.0
         self.disks: dict[str, Record] = {}
@@ -103,6 +105,7 @@
         def judge(text: str) -> str:
             return f"{name}: bad" if text == text_is_bad else ""
 
+        self.judges[name] = judge
         self.members[name] = Member(self.now, KEYS, name, f"{name}{epoch}", f"of {name}", self.rules, judge,
                                     record=self.disks.get(name))
         return self.members[name]
@@ -117,6 +120,8 @@
                         assert isinstance(want.record, Record)
                         self.disks[name] = want.record
                         outcome: object = True
+                    elif isinstance(want, Judge):
+                        outcome = self.judges[name](want.text)
                     elif name in cut:
                         outcome = None
                     elif isinstance(want, Read):
@@ -365,7 +370,9 @@
     for _ in range(20):
         for want in member.wants(fleet.now):
             outcome: object = False if isinstance(want, Save) else None
-            if isinstance(want, Read):
+            if isinstance(want, Judge):
+                outcome = ""
+            elif isinstance(want, Read):
                 outcome = fleet.space.read(want.names)
             elif isinstance(want, Commit):
                 outcome = fleet.space.commit(want.compares, want.writes)
