--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
 
@@ -224,6 +225,41 @@
         other.stop()
 
 
+@pytest.mark.parametrize("fails", [False, True])
+def test_a_policy_is_judged_off_the_loop_and_a_judgement_that_fails_is_a_no(engine: Engine, fails: bool
+                                                                          ) -> None:
+    """Judged in the loop, a policy of 27 KB held it up for 29 ms."""
+    def judge(text: str) -> str:
+        time.sleep(0.6)
+        return str(1 / 0) if fails else ""
+
+    async def play() -> None:
+        keys, client = Keys("f"), engine.client()
+        orders = Orders(lambda text: None, lambda is_aside: None)
+        fleet = read_fleet(engine.folder / "fleet.toml")
+        agent = Agent(fleet, client, "a", Live(""), judge, orders, None, None)
+        worst = 0.0
+        async with anyio.create_task_group() as group:
+            group.start_soon(agent.run)
+            while agent.member.admits(clock.monotonic()) is None:
+                await anyio.sleep(0.02)
+            asker = engine.client()
+            view = View(keys, await asker.read([keys.head], TIMEOUT_MS))
+            commit = propose(view, "one", "a policy", "", "", 0.0, 5000.0)
+            assert (await asker.commit(commit.compares, commit.writes, TIMEOUT_MS)).held
+            with anyio.fail_after(5):
+                while not (vote := View(keys, await asker.read([keys.votes], TIMEOUT_MS)).vote("a")):
+                    began = clock.monotonic()
+                    await anyio.sleep(0.01)
+                    worst = max(worst, clock.monotonic() - began)
+            await asker.close()
+            group.cancel_scope.cancel()
+        assert vote.yes is not fails and worst < 400.0, (vote, worst)
+        assert not fails or "ZeroDivisionError" in vote.why
+
+    anyio.run(play)
+
+
 def test_a_request_that_fails_in_a_library_is_no_answer_and_the_actor_lives() -> None:
     """A record of somebody else's under the fleet's keys, and an error that no client should raise."""
     space, asked = KeySpace(), [0]
