Fleet: a renewal answered by a member of the engine that lags is one

Read in etcd's description of its lease service: a keep-alive carries the revision of the member that was asked, taken before. Renewals are held to the engine's id alone; reads and commits, which are in order, to id and revision.

--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -128,7 +128,7 @@
 
 
 class Member:
-    __slots__ = ("_busy", "_disk_at", "_failed", "_floors", "_is_void", "_judged", "_need_text", "_read_at",
+    __slots__ = ("_busy", "_disk_at", "_failed", "_floor", "_is_void", "_judged", "_need_text", "_read_at",
                  "_renew_at", "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_to_judge", "_told",
                  "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at",
                  "has_disk", "head", "head_change", "joined", "keys", "known", "lease", "lease_until",
@@ -163,7 +163,7 @@
         self.on_duty = False
         self._saved = record
         self._busy: frozenset[Lane] = frozenset()
-        self._floors = (0, 0)  # the revision that was known when what is under way in two lanes was begun
+        self._floor = 0  # the revision that was known when the store's request under way was begun
         self._is_void = False  # the read under way began before the registration was lost: it proves nothing
         self._stale = True
         self._need_text = ""
@@ -224,9 +224,8 @@
         found = [self._store_want(now), self._judge_want(), self._disk_want(now), self._lease_want(now)]
         begun = [want for want in found if want]
         self._busy |= {want.lane for want in begun}
-        reads, leases = (any(want.lane is lane for want in begun) for lane in (Lane.STORE, Lane.LEASE))
-        self._floors = (self.revision if reads else self._floors[0],
-                        self.revision if leases else self._floors[1])
+        if any(want.lane is Lane.STORE for want in begun):
+            self._floor = self.revision
         return begun
 
     def told(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
@@ -465,7 +464,7 @@
     def _doubt(self, view: View) -> str:
         """Why this engine is not the one that was heard before, or not as far as it was: its word would undo
         what the fleet has agreed."""
-        if doubt := self._doubt_engine(view.snapshot.cluster, view.snapshot.revision, self._floors[0]):
+        if doubt := self._doubt_engine(view.snapshot.cluster, view.snapshot.revision, self._floor):
             return doubt
         head = view.policy
         version, change = (head.version, head.change) if head else (0, "")
@@ -482,10 +481,11 @@
 
     def _is_believed(self, outcome: Done | Leased) -> bool:
         """Whether the engine that answered is the one that was heard before; a lease that another one keeps
-        alive has lapsed where it counts."""
+        alive has lapsed where it counts. Of a renewal the revision says nothing: etcd answers with that of
+        the member that was asked, as it was before, and after a change of address that one may lag."""
         if not outcome.cluster:
             return True  # it has said nothing of itself, and that it did nothing
-        floor = self._floors[isinstance(outcome, Leased)]
+        floor = 0 if isinstance(outcome, Leased) else self._floor
         if doubt := self._doubt_engine(outcome.cluster, outcome.revision, floor):
             self.doubt = doubt
             return False
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -288,6 +288,19 @@
     assert fleet.admits() == [0]
 
 
+def test_a_renewal_by_a_member_of_the_engine_that_lags_is_one() -> None:
+    """etcd answers it with the revision of the member that was asked: after a change of address it may be
+    behind what was read at another."""
+    fleet = Fleet("a", Rules(absent="leave-out"))
+    fleet.turn()
+    member = fleet.members["a"]
+    fleet.now += 2000.0
+    (renewal,) = (want for want in member.wants(fleet.now) if isinstance(want, Renew))
+    told = fleet.space.renew(fleet.now, renewal.lease)
+    member.told(fleet.now, renewal, fleet.now, told._replace(revision=1))
+    assert not member.doubt and member.lease_until == fleet.now + 5400.0
+
+
 def test_where_the_file_names_the_engine_a_first_start_believes_no_other() -> None:
     space = KeySpace(cluster=7)
     for store_id, admits in ((0, 0), (7, 0), (9, None)):
