--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -157,7 +157,8 @@
     """results.json, the table, and a chart of the first run of each variant."""
     folder.mkdir(parents=True, exist_ok=True)
     told = [dict(variant=run.variant, seed=run.seed, figures=run.played.verdict.figures,
-                 breaches=run.played.verdict.breaches, broken=run.broken, rounds=run.played.rounds)
+                 breaches=run.played.verdict.breaches, broken=run.broken, rounds=run.played.rounds,
+                 marks=[(round(at), server, what) for at, server, what in run.marks])
             for run in runs]
     (folder / "results.json").write_text(json.dumps(told, indent=1))
     (folder / "table.md").write_text(table(runs) + "\n")
