--- a/otterrudder/cli/__init__.py
+++ b/otterrudder/cli/__init__.py
@@ -1,5 +1,5 @@
-"""The command line: serve (also the bare command) and check, levels, migrate, vrrp, lab, version; a file
-for each group.
+"""The command line: serve (also the bare command) and check, levels, migrate, vrrp, fleet, lab, version;
+a file for each group.
 
 A group's module is imported when it is called for: `serve` pays nothing for the lab's libraries, nor needs
 them."""
--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -9,6 +9,7 @@
 import secrets
 import sys
 import time
+import tomllib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -163,10 +164,14 @@
     if not trial:
         return None
     now = figures_of(view, trial)
-    return dict(conditions=" or ".join(f"{fact} > {bound:g}" for fact, bound in trial.conditions),
+    return dict(conditions=_in_words(trial.conditions),
                 now=", ".join(f"{fact} {value:.3g}" for fact, value in now.items()) or "not known yet")
 
 
+def _in_words(conditions: tuple[tuple[str, float], ...]) -> str:
+    return " or ".join(f"{fact} > {bound:g}" for fact, bound in conditions)
+
+
 def _lines(told: dict[str, Any]) -> list[str]:
     policy, change = told["policy"], told["change"]
     in_force = (f"version {policy['version']} in force since {policy['at']} "
@@ -345,8 +350,8 @@
         left = f", without {', '.join(end.left_out)}: aside until they know" if end.left_out else ""
         click.echo(f"version {end.version} is in force{left}")
         if trial_s:
-            told = " or ".join(f"{fact} > {bound:g}" for fact, bound in conditions)
-            click.echo(f"on trial for {trial_s:g} s: the fleet goes back by itself if {told}")
+            when = _in_words(conditions)
+            click.echo(f"on trial for {trial_s:g} s: the fleet goes back by itself if {when}")
         return
     _end(ABORTED, f"aborted, nothing has changed: {end.why}")
 
@@ -456,15 +461,13 @@
     try:
         if config := os.environ.get("NODE_CONFIG"):
             settings = read_configuration(config)["settings"]
-            products, tenants = products_of(settings), tenants_of(settings)
+            own = Own(products_of(settings), tenants_of(settings))
         else:
-            import tomllib
-
             told = tomllib.loads(text)
             named = [c for lv in tables_in(told.get("levels"), "level") for c in tables_in(lv, "cut")]
             named += [{key: list(told[key])} for key in ("products", "tenants")
                       if isinstance(told.get(key), dict)]
-            products, tenants = named_in(named)
-        parse(text, Own(products, tenants))
+            own = Own(*named_in(named))
+        parse(text, own)
     except (BadPolicy, BadConfiguration, ValueError) as trouble:
         give_up(f"{path.name}: {trouble}")
--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -76,10 +76,9 @@
         give_up(trouble)
     for number in (signal.SIGINT, signal.SIGTERM):  # also where a shell has set it to be ignored
         signal.signal(number, signal.default_int_handler)
-    told = what.told
-    seeds = [seed] if seed is not None else told.seeds[: 1 if quick else None]
-    count = servers or (told.quick_servers if quick else told.servers)
-    runs = of.perform(what, seeds, count, told.quick_changes if quick else told.changes, click.echo)
+    seeds = [seed] if seed is not None else what.seeds[: 1 if quick else None]
+    count = servers or (what.quick_servers if quick else what.servers)
+    runs = of.perform(what, seeds, count, what.quick_changes if quick else what.changes, click.echo)
     of.write(runs, folder or Path("out") / what.name, what.name)
     click.echo(of.table(runs))
     broken = [f"{run.variant}, seed {run.seed}: {claim}" for run in runs for claim in run.broken]
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -18,13 +18,13 @@
 import msgspec
 
 from otterrudder.durable import BadState, Folder
-from otterrudder.fleet.change import Settler, trial_id
+from otterrudder.fleet.change import Settler
 from otterrudder.fleet.configuration import Fleet
 from otterrudder.fleet.member import Member, Policy, Record, Standing
 from otterrudder.fleet.points import reached
 from otterrudder.fleet.records import Keys, Live
 from otterrudder.fleet.store import Store, StoreAway
-from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Save, Want
+from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save, Want
 from otterrudder.net import clock
 from otterrudder.net.log import log
 
@@ -123,12 +123,9 @@
     def _wants(self, now: float) -> list[Want]:
         member, seen = self.member, self.member.seen
         wants = member.wants(now)
-        change = seen.open.id if seen and seen.open else trial_id(seen.trial) if seen and seen.trial else ""
-        change = "" if member.doubt else change  # nothing is settled on an engine that is not believed
         if seen and seen.trial:  # nobody asks for them else
             member.figures = tuple(self.facts().items())
-        duty = bool(seen and seen.has_duty)
-        settle = self.settler.wants(now, change, member.on_duty, duty, member.lease, member.registered)
+        settle = self.settler.wants_of(now, member)
         return [*wants, settle] if settle else wants
 
     async def _carry_out(self, want: Want, sent: float) -> None:
@@ -184,7 +181,7 @@
             self.away_since = 0.0
         return outcome
 
-    async def _ask(self, want: Read | Lease | Renew | Commit) -> Outcome:
+    async def _ask(self, want: Request) -> Outcome:
         if isinstance(want, Read):
             return await self.store.read(want.names, self.timeout)
         if isinstance(want, Lease):
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import (
     NOTE_MOST,
     SETTLED_MOST,
@@ -230,7 +231,7 @@
         return self._at if self.change and not self._busy else float("inf")
 
     def wants(self, now: float, opened: str, has_duty: bool, anybody_has: bool, lease: int,
-              registered: int) -> Want | None:
+              registered: int) -> Read | Commit | None:
         """`opened`: the open change's id, or the trial's that is on; "": neither; `has_duty`: it is this
         member's; `anybody_has`: somebody has it; `lease` and `registered`: what the duty hangs on, and the
         life it is taken for."""
@@ -251,6 +252,15 @@
         self._busy = True
         return Read(whole(self.keys), Lane.SETTLE)
 
+    def wants_of(self, now: float, member: Member) -> Read | Commit | None:
+        """By what the member has last seen; nothing is settled on an engine that it doubts."""
+        seen = member.seen
+        opened = ""
+        if seen and not member.doubt:
+            opened = seen.open.id if seen.open else trial_id(seen.trial) if seen.trial else ""
+        has_duty = bool(seen and seen.has_duty)
+        return self.wants(now, opened, member.on_duty, has_duty, member.lease, member.registered)
+
     def told(self, now: float, want: Want, outcome: Outcome) -> Commit | None:
         """What is to be done upon that, if anything: its outcome is owed as well."""
         self._busy = False
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -106,8 +106,12 @@
 
     async def leave(self) -> None:
         if len(self._stores) > 1:
-            self._silent, self._at = 0, (self._at + 1) % len(self._stores)
-            await self.close()
+            await self._move()
+
+    async def _move(self) -> None:
+        """The channel is made anew, to the next address."""
+        self._silent, self._at = 0, (self._at + 1) % len(self._stores)
+        await self.close()
 
     async def close(self) -> None:
         if self._channel:
@@ -141,8 +145,7 @@
             raise _Refused(str(code)) from None
         self._silent += 1
         if self._silent >= SILENT_MOST:
-            self._silent, self._at = 0, (self._at + 1) % len(self._stores)
-            await self.close()
+            await self._move()
         raise StoreAway(f"{code.name if code else why}") from None
 
     def _connect(self) -> None:
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -240,7 +240,7 @@
         elif isinstance(want, Judge):
             self._told_judge(want, outcome)
         elif want.lane is Lane.LEASE:
-            self._told_lease(now, want, sent, outcome)
+            self._told_lease(now, sent, outcome)
         elif is_void:
             self._stale = True
         elif outcome is None:
@@ -343,16 +343,15 @@
         """Why the answer is no; "": it is yes; None: the text has to be read or judged first."""
         if self.disk_trouble:
             return f"{self.name}: its folder: {self.disk_trouble}"
-        if self._judged[0] != change.digest:
-            text = dict(self._texts).get(change.digest)
-            if text is None:
-                if self._need_text == change.digest:
-                    return f"the text {change.digest} is not in the store"
-                self._need_text, self._stale = change.digest, True
-                return None
+        if self._judged[0] == change.digest:
+            return self._judged[1]
+        if change.digest in dict(self._texts):
             self._to_judge = change.digest
-            return None
-        return self._judged[1]
+        elif self._need_text == change.digest:
+            return f"the text {change.digest} is not in the store"
+        else:
+            self._need_text, self._stale = change.digest, True
+        return None
 
     def _tell(self, now: float) -> Commit:
         self._told = self._to_tell(now)
@@ -427,16 +426,14 @@
             self._judged = (want.digest, outcome)
             self._stale = self._stale or self.head > self.known.version
 
-    def _told_lease(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
+    def _told_lease(self, now: float, sent: float, outcome: Outcome) -> None:
         if outcome is None:
             self._renew_at = now + (self.rules.lease_ms * RENEW_SHARE if self.doubt else RETRY_MS)
             return
-        if isinstance(want, Lease):
-            assert isinstance(outcome, Leased)
-            self.lease = outcome.lease
-        elif isinstance(outcome, Leased) and not outcome.lease:
+        assert isinstance(outcome, Leased)
+        if not outcome.lease:
             self._lose_registration()
-            self.lease = 0
+        self.lease = outcome.lease
         if self.lease:
             self.lease_until = max(self.lease_until, sent + self.rules.lease_ms * LEASE_BELIEVED)
         self._renew_at = sent + self.rules.lease_ms * RENEW_SHARE if self.lease else now
--- a/otterrudder/fleet/policy.py
+++ b/otterrudder/fleet/policy.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from otterrudder.boot import below_of, limits_of, products_of, tenants_of
 from otterrudder.files import convert
 from otterrudder.interface import Limits, Product, Tenant
 from otterrudder.levels.table import BadTable, Table, build
@@ -51,6 +52,12 @@
     shares_below: bool = True
 
 
+def own_of(settings: dict[str, Any]) -> Own:
+    """Of the settings in a server's configuration."""
+    return Own(products_of(settings), tenants_of(settings), max(settings.get("servers") or 1, 1),
+               limits_of(settings), below_of(settings) == "shared")
+
+
 class _Product(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     value: float | None = None
     late_value: float | None = None
@@ -140,12 +147,3 @@
     if not 0.0 <= value <= most:  # NaN is neither
         raise BadPolicy(f"{key}: {value:g} is not from 0 to {most:g}")
     return value
-
-
-def trouble_in(text: str, own: Own) -> str:
-    """What is wrong with a policy for this server; "": nothing."""
-    try:
-        parse(text, own)
-    except BadPolicy as trouble:
-        return str(trouble)
-    return ""
--- a/otterrudder/fleet/wants.py
+++ b/otterrudder/fleet/wants.py
@@ -62,6 +62,7 @@
     lane: Lane = Lane.JUDGE
 
 
-Want = Read | Commit | Lease | Renew | Save | Judge
+Request = Read | Commit | Lease | Renew  # to the store
+Want = Request | Save | Judge
 # Of a read; a commit; a lease or renewal; a save; a judgement; no answer.
 Outcome = Snapshot | Done | Leased | bool | str | None
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -11,7 +11,7 @@
 import anyio
 
 from otterrudder import __version__
-from otterrudder.boot import below_of, boot, can_stop, gauge_names, limits_of, products_of, tenants_of
+from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
 from otterrudder.net import clock, core
@@ -200,15 +200,11 @@
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
     from otterrudder.fleet.client import Client
-    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, Own, parse
+    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
     from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
-    settings = told["settings"]
-    products = helm.core.products
-    own = Own(products, tenants_of(settings), max(settings.get("servers") or 1, 1), limits_of(settings),
-              below_of(settings) == "shared")
-
+    own = replace(own_of(told["settings"]), products=helm.core.products)
     parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
     def take(text: str) -> None:
@@ -233,7 +229,7 @@
         folder, record = open_folder(fleet, told["name"])
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
-    live = Live("", __version__, fleet.zone, products=tuple(product.name for product in products))
+    live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
     orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
 
     def facts() -> dict[str, float]:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -18,7 +18,7 @@
 )
 from otterrudder.fleet.configuration import BadFleet, read_fleet
 from otterrudder.fleet.member import Member, Record, Rules, Standing
-from otterrudder.fleet.policy import BadPolicy, Own, parse, trouble_in
+from otterrudder.fleet.policy import BadPolicy, Own, parse
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
 from otterrudder.fleet.wants import Commit, Judge, Read, Renew, Save
 from otterrudder.interface import Effect, Limits, Product, Tenant
@@ -61,6 +61,14 @@
     assert parse("version = 1", Own(PRODUCTS, [])).levels is None
 
 
+def trouble_in(text: str, own: Own) -> str:
+    try:
+        parse(text, own)
+    except BadPolicy as trouble:
+        return str(trouble)
+    return ""
+
+
 def test_a_policy_is_refused_by_its_key() -> None:
     text = (ROOT / "deploy/policy.toml").read_text()
     assert trouble_in(text, Own(PRODUCTS, [])) == ""
