fleet policy check: against all of a configuration, as the servers do

Found on reading over: with NODE_CONFIG set the command took products and tenants from it, and not its limits, servers or what lies below; so a policy that every server votes no on was called good. It uses the servers' own_of now. Stricter by that, and by nothing else; the test fails without it.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -19,7 +19,6 @@
 import click
 import msgspec
 
-from otterrudder.boot import products_of, tenants_of
 from otterrudder.cli.common import give_up, named_in, tables_in
 from otterrudder.fleet.change import (
     Refused,
@@ -34,7 +33,7 @@
 )
 from otterrudder.fleet.configuration import BadFleet, Fleet, read_fleet
 from otterrudder.fleet.points import reached
-from otterrudder.fleet.policy import BadPolicy, Own, parse
+from otterrudder.fleet.policy import BadPolicy, Own, own_of, parse
 from otterrudder.fleet.records import BadRecord, Change, Keys, Settled, View
 from otterrudder.fleet.store import Done, StoreAway
 from otterrudder.fleet.wants import Commit
@@ -460,8 +459,7 @@
     """Against this machine's configuration where there is one; else by the names that the file itself has."""
     try:
         if config := os.environ.get("NODE_CONFIG"):
-            settings = read_configuration(config)["settings"]
-            own = Own(products_of(settings), tenants_of(settings))
+            own = own_of(read_configuration(config)["settings"])
         else:
             told = tomllib.loads(text)
             named = [c for lv in tables_in(told.get("levels"), "level") for c in tables_in(lv, "cut")]
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -136,6 +136,18 @@
     assert told.stdout.strip() == "[]"
 
 
+def test_a_policy_is_checked_against_all_of_a_configuration(tmp_path: Path) -> None:
+    """Only products and tenants were: what every server refuses was called good."""
+    with Server(tmp_path) as server:
+        path = str(server.configuration)
+    policy = tmp_path / "policy.toml"
+    policy.write_text("version = 1\n[limits]\nstay_away_ms = 5000\n")
+    words = [sys.executable, "-m", "otterrudder", "fleet", "policy", "check", str(policy)]
+    told = subprocess.run(words, env={"NODE_CONFIG": path, "PATH": ""}, capture_output=True, text=True)
+    assert told.returncode == 2
+    assert "limits.stay_away_ms: 5000 is more than callers honour here, 1000" in told.stderr
+
+
 def test_a_fleet_and_a_table_of_its_own_are_refused(tmp_path: Path) -> None:
     with Server(tmp_path) as server:
         path = str(server.configuration)
