Fleet: a failing watch or decision ends no server; a disk that hangs holds up no drain

Seen: with a disk that never answers (a pipe where the file of state is made) a server that was told to drain answered all, and then stood until it was killed, 2.6 s and more after SIGTERM at a stop_ms of 2 s. Checked: the drain itself was over in time (the log's last line is there); the write lay in a worker thread that anyio waits for, and that the interpreter joins. The write has a daemon thread of its own now (durable/thread.py), and the way out waits for none.

Found by reading, shown by the test: an exception of the library in a watch, in what is wanted, or as the channel is closed on the way out, went through the agent's task group and ended the server with all its txns. Each is logged and tried again now; wants that were begun are not lost where the settler fails.

--- a/otterrudder/durable/__init__.py
+++ b/otterrudder/durable/__init__.py
@@ -5,5 +5,6 @@
 belongs to one process at a time (`Folder.take`)."""
 
 from otterrudder.durable.folder import BadState, Busy, Folder
+from otterrudder.durable.thread import in_thread
 
-__all__ = ["BadState", "Busy", "Folder"]
+__all__ = ["BadState", "Busy", "Folder", "in_thread"]
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -9,6 +9,7 @@
 Owners: the store's channel and the folder are given back in `run`, on every way out."""
 
 import contextlib
+import functools
 import secrets
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -17,7 +18,7 @@
 import anyio.to_thread
 import msgspec
 
-from otterrudder.durable import BadState, Folder
+from otterrudder.durable import BadState, Folder, in_thread
 from otterrudder.fleet.change import Settler
 from otterrudder.fleet.configuration import Fleet
 from otterrudder.fleet.member import Member, Policy, Record, Standing
@@ -98,8 +99,13 @@
                 while True:
                     self.wake = anyio.Event()
                     now = clock.monotonic()
-                    for want in self._wants(now):
-                        group.start_soon(self._carry_out, want, now)
+                    for decide in (self.member.wants, self._settler_wants):
+                        try:
+                            for want in decide(now):
+                                group.start_soon(self._carry_out, want, now)
+                        except Exception:  # the fleet's part is not the server's: it is decided anew
+                            log.exception("the fleet's part failed", of="wants")
+                            await anyio.sleep(FAILED_MS / 1000)
                     due = min(self.member.due(), self.settler.due())
                     with anyio.move_on_after(min(max(due - clock.monotonic(), 1.0), NAP_MS) / 1000):
                         await self.wake.wait()
@@ -120,13 +126,12 @@
                     lease_left_ms=round(max(member.lease_until - now, 0.0), 1),
                     worst_answer_ms=round(worst, 1), counts=self.counts)
 
-    def _wants(self, now: float) -> list[Want]:
-        member, seen = self.member, self.member.seen
-        wants = member.wants(now)
+    def _settler_wants(self, now: float) -> list[Want]:
+        seen = self.member.seen
         if seen and seen.trial:  # nobody asks for them else
-            member.figures = tuple(self.facts().items())
-        settle = self.settler.wants_of(now, member)
-        return [*wants, settle] if settle else wants
+            self.member.figures = tuple(self.facts().items())
+        settle = self.settler.wants_of(now, self.member)
+        return [settle] if settle else []
 
     async def _carry_out(self, want: Want, sent: float) -> None:
         """A failure in one of them, a record that is none of ours say, is not the server's."""
@@ -163,7 +168,7 @@
         self.counts["asked"] += 1
         try:
             if isinstance(want, Save):
-                return await anyio.to_thread.run_sync(self._save, want)
+                return await in_thread(functools.partial(self._save, want))
             if isinstance(want, Judge):
                 return await anyio.to_thread.run_sync(self._judge, want.text)
             outcome = await self._ask(want)
@@ -219,17 +224,22 @@
                     await anyio.sleep(HINT_MS / 1000)
             except StoreAway:
                 self.counts["watches_ended"] += 1
+            except Exception:  # whatever a library raises ends a watch, and never the server
+                self.counts["watches_ended"] += 1
+                log.exception("a watch failed")
             await anyio.sleep(WATCH_AGAIN_MS / 1000)
 
     async def _leave(self) -> None:
         """The lease is given back, so that the next life need not wait for it to lapse."""
-        with contextlib.suppress(StoreAway, OSError):
-            if self.member.lease:
-                await self.store.revoke(self.member.lease, LEAVE_MS)
-        with contextlib.suppress(StoreAway, OSError):
-            await self.store.close()
-        if self.folder:
-            self.folder.close()
+        try:
+            with contextlib.suppress(Exception):  # the name is free when the lease lapses, then
+                if self.member.lease:
+                    await self.store.revoke(self.member.lease, LEAVE_MS)
+            with contextlib.suppress(Exception):
+                await self.store.close()
+        finally:
+            if self.folder:
+                self.folder.close()
 
 
 def open_folder(fleet: Fleet, name: str) -> tuple[Folder | None, Record | None]:
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -11,10 +11,10 @@
 import pytest
 
 from otterrudder.fleet.agent import Agent, Orders
-from otterrudder.fleet.change import propose
+from otterrudder.fleet.change import Settler, propose
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import Fleet, read_fleet
-from otterrudder.fleet.member import Rules
+from otterrudder.fleet.member import Member, Rules
 from otterrudder.fleet.records import Keys, Live, View
 from otterrudder.fleet.store import Changed, Compare, Delete, Done, Leased, Put, Snapshot, StoreAway
 from otterrudder.lab.keyspace import KeySpace
@@ -260,9 +260,17 @@
     anyio.run(play)
 
 
-def test_a_request_that_fails_in_a_library_is_no_answer_and_the_actor_lives() -> None:
-    """A record of somebody else's under the fleet's keys, and an error that no client should raise."""
-    space, asked = KeySpace(), [0]
+def test_a_request_that_fails_in_a_library_is_no_answer_and_the_actor_lives(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A record of somebody else's under the fleet's keys, and errors that no client, and no decision, should
+    raise. A watch's, and one in what is wanted, ended the server with all its txns."""
+    space, asked, failed = KeySpace(), [0], set[str]()
+
+    def fails_once(what: str) -> None:
+        if what not in failed:
+            failed.add(what)
+            raise ValueError(what)
 
     class Odd:
         async def read(self, names: list[str], timeout_ms: float) -> Snapshot:
@@ -284,12 +292,14 @@
             space.revoke(lease)
 
         async def watch(self, prefix: str) -> AsyncIterator[Changed]:
+            fails_once("watch")
             await anyio.sleep_forever()
             yield Changed(0)
 
         async def leave(self) -> None: ...
 
-        async def close(self) -> None: ...
+        async def close(self) -> None:
+            fails_once("close")
 
     keys = Keys("f")
     odd = [Put(keys.roster("x"), b"not JSON")]
@@ -297,6 +307,14 @@
     fleet = Fleet("f", (("127.0.0.1", 1),), Rules(absent="leave-out"), None, "", None, None, None)
     orders = Orders(lambda text: None, lambda is_aside: None)
     agent = Agent(fleet, Odd(), "a", Live(""), lambda text: "", orders, None, None)
+    wants = agent.settler.wants_of
+
+    def fails_first(now: float, member: Member) -> object:
+        if member.seen:
+            fails_once("wants")
+        return wants(now, member)
+
+    monkeypatch.setattr(Settler, "wants_of", lambda self, now, member: fails_first(now, member))
 
     async def play() -> None:
         async with anyio.create_task_group() as group:
@@ -317,6 +335,7 @@
 
     anyio.run(play)
     assert not space.leases  # given back on the way out
+    assert failed == {"watch", "wants", "close"}
 
 
 def test_the_commands_from_an_empty_store_to_a_way_back(engine: Engine, tmp_path: Path) -> None:
