--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -8,6 +8,7 @@
 import click
 
 from otterrudder.cli.common import give_up
+from otterrudder.files import load_toml
 
 try:
     from otterrudder.lab.day import Result
@@ -139,10 +140,16 @@
         give_up(f"no experiments in {folder}")
     for file in files:
         try:
-            experiment = read_experiment(file)
+            told = load_toml(file, BadInput)
+            if "site" not in told and "servers" in told:  # of processes: `lab processes` reads it
+                seeds, variants = told.get("seeds", ()), told.get("variant", ())
+                runs, title = len(seeds) * len(variants), f"{told.get('title', '')}, on processes"
+            else:
+                experiment = read_experiment(file)
+                runs, title = len(experiment.runs), experiment.title
         except BadInput as trouble:
             give_up(trouble)
-        click.echo(f"{file}  {experiment.title} ({len(experiment.runs)} runs)")
+        click.echo(f"{file}  {title} ({runs} runs)")
 
 
 @lab.command()
--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -21,7 +21,7 @@
 VERSION = 1
 SERVERS_MOST = 24  # processes of one machine; more of them measure its scheduler
 RULES = ("lost", "answered twice", "late", "another result", "run twice", "repeat declined", "wrong version",
-         "unlisted")
+         "unlisted", "drain")
 
 
 class _Variant(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -34,6 +34,7 @@
 class Experiment(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     version: int
     name: str
+    title: str
     servers: int
     changes: int
     quick_servers: int
--- a/tests/lab/test_models.py
+++ b/tests/lab/test_models.py
@@ -196,6 +196,7 @@
     assert (tmp_path / "out/figures.csv").read_text().count("\n") == 5
     assert "FAILS  it is served" in lab("show", str(tmp_path / "out")).stdout
     assert "one.toml" in lab("list", str(tmp_path)).stdout
+    assert "on processes" in lab("list").stdout  # all that a checkout has, whoever plays it
     file.write_text("title = 3")
     done = lab("run", str(file))
     assert done.returncode == 2 and done.stderr.startswith("otterrudder: one.toml: ")
