--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -9,6 +9,7 @@
     {"cancel_watches": 1}     all watches end by a cancellation
     {"deaf_watches": true}    watches hear nothing
     {"flood": 500}            so many events to each watch at once
+    {"hold_delete": "KEY"}    commits that strike this key off wait; "": go on
     {"compact": 1}            the history goes
     {"empty": 1}              it holds nothing, as another engine
 
@@ -57,6 +58,7 @@
         self.slow_ms = 0.0
         self.is_down = self.is_deaf = False
         self.lose = 0
+        self.held = ""  # a key that no commit may strike off yet
         self.watches: set[asyncio.Queue[Any]] = set()
 
     def save(self) -> None:
@@ -110,6 +112,8 @@
                         queue.put_nowait(event)
             elif word == "compact":
                 self.space.compact(self.space.revision)
+            elif word == "hold_delete":
+                self.held = str(value)
             elif word == "empty":
                 self.space = KeySpace(cluster=0xE7CE)
 
@@ -126,9 +130,11 @@
         engine = self.engine
         if engine.is_down:
             await engine.answer(context)
+        writes = [write for op in request.success if (write := _write(op))]
+        while any(isinstance(write, Delete) and write.key == engine.held for write in writes):
+            await asyncio.sleep(LAPSE_S)  # the caller's deadline ends it, and then it takes no effect
         engine.lapse()
         space, before = engine.space, engine.space.revision
-        writes = [write for op in request.success if (write := _write(op))]
         if any(isinstance(w, Put) and w.lease and w.lease not in space.leases for w in writes):
             await context.abort(grpc.StatusCode.NOT_FOUND, "etcdserver: requested lease not found")
         held = all(space.holds(_compare(compare)) for compare in request.compare)
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -1,20 +1,22 @@
 """Several processes of the program with faults between them: what the fleet promises holds, the faults that
 are put into doubles are found, and the baseline is beaten."""
 
+import tempfile
 from pathlib import Path
 
 import anyio
 import msgspec
 import pytest
 
-from otterrudder.lab.processes.books import judge
+from otterrudder.lab.processes.books import Verdict, judge
 from otterrudder.lab.processes.experiment import perform_one, read, shrink
-from otterrudder.lab.processes.plan import DECK, Fault, Round, draw
+from otterrudder.lab.processes.plan import DECK, Fault, Played, Round, conclude, draw
 from otterrudder.lab.processes.rig import Rig
 
 EXPERIMENT = read(Path(__file__).parents[2] / "experiments/fleet-policy.toml")
 CALM = [Round(1, "look", (), 0.3), Round(2, "pay", (), 0.3)]
 VOTED = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("freeze later", 0),), 2.8)]
+DRAINED = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("drain", 0),), 0.3)]
 SLOWLY = msgspec.structs.replace(EXPERIMENT, pace_ms=170.0)  # what waits is read in one go
 
 
@@ -27,6 +29,7 @@
         Round(5, "look", (Fault("bad policy"),), 0.5),
         Round(6, "pay", (Fault("name taken", 3), Fault("disk full", 1)), 1.0),
         Round(7, "look", (Fault("half a message", 2), Fault("slow reader", 0), Fault("folder lost", 1)), 1.0),
+        Round(8, "pay", (Fault("drain later", 0), Fault("disk hangs", 2)), 1.0),
     ]
     run = perform_one(EXPERIMENT, "wait", 1, rounds, 4)
     assert not run.broken, (run.broken, run.played.verdict.breaches, run.played.rounds)
@@ -57,6 +60,64 @@
     assert run.played.verdict.figures["aside_share"] > 0.02
 
 
+def test_servers_drain_one_after_another_to_another_rule_while_changes_go_on() -> None:
+    """The operators' way from `leave-out` to `wait`: the file changed, a drain, a start."""
+    async def play() -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            rig = Rig(Path(folder), 3, absent="leave-out")
+            async with rig.running():
+                assert await rig.ended(rig.propose(1, "look", 5.0), 10.0) == 0
+                rig.absent = "wait"
+                for place in rig.places:
+                    await rig.drain(place)
+                    opened = rig.propose(place.number + 2, ("pay", "look")[place.number % 2], 15.0)
+                    with anyio.fail_after(10.0):
+                        while place.is_up:
+                            await anyio.sleep(0.02)
+                    rig.write_fleet(place)
+                    rig.start_server(place)
+                    assert await rig.ended(opened, 15.0) == 0
+                with anyio.fail_after(10.0):
+                    while {await rig.shown(place) for place in rig.places} != {"pay"}:
+                        await anyio.sleep(0.1)
+                status = rig.ask("status", "--json")
+                assert await rig.ended(status, 10.0) == 0
+            verdict = conclude(rig, Played(Verdict())).verdict
+            assert not verdict.breaches, verdict.breaches
+            told = (Path(folder) / "proposers.txt").read_text()
+            assert told.count('"absent": "wait"') == 3
+            assert [drain.code for drain in rig.drains] == [0, 0, 0]
+
+    anyio.run(play)
+
+
+def test_a_disk_that_hangs_holds_up_no_drain() -> None:
+    """A write that never returns kept the process until it was killed: the way out waited for its thread."""
+    async def play() -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            rig = Rig(Path(folder), 2)
+            async with rig.running():
+                assert await rig.ended(rig.propose(1, "look", 5.0), 10.0) == 0
+                place = rig.places[0]
+                rig.hang_disk(place, True)
+                opened = rig.propose(2, "pay", 2.0)
+                await anyio.sleep(1.0)
+                assert place.name not in rig.voted and rig.places[1].name in rig.voted
+                await rig.drain(place)
+                assert await rig.ended(opened, 10.0) == 3
+                with anyio.fail_after(10.0):
+                    while place.is_up:
+                        await anyio.sleep(0.02)
+                rig.hang_disk(place, False)
+                rig.start_server(place)
+                await rig.until_serving(place)
+                assert await rig.ended(rig.propose(3, "pay", 5.0), 10.0) == 0
+            verdict = conclude(rig, Played(Verdict())).verdict
+            assert not verdict.breaches, verdict.breaches
+
+    anyio.run(play)
+
+
 def test_told_by_hand_some_stay_behind() -> None:
     rounds = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("kill", 0), Fault("cut", 1)), 0.8)]
     run = perform_one(EXPERIMENT, "by-hand", 1, rounds, 4)
@@ -71,6 +132,8 @@
      [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("kill", 0), Fault("slow link", 0)), 4.8)],
      "wrong version"),
     ("loses", "wait", CALM, "lost"),
+    ("drops at drain", "wait", DRAINED, "lost"),
+    ("never leaves", "wait", DRAINED, "drain"),
     ("runs twice", "wait", CALM, "run twice"),
     ("another result", "wait", CALM, "another result"),
     ("answers twice", "wait", CALM, "answered twice"),
@@ -80,6 +143,7 @@
 ])
 def test_the_books_find_what_is_put_in(double: str, variant: str, rounds: list[Round], says: str) -> None:
     run = perform_one(SLOWLY if rounds is VOTED else EXPERIMENT, variant, 1, rounds, 2, double=double)
+    assert not run.played.missed, run.played.rounds  # what the fault needs has come about
     assert any(line.startswith(says) for line in run.broken), (run.broken, run.played.rounds)
 
 
