Double 'never aside' serves on whenever it is cut; the fault before was not always in it

With the end of the change held back until the cut, 'never aside' was still missed in 1 of 6 runs of the tests: it counted its vote's time as fresh until its next read, so that a cut which came before that read met a server without the fault, and it stood aside as it should. It passes over the standing itself now.

--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -72,9 +72,9 @@
 class NeverAside(_Loose):
     """Has voted and serves on, for as long as it hears nothing."""
 
-    def _take_pledge(self, sent: float, seen: Seen) -> None:
-        super()._take_pledge(sent, seen)
-        self.fresh_at = math.inf
+    def standing(self, now: float) -> Standing:
+        standing = super().standing(now)
+        return Standing.PLEDGED if standing is Standing.UNHEARD else standing
 
 
 class ServesLapsed(_Loose):
