Rig: a point is armed for whoever comes to it, and what is armed comes about

Points are files now that a process claims as it gets there (one of all of them for the duty), no more a variable of its start: servers need no restart before the round. The store holds the end of a change back until its fault was dealt, the duty's key is struck off first, and faults that would keep each other from coming about are not dealt together.

--- a/otterrudder/fleet/points.py
+++ b/otterrudder/fleet/points.py
@@ -1,16 +1,20 @@
 """Named points at which a rig may halt a process, to kill it there: "before vote", "after propose", ...
 
-Only where the environment of the process names one; nothing else ever does. The process stops itself
-(SIGSTOP) the first time it gets there, and goes on when it is told to."""
+Only where the environment of the process names folders to look into; nothing else ever does. The process
+claims the file of that name there, if there is one, by giving it its own number, and stops itself (SIGSTOP);
+of several that come to a point which is armed for all of them, one halts. It goes on when it is told to."""
 
 import os
 import signal
 
 NAMED = "OTTERRUDDER_HALT_AT"  # the variable
-_halts = [os.environ[NAMED]] if os.environ.get(NAMED) else []
+_folders = [folder for folder in os.environ.get(NAMED, "").split(os.pathsep) if folder]
 
 
 def reached(point: str) -> None:
-    if _halts and _halts[0] == point:
-        _halts.clear()
+    for folder in _folders:
+        try:
+            os.rename(f"{folder}/{point}", f"{folder}/{point}.{os.getpid()}")
+        except OSError:
+            continue
         os.kill(os.getpid(), signal.SIGSTOP)
--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -9,6 +9,7 @@
     {"cancel_watches": 1}     all watches end by a cancellation
     {"deaf_watches": true}    watches hear nothing
     {"flood": 500}            so many events to each watch at once
+    {"strike": "KEY"}         that key goes, as where the lease that it hung on has lapsed
     {"hold_delete": "KEY"}    commits that strike this key off wait; "": go on
     {"compact": 1}            the history goes
     {"empty": 1}              it holds nothing, as another engine
@@ -114,6 +115,10 @@
                 self.space.compact(self.space.revision)
             elif word == "hold_delete":
                 self.held = str(value)
+            elif word == "strike":
+                before = self.space.revision
+                self.space.commit((), [Delete(str(value))])
+                self.tell(before)
             elif word == "empty":
                 self.space = KeySpace(cluster=0xE7CE)
 
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -10,12 +10,14 @@
 import subprocess
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import anyio
 
+from otterrudder.fleet.records import Keys
 from otterrudder.lab.processes.books import Verdict, judge
 from otterrudder.lab.processes.link import Harm
-from otterrudder.lab.processes.rig import STOP_MS, Place, Rig, policy_text
+from otterrudder.lab.processes.rig import FLEET, STOP_MS, Place, Rig, policy_text
 from otterrudder.lab.processes.standins import PRODUCTS
 from otterrudder.net.clock import monotonic as clock
 
@@ -24,11 +26,14 @@
 AGREE_S = 12.0  # s in which all must go by it then: a process starts in one, a name is free within a lease
 LATER = ("freeze later", "cut later", "drain later", "older copy later")  # once it, or anybody, has voted
 LATER_S = 3.0  # s that its vote is waited for
+REACH_S = 4.0  # s that a point is waited for: a proposer starts in one, a member comes forward within two
 BACK_S = 0.8  # s that a process which comes back has before what else is harmed heals: it starts in less
 HOLD_S = (0.4, 2.8)  # s that the faults of a round last
 
 POINTS = ("before save", "after save", "before vote", "after vote", "before duty", "after duty")
-PROPOSER_POINTS = ("before propose", "after propose", "before commit", "after commit")
+DUTY = ("before duty", "after duty")
+COMMIT = ("before commit", "after commit")
+PROPOSER_POINTS = ("before propose", "after propose", *COMMIT)
 # Harms to links: which one, and what is done to it.
 HARMS = {
     "cut": ("store", Harm(is_cut=True)), "one way there": ("store", Harm(holds_there=True)),
@@ -129,7 +134,28 @@
         ends += ["store"] if fault.kind in STORE_FAULTS + STORE_DOWN else []
         ends += ["change"] if fault.kind in PROPOSER_FAULTS + CHANGE_FAULTS else []
     kinds = {fault.kind for fault in faults}
-    return len(ends) == len(set(ends)) and not ("folder lost" in kinds and kinds & set(REPLACED))
+    clash = "folder lost" in kinds and kinds & set(REPLACED)
+    return len(ends) == len(set(ends)) and not clash and _come_about(faults, kinds)
+
+
+def _come_about(faults: list[Fault], kinds: set[str]) -> bool:
+    """Whether each can still meet what it is to meet: a vote, a point, the end of the change."""
+    of_points = [fault for fault in faults if fault.kind in POINT_FAULTS]
+    if of_points or kinds & set(LATER):
+        if kinds & set(NO_VOTES) or any(fault.point == "before propose" for fault in faults):
+            return False
+        if of_points and "older copy later" in kinds:
+            return False
+        if "bad policy" in kinds and any(fault.point.endswith("save") for fault in of_points):
+            return False  # nobody promises anything
+    return all(_leaves_votes(other) for fault in faults if fault.point in COMMIT
+               for other in faults if other is not fault)
+
+
+def _leaves_votes(fault: Fault) -> bool:
+    """Whether a change comes about, and as far as its commit, with this fault as without it."""
+    harmless = ("gateway", "runtime", "list", "watches", "name", "store slow")
+    return fault.kind.startswith(harmless)
 
 
 # What a fault is to servers that are told by hand: down, frozen, or out of the operator's reach.
@@ -187,12 +213,21 @@
 
 
 async def _prepare(rig: Rig, fault: Fault) -> None:
-    """What has to be so before the round: a process that will stop itself is started anew."""
-    if fault.kind in POINT_FAULTS and rig.with_fleet:
-        place = rig.places[fault.server]
-        rig.kill(place)
-        rig.start_server(place, fault.point)
-        await _serves(rig, place)
+    """What has to be so before the round: points are armed, and nobody has the duty who could keep others
+    from coming forward for it."""
+    if not rig.with_fleet:
+        return
+    if fault.kind in PROPOSER_FAULTS:  # at "after commit" once it has come to its own commit
+        rig.arm(rig.proposer_halts, "before commit" if fault.point == "after commit" else fault.point)
+    elif fault.kind in POINT_FAULTS:
+        if fault.point in DUTY:
+            await rig.tell_store(strike=Keys(FLEET).duty)
+        rig.arm(_halts(rig, fault), fault.point)
+
+
+def _halts(rig: Rig, fault: Fault) -> Path:
+    """Where its point is armed: who comes forward for the duty is not known before, so for all."""
+    return rig.halts if fault.point in DUTY else rig.places[fault.server].halts
 
 
 async def _harm(rig: Rig, fault: Fault) -> None:
@@ -242,14 +277,14 @@
     back until it has been done."""
     kinds = {fault.kind: fault for fault in this.faults}
     later = [fault for fault in this.faults if fault.kind in LATER]
-    holds, missed = bool(later) and not kinds.keys() & set(NO_VOTES), list[Fault]()
+    holds = not kinds.keys() & set(NO_VOTES) and any(_wants_open(fault) for fault in this.faults)
+    missed = list[Fault]()
     if holds:
         await rig.hold_ends(True)
-    killed, at_proposal = kinds.get("proposer killed"), kinds.get("store killed at proposal")
-    halted, since = killed or at_proposal, clock()
-    is_bad = "bad policy" in kinds
+    proposer = kinds.get("proposer killed") or kinds.get("store killed at proposal")
+    since, is_bad = clock(), "bad policy" in kinds
     text = policy_text("no-such-product", this.number) if is_bad else ""  # good TOML, and no server knows it
-    child = rig.propose(this.number, this.declines, DEADLINE_S, halted.point if halted else "", text)
+    child = rig.propose(this.number, this.declines, DEADLINE_S, text)
     if "two at once" in kinds:
         rig.propose(this.number + 100_000, PRODUCTS[(this.number + 1) % 2], DEADLINE_S)
     for fault in later:
@@ -263,35 +298,50 @@
             rig.set_link(rig.places[fault.server], fault.kind, HARMS["one way back"][1])
         else:
             await rig.replace_store(with_copy=True)
+    for fault in this.faults:
+        if fault.kind not in POINT_FAULTS:
+            continue
+        pid = await rig.halted(_halts(rig, fault), fault.point, REACH_S)
+        if not pid:
+            missed.append(fault)
+            continue
+        place = rig.halts_at(pid, since)
+        if fault.kind == "kill at point":
+            rig.kill(place)
+        elif fault.kind == "store killed at point":
+            rig.kill_store()
+    if proposer and not await _proposer_halts(rig, proposer, child):
+        missed.append(proposer)
+    elif proposer and proposer.kind == "store killed at proposal":
+        rig.kill_store()
     if holds:
         await rig.hold_ends(False)
-    with anyio.move_on_after(this.hold_s):
-        for fault in this.faults:
-            if fault.kind not in POINT_FAULTS:
-                continue
-            missed.append(fault)
-            if await rig.halted(rig.places[fault.server].process, this.hold_s):
-                missed.remove(fault)
-                rig.places[fault.server].halts(since)
-                if fault.kind == "kill at point":
-                    rig.kill(rig.places[fault.server])
-                elif fault.kind == "store killed at point":
-                    rig.kill_store()
-        if halted:
-            missed.append(halted)
-            if await rig.halted(child, this.hold_s):
-                missed.remove(halted)
-                if at_proposal:
-                    rig.kill_store()
-        await anyio.sleep(this.hold_s)
-    if killed:
+    await anyio.sleep(this.hold_s)
+    if "proposer killed" in kinds:
         child.kill()
         child.wait()
-    elif at_proposal:
+    elif proposer:
         child.send_signal(signal.SIGCONT)
     return child, missed
 
 
+def _wants_open(fault: Fault) -> bool:
+    """Whether it is to meet a change that is open still."""
+    return fault.kind in LATER or fault.point in (*DUTY, *COMMIT)
+
+
+async def _proposer_halts(rig: Rig, fault: Fault, child: subprocess.Popen[bytes]) -> bool:
+    """Whether the proposer has halted at its point."""
+    if fault.point != "after commit":
+        return await rig.halted(rig.proposer_halts, fault.point, REACH_S) > 0
+    if not await rig.halted(rig.proposer_halts, "before commit", REACH_S):
+        return False
+    rig.arm(rig.proposer_halts, fault.point)
+    child.send_signal(signal.SIGCONT)
+    await rig.hold_ends(False)
+    return await rig.halted(rig.proposer_halts, fault.point, REACH_S) > 0
+
+
 def _has_voted(rig: Rig, fault: Fault) -> bool:
     """Its server, or anybody where it is the store's."""
     return rig.places[fault.server].name in rig.voted if fault.server >= 0 else bool(rig.voted)
@@ -301,6 +351,7 @@
     """All is as it should be again: what was killed is started, what was frozen goes on, links heal."""
     if not rig.with_fleet:
         await anyio.sleep(this.hold_s)
+    await rig.disarm(clock() - this.hold_s * 1000 - REACH_S * 1000)
     if any(fault.kind in STORE_DOWN for fault in this.faults) and rig.with_fleet:
         await rig.restart_store()
     leaving = [rig.places[fault.server] for fault in this.faults if fault.kind in ("drain", "drain later")]
@@ -310,18 +361,13 @@
         rig.start_server(back)
     if down and len(this.faults) > 1:
         await anyio.sleep(BACK_S)
+    for halted in rig.places:
+        if halted not in down and "frozen" in halted.begun:  # by a signal, or at a point
+            rig.thaw(halted)
     for fault in this.faults:
         place = rig.places[fault.server] if fault.server >= 0 else None
         if place and (fault.kind in HARMS or fault.kind == "cut later"):
             rig.set_link(place, "healed", Harm(), HARMS[fault.kind][0] if fault.kind in HARMS else "store")
-        elif place and fault.kind in ("freeze", "freeze later"):
-            rig.thaw(place)
-        elif place and fault.kind in POINT_FAULTS and place not in down:
-            if fault.kind != "kill at point" and await rig.halted(place.process, 0.1):
-                place.halts(clock() - this.hold_s * 1000)
-                rig.thaw(place)
-            else:  # it never came to its point, and must not come to it in a later round
-                rig.kill(place)
         elif place and fault.kind == "folder lost":
             await _until_gone(rig, place)
         elif place and fault.kind == "disk full":
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -47,6 +47,7 @@
 STOP_MS = 2000  # that the servers are told a drain may take
 STALL_MS = 60.0  # of the rig's own loop from which on what crosses it meanwhile is nobody's fault
 FEEL_S = 0.02  # s between looks at that
+CLAIM_S = 0.5  # s from the claim of a point until its process has stopped
 LONG_S = 0.25  # s before a drain from which on runs are long, so that it has something to wait for
 ON_ONE_MACHINE = ("runtime",)  # links that a lost network leaves alone
 
@@ -74,10 +75,18 @@
     return f"# policy {number}\nversion = 1\n[levels]\n{table}"
 
 
-def _environment(told: dict[str, str], halt_at: str) -> dict[str, str]:
-    """Of a child: what it is told, and the named point at which it is to stop itself ("": none)."""
+def _environment(told: dict[str, str], *halts: Path) -> dict[str, str]:
+    """Of a child: what it is told, and the folders in which points are armed for it."""
     env = {name: value for name, value in os.environ.items() if name not in ("NODE_CONFIG", NAMED)}
-    return env | told | ({NAMED: halt_at} if halt_at else {})
+    return env | told | ({NAMED: os.pathsep.join(map(str, halts))} if halts else {})
+
+
+def _has_stopped(pid: int) -> bool:
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text()
+    except OSError:  # it is dead
+        return False
+    return stat.rpartition(")")[2].split()[0] == "T"
 
 
 @dataclass(slots=True)
@@ -102,9 +111,10 @@
     def is_up(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
-    def halts(self, since: float) -> None:
-        """It has stopped itself, at some time since then."""
-        self.begun.setdefault("frozen", since)
+    @property
+    def halts(self) -> Path:
+        """Where points are armed for its processes."""
+        return self.folder / "halts"
 
     def over(self, what: str) -> None:
         """Nothing of that is done to it any more: what is owed to whom again."""
@@ -132,6 +142,8 @@
         self.copies: list[bytes] = []  # what the store held a while ago, the oldest first
         self.places: list[Place] = []
         self.drains: list[Drain] = []
+        self.armed: list[tuple[Path, str]] = []  # folder and point, that nobody has halted at yet
+        self.halts, self.proposer_halts = folder / "halts", folder / "halts-of-proposers"
         self.extra: list[subprocess.Popen[bytes]] = []  # proposers, and processes under a name that is taken
         self.kinds: dict[str, str] = {}  # by digest: the product that a policy declines
         self.versions: list[InForce] = [InForce(0, "", float("-inf"), float("-inf"))]
@@ -149,6 +161,8 @@
     async def running(self) -> AsyncIterator["Rig"]:
         """All of it, up and at work; gone at the end."""
         try:
+            for halts in (self.halts, self.proposer_halts):
+                halts.mkdir()
             async with anyio.create_task_group() as self.group:
                 group = self.group
                 if self.with_fleet:
@@ -286,7 +300,7 @@
 
     def _make(self, n: int) -> None:
         folder = self.folder / f"n{n}"
-        folder.mkdir(parents=True)
+        (folder / "halts").mkdir(parents=True)
         runtime = Runtime(n, self.wire)
         address = ("127.0.0.1", free_port())
         links = {"store": Link(("127.0.0.1", self.store_at)), "runtime": Link(runtime.address),
@@ -307,23 +321,23 @@
         text = self._fleet_file(place.links["store"].address[1], FOLDER)
         (place.folder / "fleet.toml").write_text(text)
 
-    def start_server(self, place: Place, halt_at: str = "") -> None:
-        """A new process at that place; `halt_at`: the named point at which it is to stop itself."""
+    def start_server(self, place: Place) -> None:
+        """A new process at that place."""
         place.gateway.life += 1
         place.runtime.begin_life()
         line = self.double_line if self.double_line and place.number == 0 else self.run_line
-        place.process = self._launch(place.folder, line, halt_at)
+        place.process = self._launch(place.folder, line, place.halts, self.halts)
         place.over("down")
         place.over("left")
-        self.note(place.number, f"starts{', to halt ' + halt_at if halt_at else ''}")
+        self.note(place.number, "starts")
 
-    def _launch(self, folder: Path, line: str, halt_at: str = "") -> subprocess.Popen[bytes]:
+    def _launch(self, folder: Path, line: str, *halts: Path) -> subprocess.Popen[bytes]:
         """The server's program, by what lies in its folder."""
         name = "FLEET" if self.with_fleet else "LEVELS"
         told = {"NODE_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
                 f"OTTERRUDDER_{name}": str(folder / f"{name.lower()}.toml")}
         with (folder / "log.txt").open("ab") as log:
-            return subprocess.Popen(["/bin/sh", "-c", line], cwd=ROOT, env=_environment(told, halt_at),
+            return subprocess.Popen(["/bin/sh", "-c", line], cwd=ROOT, env=_environment(told, *halts),
                                     stderr=log)
 
     def kill(self, place: Place) -> None:
@@ -406,15 +420,41 @@
             os.close(reader)
         self.note(place.number, "disk hangs" if hangs else "disk goes on")
 
-    async def halted(self, child: subprocess.Popen[bytes] | None, most_s: float) -> bool:
-        """Whether a process has stopped itself at its named point."""
+    def arm(self, folder: Path, point: str) -> None:
+        """Whoever looks into that folder halts at that point, the first of them."""
+        (folder / point).touch()
+        self.armed.append((folder, point))
+
+    async def halted(self, folder: Path, point: str, most_s: float) -> int:
+        """The number of the process that has stopped itself at an armed point; 0: none has by then."""
         with anyio.move_on_after(most_s):
-            while child and child.poll() is None:
-                stat = Path(f"/proc/{child.pid}/stat").read_text()
-                if stat.rpartition(")")[2].split()[0] == "T":
-                    return True
+            while True:
+                for claimed in folder.glob(f"{point}.*"):
+                    pid = int(claimed.suffix[1:])
+                    if _has_stopped(pid):
+                        claimed.unlink()
+                        self.armed.remove((folder, point))
+                        return pid
                 await anyio.sleep(0.02)
-        return False
+        return 0
+
+    def halts_at(self, pid: int, since: float) -> Place:
+        """The server that has halted there, at some time since then."""
+        place = next(place for place in self.places if place.process and place.process.pid == pid)
+        place.begun.setdefault("frozen", since)
+        return place
+
+    async def disarm(self, since: float) -> None:
+        """Nobody halts any more: who has come to a point too late for its fault goes on."""
+        for folder, point in list(self.armed):
+            with contextlib.suppress(FileNotFoundError):
+                (folder / point).unlink()
+                self.armed.remove((folder, point))
+                continue
+            pid = await self.halted(folder, point, CLAIM_S)
+            if folder != self.proposer_halts and pid:
+                self.thaw(self.halts_at(pid, since))
+        self.armed.clear()
 
     def lose_folder(self, place: Place) -> None:
         shutil.rmtree(place.folder / FOLDER, ignore_errors=True)
@@ -445,7 +485,7 @@
 
     # Changes.
 
-    def propose(self, number: int, declines: str, deadline_s: float, halt_at: str = "", text: str = "",
+    def propose(self, number: int, declines: str, deadline_s: float, text: str = "",
                 more: tuple[str, ...] = ()) -> subprocess.Popen[bytes]:
         """The operators' own command, begun; `more`: further words of it."""
         text = text or policy_text(declines, number)
@@ -453,7 +493,7 @@
         path = self.folder / f"policy-{number}.toml"
         path.write_text(text)
         words = ["--author", "rig", "--note", f"change {number}", "--deadline", str(deadline_s), *more]
-        child = self.ask("policy", "apply", str(path), *words, halt_at=halt_at)
+        child = self.ask("policy", "apply", str(path), *words)
         self.note(-1, f"change {number} proposed")
         return child
 
@@ -463,9 +503,9 @@
         self.note(place.number, "said to be gone")
         return child
 
-    def ask(self, *words: str, halt_at: str = "") -> subprocess.Popen[bytes]:
+    def ask(self, *words: str) -> subprocess.Popen[bytes]:
         """One of the operators' commands, begun."""
-        env = _environment({"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}, halt_at)
+        env = _environment({"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}, self.proposer_halts)
         line = [sys.executable, "-m", "otterrudder", "fleet", *words]
         with (self.folder / "proposers.txt").open("ab") as log:
             child = subprocess.Popen(line, cwd=ROOT, env=env, stdout=log, stderr=log)
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -33,6 +33,7 @@
     ]
     run = perform_one(EXPERIMENT, "wait", 1, rounds, 4)
     assert not run.broken, (run.broken, run.played.verdict.breaches, run.played.rounds)
+    assert not run.played.missed, run.played.rounds
     assert run.played.committed >= 3 and run.played.aborted >= 1  # a bad policy, a full disk
     assert run.played.verdict.figures["settled"] > 300
 
@@ -45,9 +46,12 @@
         Round(4, "pay", (Fault("network gone", 1), Fault("list loses", 0)), 1.5),
         Round(5, "look", (Fault("empty store answers"), Fault("runtime one way back", 2)), 1.2),
         Round(6, "pay", (Fault("store killed at proposal", -1, "after propose"),), 1.0),
+        Round(7, "look", (Fault("kill at point", 0, "before duty"),), 0.8),
+        Round(8, "pay", (Fault("proposer killed", -1, "after commit"),), 0.8),
     ]
     run = perform_one(EXPERIMENT, "wait", 1, rounds, 3)
     assert not run.broken, (run.broken, run.played.verdict.breaches, run.played.rounds)
+    assert not run.played.missed, run.played.rounds  # nothing hangs on who comes first
     assert run.played.committed >= 4 and run.played.verdict.figures["repeats"] > 10
 
 
@@ -152,7 +156,7 @@
         rig = Rig(tmp_path, 3)
         async with rig.running():
             assert await rig.ended(rig.propose(1, "look", 5.0), 10.0) == 0
-            child = rig.propose(2, "pay", 5.0, "after commit", more=("--trial", "60", "--if", "busy > 0.1"))
+            child = rig.propose(2, "pay", 5.0, more=("--trial", "60", "--if", "busy > 0.1"))
             with anyio.fail_after(25.0):  # the stand-in's gauge says 0.2
                 while rig.versions[-1].version < 2:
                     await anyio.sleep(0.05)
