--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -53,6 +53,13 @@
     sys.exit(0 if played(servers, plans, workers, click.echo) else 1)
 
 
+def _end_in_order() -> None:
+    """Told to end, a rig ends its children first: also where a shell has set the signal to be ignored, and
+    where the terminal goes, which the servers would take for a word to read their files again."""
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.default_int_handler)
+
+
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--seed", type=int, help="This seed instead of the file's.")
@@ -75,8 +82,7 @@
         what = of.only(of.read(file), names)
     except BadInput as trouble:
         give_up(trouble)
-    for number in (signal.SIGINT, signal.SIGTERM):  # also where a shell has set it to be ignored
-        signal.signal(number, signal.default_int_handler)
+    _end_in_order()
     seeds = [seed] if seed is not None else what.seeds[: 1 if quick else None]
     count = servers or (what.quick_servers if quick else what.servers)
     runs = of.perform(what, seeds, count, what.quick_changes if quick else what.changes, click.echo)
@@ -190,5 +196,6 @@
         click.echo(f"a change across processes needs {missing.name}: pip install 'otterrudder[fleet]'")
     else:
         click.echo("")
+        _end_in_order()
         holds = show_fleet(click.echo) and holds
     sys.exit(0 if holds else 1)
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -1,7 +1,13 @@
 """Several processes of the program with faults between them: what the fleet promises holds, the faults that
 are put into doubles are found, and the baseline is beaten."""
 
+import contextlib
+import os
+import signal
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 
 import anyio
@@ -11,7 +17,7 @@
 from otterrudder.lab.processes.books import Verdict, judge
 from otterrudder.lab.processes.experiment import perform_one, read, shrink
 from otterrudder.lab.processes.plan import DECK, Fault, Played, Round, conclude, draw
-from otterrudder.lab.processes.rig import Rig
+from otterrudder.lab.processes.rig import ROOT, Rig
 
 EXPERIMENT = read(Path(__file__).parents[2] / "experiments/fleet-policy.toml")
 CALM = [Round(1, "look", (), 0.3), Round(2, "pay", (), 0.3)]
@@ -180,3 +186,25 @@
     wanted = plan[7].faults[0]
     fewest = shrink(lambda rounds: any(wanted in this.faults for this in rounds), plan)
     assert [this.faults for this in fewest] == [(wanted,)]
+
+
+def test_a_rig_whose_terminal_goes_leaves_no_server_behind(tmp_path: Path) -> None:
+    """Servers take a hang-up for a word to read their files again: they went on for good."""
+    def servers() -> int:
+        found = 0
+        for environ in Path("/proc").glob("[0-9]*/environ"):
+            with contextlib.suppress(OSError):
+                found += f"NODE_CONFIG={tmp_path}".encode() in environ.read_bytes()
+        return found
+
+    line = [sys.executable, "-m", "otterrudder", "lab", "processes", "experiments/fleet-policy.toml",
+            "--quick", "--servers", "2", "--out", str(tmp_path / "out")]
+    rig = subprocess.Popen(line, cwd=ROOT, env=os.environ | {"TMPDIR": str(tmp_path)},
+                           stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    until = time.monotonic() + 20.0
+    while servers() < 2 and time.monotonic() < until:
+        time.sleep(0.05)
+    assert servers() == 2
+    rig.send_signal(signal.SIGHUP)
+    assert rig.wait(20.0) != 0
+    assert servers() == 0
