--- a/otterrudder/lab/processes/books.py
+++ b/otterrudder/lab/processes/books.py
@@ -121,7 +121,7 @@
             shown["drain"] += 1
             verdict.breaches.append(f"drain: server {drain.server}, told at {drain.began:.0f}, ended with "
                                     f"{drain.code} after {took:.0f} ms")
-    verdict.figures = _figures(wire, versions, bound_ms, old)
+    verdict.figures = _figures(wire, versions, bound_ms, old) | {"drains": len(drains)}
     for rule, count in shown.items():
         verdict.figures[f"breaches of '{rule}'"] = count
     return verdict
--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -128,14 +128,14 @@
 def table(runs: list[Run]) -> str:
     """Markdown, a line a run."""
     head = ["variant", "seed", "in force", "aborted", "odd after a round", "odd at the end", "wrong version",
-            "lost", "run twice", "aside", "txns"]
+            "lost", "run twice", "drains", "aside", "faults", "missed", "txns"]
     rows = ["| " + " | ".join(head) + " |", "| --- |" + " ---: |" * (len(head) - 1)]
     for run in runs:
         figures, played = run.played.verdict.figures, run.played
         of = [run.variant, run.seed, played.committed, played.aborted, played.odd, played.odd_at_end,
               f"{figures['wrong_version']:.0f}", f"{figures.get(_breaches('lost'), 0):.0f}",
-              f"{figures.get(_breaches('run twice'), 0):.0f}", f"{figures['aside_share']:.1%}",
-              f"{figures['txns']:.0f}"]
+              f"{figures.get(_breaches('run twice'), 0):.0f}", f"{figures['drains']:.0f}",
+              f"{figures['aside_share']:.1%}", played.dealt, played.missed, f"{figures['txns']:.0f}"]
         rows.append("| " + " | ".join(map(str, of)) + " |")
     return "\n".join(rows)
 
