Fleet: a folder that is still written to is not given back on the way out

A hung write may go on as its process ends; with the lock given back by then, its state could come over the first one of the next life. Found by reading, after the way out stopped waiting for it; the test fails without the fix.

--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -63,6 +63,7 @@
                              cluster=fleet.store_id)
         self.settler = Settler(keys, name)
         self.wake = anyio.Event()
+        self.is_writing = False  # to the folder
         self.standing: Standing | None = None
         self.taken: Policy | None = None
         self.counts = {"asked": 0, "unanswered": 0, "hints": 0, "asides": 0, "watches_ended": 0}
@@ -168,6 +169,7 @@
         self.counts["asked"] += 1
         try:
             if isinstance(want, Save):
+                self.is_writing = True
                 return await in_thread(functools.partial(self._save, want))
             if isinstance(want, Judge):
                 return await anyio.to_thread.run_sync(self._judge, want.text)
@@ -211,6 +213,8 @@
         except OSError as why:
             log.error("the fleet's folder can't be written", why=str(why))
             return False
+        finally:
+            self.is_writing = False
         return True
 
     async def _watch(self) -> None:
@@ -238,7 +242,9 @@
             with contextlib.suppress(Exception):
                 await self.store.close()
         finally:
-            if self.folder:
+            # A write that is still under way could put its state over the next life's: the lock goes with the
+            # process then.
+            if self.folder and not self.is_writing:
                 self.folder.close()
 
 
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -3,14 +3,17 @@
 import json
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
 import pytest
 
-from otterrudder.fleet.agent import Agent, Orders
+from otterrudder.durable import Busy, Folder
+from otterrudder.fleet.agent import Agent, Orders, open_folder
 from otterrudder.fleet.change import Settler, propose
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import Fleet, read_fleet
@@ -225,6 +228,43 @@
         other.stop()
 
 
+def test_a_folder_that_is_still_written_to_is_not_given_back(engine: Engine, monkeypatch: pytest.MonkeyPatch
+                                                            ) -> None:
+    """The write of a life that ends could come after the first one of the next."""
+    goes_on, write = threading.Event(), Folder.write
+
+    def slow(self: Folder, name: str, data: bytes) -> None:
+        goes_on.wait(10.0)
+        write(self, name, data)
+
+    monkeypatch.setattr(Folder, "write", slow)
+    engine.client()  # writes the file
+    fleet = replace(read_fleet(engine.folder / "fleet.toml"), folder=engine.folder / "state")
+
+    async def live() -> Agent:
+        folder, record = open_folder(fleet, "a")
+        orders = Orders(lambda text: None, lambda is_aside: None)
+        agent = Agent(fleet, engine.client(), "a", Live(""), lambda text: "", orders, folder, record)
+        async with anyio.create_task_group() as group:
+            group.start_soon(agent.run)
+            with anyio.fail_after(5):
+                while not agent.is_writing:
+                    await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+        return agent
+
+    agent = anyio.run(live)
+    with pytest.raises(Busy):
+        open_folder(fleet, "a")
+    goes_on.set()
+    until = time.monotonic() + 5.0
+    while agent.is_writing and time.monotonic() < until:
+        time.sleep(0.01)
+    assert not agent.is_writing
+    assert agent.folder
+    agent.folder.close()
+
+
 @pytest.mark.parametrize("fails", [False, True])
 def test_a_policy_is_judged_off_the_loop_and_a_judgement_that_fails_is_a_no(engine: Engine, fails: bool
                                                                           ) -> None:
