--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -420,11 +420,6 @@
     shown[place.name] = await rig.shown(place)
 
 
-async def _serves(rig: Rig, place: Place) -> None:
-    with anyio.move_on_after(AGREE_S):
-        await rig.until_serving(place)
-
-
 async def _until(is_so: Callable[[], bool], most_s: float) -> bool:
     with anyio.move_on_after(most_s):
         while not is_so():
