--- a/otterrudder/__main__.py
+++ b/otterrudder/__main__.py
@@ -1,6 +1,12 @@
 """python -m otterrudder: the command line, see otterrudder/cli."""
 
-from otterrudder.cli import main
+import sys
+
+from otterrudder.net import early
 
 if __name__ == "__main__":
+    if sys.argv[1:2] in ([], ["serve"]):
+        early.hold()
+    from otterrudder.cli import main
+
     main(prog_name="otterrudder")
--- a/otterrudder/net/configuration.py
+++ b/otterrudder/net/configuration.py
@@ -81,7 +81,7 @@
         return msgspec.json.decode(Path(path).read_bytes())
     except OSError as trouble:
         raise BadConfiguration(f"cannot read the configuration: {trouble}") from None
-    except ValueError as trouble:
+    except (ValueError, RecursionError) as trouble:
         raise BadConfiguration(f"the configuration {path} is not JSON: {trouble}") from None
 
 
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -162,6 +162,8 @@
 
     def begin(self, warm: bool, up_ms: float) -> None:
         """The runtime is up for the first time in this life of the process."""
+        if self.retiring:  # what it would admit could not be answered by the end
+            return
         self.rudder = self.boot(self.now, warm, up_ms)
         if self.values:
             self.rudder.revalue(*self.values)
@@ -321,9 +323,13 @@
             self.rudder.step_down(part, left_ms)
 
     def retire(self, left_ms: float) -> None:
-        if self.rudder and not self.retiring:
-            self.retiring = True
+        if self.retiring:
+            return
+        self.retiring = True
+        if self.rudder:
             self.rudder.retire(left_ms)
+        else:  # nothing has run, and nothing will: a runtime that comes up now finds nobody
+            self.out.append((GATEWAYS, "close"))
 
     def failed(self, call: str) -> None:
         """An event of this txn could not be dealt with: it is voided, the others go on."""
--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -19,6 +19,10 @@
 OPEN_MOST = 32  # open requests of a connection
 UNSENT_MOST = 512 * 1024  # bytes owed to a peer: its 32 longest answers, three times over
 PAUSE_S = 0.05  # s without accepting when there are too many connections, or no descriptor
+LEAVE_S = 0.5  # s in which a peer that is left may read what it is owed, and close: many round trips
+ROOM_S = 0.02  # the same where others wait for its descriptor: nothing is owed to it, and nothing unread
+STUCK_MS = 10_000.0  # ms without reading anything of what it is owed after which a peer is given up
+PEERS_LEAST = 8  # connections that are taken however few descriptors there are
 SPARE = 24  # descriptors kept for the runtime, registry, logs and the loop itself
 SWEEP_S = 0.1  # s between looks for connections that have to go
 GRACE_MS = 1000.0  # ms after which an idle peer told `noMore` is closed from this side
@@ -33,8 +37,10 @@
 LEAVING_S = 0.002  # s without accepting while those that make room go
 WRONGS_MOST = 6  # wrong messages after which a peer is closed: a good gateway sends none
 COMPLAINTS_MOST = 5  # log lines a second on peers; past that they are counted
-IDLE = "idle"
-LEAVE_S = 0.12  # s left to the peers to close by themselves at the end of a drain
+IDLE, ROOM, LEFT = "idle", "room for others", "the server leaves"
+QUIETLY = (sockets.CLOSED, IDLE, LEFT)  # ends that are no trouble
+CROSS_S = 0.1  # s at the end of a drain for what crosses `noMore`, and for peers to close: twice the bound
+LAST_S = 0.05  # s after that for what is owed to be written and the rest read out; both lie ahead of the stop
 
 
 class Peer:
@@ -42,9 +48,11 @@
 
     def __init__(self, gateways: "Gateways", sock: socket.socket) -> None:
         self.gateways, self.helm = gateways, gateways.helm
-        self.stream = sockets.Stream(sock, jsonrpc.LINE_MOST, UNSENT_MOST)
         self.open: dict[int, str] = {}  # calls by the id of their request
-        self.since = self.quiet_since = self.half_since = clock.monotonic()
+        self.stream = sockets.Stream(sock, jsonrpc.LINE_MOST, UNSENT_MOST, self._hear_all,
+                                     owes=lambda: bool(self.open), leave_s=LEAVE_S)
+        self.since = self.quiet_since = clock.monotonic()
+        self.half_since = math.inf  # when what is half read began to come
         self.told_no_more = 0.0  # when
         self.worded = False  # something was answered
         self.wrongs = 0
@@ -68,21 +76,27 @@
 
     async def run(self) -> None:
         try:
-            why = await self.stream.serve(self._hear_all)
-            if why not in (sockets.CLOSED, IDLE):
+            why = await self.stream.serve()
+            if why not in QUIETLY:
                 self.gateways.complain(why)
+        except Exception:  # a fault of this connection's is not the others'
+            log.exception("a connection failed")
         finally:
             self.gateways.gone(self)
             for call in self.open.values():
                 self.helm.post_arrival(self.helm.core.left, call, of=call)
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
-        self.quiet_since = clock.monotonic()
+        self.quiet_since, heard = clock.monotonic(), False
         for message in jsonrpc.messages(buffer):
+            heard = True
             self._hear(message)
-            self.half_since = self.quiet_since
             if self.stream.why:
                 return
+        if buffer.start == buffer.end:
+            self.half_since = math.inf
+        elif heard or self.half_since == math.inf:  # after a rest the last whole message says nothing of it
+            self.half_since = self.quiet_since
 
     def _hear(self, message: jsonrpc.Message | jsonrpc.Malformed) -> None:
         if isinstance(message, jsonrpc.Malformed):
@@ -130,27 +144,41 @@
         if self.wrongs == 1:
             self.gateways.complain(why)
         elif self.wrongs >= WRONGS_MOST:
-            self.stream.flush()
-            self.stream.end("too many wrong messages")
+            self.stream.leave("too many wrong messages")  # its good txns are still answered
 
     def sweep(self, now: float, idle_ms: float, wordless_ms: float, grace_ms: float) -> None:
         """An idle peer is told first: a txn on its way here still comes, and is answered."""
-        if self.open or self.stream.why:
+        if self.stream.unsent and now - self.stream.taken_at > STUCK_MS:
+            self.stream.end("reads nothing of what it is owed")
+        if self.is_busy():
             return
         if not self.worded and now - self.since > wordless_ms:
-            self.stream.end("nothing to answer in time")
-        elif self.stream.buffer.start < self.stream.buffer.end and now - self.half_since > HALF_MS:
-            self.stream.end("half a message")
+            self.leave("nothing to answer in time")
+        elif now - self.half_since > HALF_MS:
+            self.leave("half a message")
         elif now - self.quiet_since < idle_ms:
             return
         elif not self.told_no_more:
             self.no_more(now)
         elif now - max(self.told_no_more, self.quiet_since) > grace_ms:
-            self.stream.end(IDLE)
+            self.leave(IDLE)
+
+    def is_busy(self) -> bool:
+        """Owed something, sent or not: an answer that it has not taken would be lost with its connection."""
+        return bool(self.open or self.stream.unsent or self.stream.why)
+
+    def leave(self, why: str, leave_s: float = LEAVE_S) -> bool:
+        """Whether it is on its way out. A txn may lie unread where the loop was busy, or half of one: what
+        has come is heard first, and who said something new stays. More of an old half is nothing new."""
+        half = self.half_since
+        if not self.stream.catch_up() or half == self.half_since < math.inf:
+            self.stream.leave(why, leave_s)
+        return bool(self.stream.why)
 
     def no_more(self, now: float) -> None:
-        self.told_no_more = now
-        self.stream.send(jsonrpc.NO_MORE)
+        if not self.told_no_more:
+            self.told_no_more = now
+            self.stream.send(jsonrpc.NO_MORE)
 
 
 class Gateways:
@@ -158,10 +186,11 @@
                  tenants: dict[str, int]) -> None:
         """`sockets_most`: descriptors that are left to connections."""
         self.helm, self.tenants = helm, tenants
-        self.most = max(sockets_most - SPARE, 8)
+        self.most = max(sockets_most - SPARE, PEERS_LEAST)
         self.second, self.complaints = 0, 0
         self.peers: set[Peer] = set()
         self.idle_ms, self.full = math.inf, False
+        self.is_leaving = False  # the drain is over: whoever connects is told `noMore` at once
         self.closing = anyio.Event()
         self.left = anyio.Event()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -177,21 +206,40 @@
             self.closing.set()
 
     async def run(self, group: anyio.abc.TaskGroup) -> None:
-        """Accepts until the drain is over, then sees the peers off and returns."""
+        """Accepts until the drain is over, then sees the peers off and returns. The order of the way out, and
+        what may come between any two steps: docs/design/closes.md."""
         group.start_soon(self._sweep)
         async with anyio.create_task_group() as accepting:
             accepting.start_soon(self._accept, group)
             await self.closing.wait()
             accepting.cancel_scope.cancel()
-        self._accept_some(group, self.most)  # what waits to be accepted would be reset with the listener
-        self.sock.close()
-        await anyio.lowlevel.checkpoint()
+        self.is_leaving = True
         for peer in self.peers:
             peer.no_more(clock.monotonic())
-        with anyio.move_on_after(LEAVE_S):
-            while self.peers:
-                self.left = anyio.Event()
-                await self.left.wait()
+        with anyio.move_on_after(CROSS_S):
+            await self._accept_the_last(group)
+            await self._until_left()
+        if self.sock.fileno() >= 0:  # more wait than there was room for in that time
+            self._accept_some(group)
+            self.sock.close()
+        for peer in self.peers:  # nothing is awaited from the last look to the end of hearing
+            peer.stream.catch_up()
+        self.helm.turn()  # what came with the last look is declined
+        for peer in self.peers:
+            peer.stream.leave(LEFT, LAST_S)
+        with anyio.move_on_after(LAST_S):
+            await self._until_left()
+
+    async def _accept_the_last(self, group: anyio.abc.TaskGroup) -> None:
+        """What waits to be accepted may have been written to, and would be reset with the listener."""
+        while pause := self._accept_some(group):
+            await anyio.sleep(pause)
+        self.sock.close()
+
+    async def _until_left(self) -> None:
+        while self.peers:
+            self.left = anyio.Event()
+            await self.left.wait()
 
     async def _accept(self, group: anyio.abc.TaskGroup) -> None:
         while True:
@@ -199,9 +247,10 @@
             if pause := self._accept_some(group, ACCEPTED_MOST):
                 await anyio.sleep(pause)
 
-    def _accept_some(self, group: anyio.abc.TaskGroup, most: int) -> float:
-        """Seconds to wait if there is no room for those that still wait: trying at once would only spin."""
-        for _ in range(min(most, self.most - len(self.peers))):
+    def _accept_some(self, group: anyio.abc.TaskGroup, most: int = BACKLOG) -> float:
+        """Takes at most so many that wait. Seconds to wait if there is no room for more, for trying at once
+        would only spin; 0 if none waits."""
+        while most and len(self.peers) < self.most:
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -209,17 +258,29 @@
                 return 0.0
             except OSError as trouble:
                 if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self._full(str(trouble))
-                    return PAUSE_S
+                    # There are fewer than was told: the links below need theirs too.
+                    self.most = max(min(self.most, len(self.peers) - ROOM_MADE), PEERS_LEAST)
+                    return self._pause(str(trouble))
+                most -= 1
                 continue  # that one connection went before it was taken
-            peer = Peer(self, sock)
+            most -= 1
+            try:
+                peer = Peer(self, sock)
+            except OSError:
+                sock.close()  # reset before it could be set up
+                continue
             self.peers.add(peer)
             group.start_soon(peer.run)
-        if len(self.peers) < self.most:
-            return 0.0
+            if self.is_leaving:
+                peer.no_more(clock.monotonic())
+        return 0.0 if len(self.peers) < self.most else self._pause("as many connections as the limit allows")
+
+    def _pause(self, why: str) -> float:
         if self._make_room():
             return LEAVING_S
-        self._full("as many connections as the limit allows")
+        if not self.full:
+            self.full = True
+            log.error("cannot accept", why=why, connections=len(self.peers))
         return PAUSE_S
 
     def _make_room(self) -> bool:
@@ -227,12 +288,15 @@
         if any(peer.stream.why for peer in self.peers):
             return True
         now = clock.monotonic()
-        rested = [peer for peer in self.peers if not peer.open
-                  and now - peer.quiet_since > (RESTED_MS if peer.worded else HUSHED_MS)]
+        rested = [peer for peer in self.peers if not peer.is_busy() and (self.is_leaving
+                  or now - peer.quiet_since > (RESTED_MS if peer.worded else HUSHED_MS))]
         rested.sort(key=lambda peer: (peer.worded, peer.quiet_since))
-        for peer in rested[:ROOM_MADE]:
-            peer.stream.end("room for others")
-        return bool(rested)
+        made = 0
+        for peer in rested:
+            made += peer.leave(ROOM, ROOM_S)
+            if made == ROOM_MADE:
+                break
+        return made > 0
 
     def complain(self, why: str) -> None:
         second = int(clock.monotonic() / 1000)
@@ -244,11 +308,6 @@
         if self.complaints <= COMPLAINTS_MOST:
             log.warning("trouble with a gateway's connection", why=why)
 
-    def _full(self, why: str) -> None:
-        if not self.full:
-            self.full = True
-            log.error("cannot accept", why=why, connections=len(self.peers))
-
     def gone(self, peer: Peer) -> None:
         self.peers.discard(peer)
         self.left.set()
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -79,7 +79,7 @@
                 self._try(self.addresses.get(address, address).tell, *message)
         if self.ring_at == self.ask_at == float("inf") and self.period:  # a failed ring must not be the last
             self.tell("wake", self.period)
-        self.watch.turned(now, len(urgent) + len(arrivals), self.core)
+        self._try(self.watch.turned, now, len(urgent) + len(arrivals), self.core)
 
     def tell(self, word: str, *rest: object) -> None:
         if word == "wake":
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -19,6 +19,7 @@
 SWEEP_S = 0.1  # s between looks for connections unused or stuck
 CARRIED_MOST = 16  # last calls known of a connection: a txn's next call must not meet a copy of its reply
 UNSENT_MOST = 1 << 20  # bytes not yet read by the service
+LEAVE_S = 0.05  # s in which the service may close one that takes no more calls: it is on this machine
 CONNECT_S = 1.0  # s to connect: a proxy on this machine answers at once or hangs
 
 
@@ -48,7 +49,12 @@
     def spend(self, why: str) -> None:
         self.spent = self.spent or why
         if self.stream and not self.calls:
-            self.stream.end(self.spent)
+            self.stream.leave(self.spent, LEAVE_S)
+
+    def has_gone(self) -> bool:
+        """Whether the service has ended it, or says more than it was asked for, and nobody has read that yet:
+        a call on it would be reset, which proves nothing."""
+        return bool(self.stream and (self.stream.catch_up() or self.stream.why))
 
     async def run(self) -> None:
         outcome, why = Outcome.UNREACHED, "no answer to the connection"
@@ -56,13 +62,13 @@
             with anyio.move_on_after(CONNECT_S):
                 sock = await sockets.connect(self.address)
                 outcome = Outcome.RESET  # from here on a call may have run
-                self.stream = sockets.Stream(sock, lines.ROOM, UNSENT_MOST)
+                self.stream = sockets.Stream(sock, lines.ROOM, UNSENT_MOST, self._hear_all)
                 for parts in self.calls.values():
                     self.stream.send(parts)
             if self.stream:
                 if not self.calls:
                     self.spend("nothing to call")
-                why = await self.stream.serve(self._hear_all)
+                why = await self.stream.serve()
         except OSError as trouble:
             why = str(trouble)
         finally:
@@ -96,7 +102,8 @@
         stream = self.stream
         if not self.calls and now - self.heard > REUSE_MS:
             self.spend("unused")
-        elif stream and stream.buffer.start < stream.buffer.end and now - self.heard > HALF_MS:
+        elif (stream and stream.buffer.start < stream.buffer.end and now - self.heard > HALF_MS
+              and not stream.catch_up()):  # the other half may lie unread where this loop was busy
             stream.end("half a reply")
 
 
@@ -112,6 +119,8 @@
 
     def tell(self, word: str, call: str, *rest: object) -> None:
         if word == "call":
+            if earlier := self.on.pop(call, None):  # a second call for one txn gives up the first
+                earlier.give_up(call)
             link = self._link(call) if self.address and self.group else None
             if link:
                 self.on[call] = link
@@ -124,10 +133,10 @@
     def _link(self, call: str) -> Link | None:
         """The freshest idle one, else a new one, else the one with the fewest calls."""
         now = clock.monotonic()
-        for link in reversed(self.idle):
+        for link in self.idle[::-1]:  # one that has gone may leave the list
             if now - link.heard > REUSE_MS:
                 break
-            if not link.spent and call not in link.carried:
+            if not link.spent and call not in link.carried and not link.has_gone():
                 self.idle.remove(link)
                 return link
         if len(self.links) < self.most:
@@ -142,7 +151,9 @@
         return link
 
     def ended(self, link: Link, call: str, outcome: Outcome, body: bytes = b"") -> None:
-        del link.calls[call], self.on[call]
+        del link.calls[call]
+        if self.on.get(call) is link:  # else a later call for this txn is out on another
+            del self.on[call]
         self.helm.post(self.helm.core.replied, call, outcome, body, of=call)
 
     def gone(self, link: Link) -> None:
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -14,6 +14,7 @@
 UNSENT_MOST = 8 << 20  # bytes not yet read by the runtime; past that it hangs, and a new link tells more
 ANEW_MS = 5000.0  # ms a runtime may seem younger before it counts as another: a pause may lie between
 MOVE_S = 0.3  # s that the old link has to prove what it read when the runtime's address changes
+LEAVE_S = 0.05  # s in which the runtime may close the old link: it is on this machine
 MOVED = "the address has changed"
 REPLAYED = "replayed"  # tag of the gauges whose answer ends the replay: commands are dealt with in order
 
@@ -33,7 +34,7 @@
         """The core is asked first: what it decides from then on waits for the new link."""
         self.address, self.left = address, self.stream
         if self.stream and self.replaying:
-            self.stream.end(MOVED)  # nothing was sent on it
+            self.stream.leave(MOVED, LEAVE_S)  # nothing was sent on it
         elif self.stream:
             self.helm.post(self.helm.core.leave_link)
 
@@ -56,7 +57,8 @@
         pause = PAUSE_MS
         while True:
             try:
-                stream = sockets.Stream(await sockets.connect(self.address), lines.ROOM, UNSENT_MOST)
+                sock = await sockets.connect(self.address)
+                stream = sockets.Stream(sock, lines.ROOM, UNSENT_MOST, self._hear_all)
             except OSError as trouble:
                 if pause == PAUSE_MS:
                     log.warning("no link to the runtime", why=str(trouble))
@@ -73,7 +75,7 @@
         self.stream, self.replaying, self.leaving = stream, True, ""
         stream.send(lines.say("sync", self.last))
         try:
-            why = await stream.serve(self._hear_all)
+            why = await stream.serve()
             if why == MOVED:
                 log.info("runtime link moves", address=self.address, last_notice=self.last)
             else:
@@ -93,7 +95,7 @@
 
     async def _end_late(self, stream: sockets.Stream) -> None:
         await anyio.sleep(MOVE_S)
-        stream.end(MOVED)
+        stream.leave(MOVED, LEAVE_S)
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
         for words, body in lines.messages(buffer, lines.runtime_body):
@@ -128,7 +130,7 @@
             else:
                 self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
                 if words[1] == self.leaving:
-                    self.stream.end(MOVED)
+                    self.stream.leave(MOVED, LEAVE_S)
         elif word == "ready":
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import resource
 import signal
 import zlib
 from collections.abc import AsyncIterator
@@ -14,7 +15,7 @@
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
-from otterrudder.net import clock, core
+from otterrudder.net import clock, core, early
 from otterrudder.net.configuration import MOVABLE, BadConfiguration, address, read_configuration
 from otterrudder.net.gateways import Gateways
 from otterrudder.net.helm import Helm
@@ -136,7 +137,7 @@
     the_core = core.Core(make, products, gauge_names(settings), watch)
     helm = Helm(the_core)
     runtime = Runtime(helm, address(told["runtime"]))
-    sockets_most = int(told["limits"]["sockets"])
+    sockets_most = min(int(told["limits"]["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     records = Records(helm, _records(told), sockets_most)
     gateways = Gateways(helm, address(told["listen"]), sockets_most - records.most, tenants)
     registry = Registry(told["name"], address(told["registry"]))
@@ -163,7 +164,7 @@
             answers = {"vrrp": speaker.shown} if speaker else {}
             answers |= {"fleet": agent.shown} if agent else {}
             group.start_soon(Control(told["name"], answers).run)
-        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, gateways, speaker)
+        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, speaker)
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
@@ -247,23 +248,30 @@
 
 
 async def _watch(signals: AsyncIterator[signal.Signals], told: dict, files: Files, helm: Helm,
-                 runtime: Runtime, records: Records, registry: Registry, gateways: Gateways,
-                 speaker: "Speaker | None") -> None:
-    async for number in signals:
+                 runtime: Runtime, records: Records, registry: Registry, speaker: "Speaker | None") -> None:
+    async for number in _heard(signals):
         if number == signal.SIGHUP:
-            told = _reload(told, files, runtime, records, registry)
-            _reload_levels(told, files, helm)
-            if speaker:
-                _reload_keys(told, files, speaker)
+            try:
+                told = _reload(told, files, runtime, records, registry)
+                _reload_levels(told, files, helm)
+                if speaker:
+                    _reload_keys(told, files, speaker)
+            except Exception:  # a file that nobody thought of must not end what is served
+                log.exception("reload failed")
             continue
-        if not helm.core.rudder:
-            gateways.closing.set()
         if speaker:  # priority 0 first, so that another takes over while this one drains
             speaker.retire()
         registry.draining = True
         helm.post(helm.core.retire, told["stop_ms"])
 
 
+async def _heard(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
+    if early.came():
+        yield signal.SIGHUP
+    async for number in signals:
+        yield number
+
+
 def _reload(told: dict, files: Files, runtime: Runtime, records: Records, registry: Registry) -> dict:
     """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
     try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -260,8 +260,14 @@
 
 
 class Gateway(Wire):
-    def __init__(self, address: tuple[str, int]) -> None:
-        super().__init__(socket.create_connection(address, timeout=WAIT_S), b"\n")
+    def __init__(self, address: tuple[str, int], room: int = 0) -> None:
+        """`room`: bytes that the system may hold for it unread, if it is to be few."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if room:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+        sock.settimeout(WAIT_S)
+        sock.connect(address)
+        super().__init__(sock, b"\n")
         self.count = 0
 
     def ask(self, method: str, **params: object) -> int:
--- /dev/null
+++ b/tests/test_closes.py
@@ -0,0 +1,571 @@
+"""Closing, and what may fall between two lines of it: real connections, the bad order forced each time.
+
+Most of these hold the server's parts in this process, so that nothing of the server runs between two lines of
+a test unless the test waits. `docs/design/closes.md` has the states."""
+
+import json
+import os
+import signal
+import socket
+import struct
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import pytest
+from helpers import SETTINGS, Gateway, Server, listener
+
+from otterrudder.boot import boot, gauge_names, products_of
+from otterrudder.interface import Outcome
+from otterrudder.net import clock, core, gateways, records
+from otterrudder.net.helm import Helm
+
+A, B, C, MARK = "00000000000000aa", "00000000000000bb", "00000000000000cc", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+ANSWERS = 30  # longest ones: some 160 KB
+IDLE_MS = 1000.0  # ms as a sweep is told them
+SWEEP = (IDLE_MS, 1500.0, 1000.0)
+
+
+class Sent:
+    """Takes what the core sends to the runtime."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+
+    def tell(self, word: str, *rest: object) -> None:
+        if word == "start":
+            self.started.append(str(rest[0]))
+
+
+class Inside:
+    """The helm, the listener and a stand-in of the runtime, in this process; turns are the test's own."""
+
+    def __init__(self, group: anyio.abc.TaskGroup, sockets_most: int = 256) -> None:
+        self.group, self.runtime = group, Sent()
+        the_core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS, fresh=False),
+                             products_of(SETTINGS), gauge_names(SETTINGS))
+        self.helm = Helm(the_core)
+        self.gateways = gateways.Gateways(self.helm, ("127.0.0.1", 0), sockets_most, {"north": 0, "south": 1})
+        self.helm.addresses |= {core.RUNTIME: self.runtime, core.GATEWAYS: self.gateways}
+        self.helm.post(the_core.begin, True, 60_000.0)
+        self.helm.post(the_core.linked)
+        self.helm.turn()
+
+    async def connect(self, small: bool = False) -> tuple[Gateway, gateways.Peer]:
+        """A connection, and its peer once it is served; `small`: the system holds next to nothing for it."""
+        before = set(self.gateways.peers)
+        gateway = Gateway(self.gateways.sock.getsockname(), room=2048 if small else 0)
+        self.gateways._accept_some(self.group)
+        (peer,) = self.gateways.peers - before
+        if small:
+            peer.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        await rest()
+        return gateway, peer
+
+    async def served(self, gateway: Gateway, call: str, body: bytes = b"done", **more: object) -> dict:
+        """Takes the one start that is there or to come, ends it, and hands over the answer."""
+        await until(lambda: self.turned() and call in self.runtime.started)
+        self.helm.post(self.helm.core.ended, call, Outcome.OK, body)
+        self.helm.turn()
+        return await answer(gateway)
+
+    def turned(self) -> bool:
+        self.helm.turn()
+        return True
+
+
+def inside(test: Callable[[Inside], Awaitable[None]], **told: int) -> None:
+    async def play() -> None:
+        async with anyio.create_task_group() as group:
+            with anyio.fail_after(20):
+                rig = Inside(group, **told)
+                try:
+                    await test(rig)
+                finally:
+                    rig.gateways.sock.close()
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
+async def rest() -> None:
+    """Whoever can go on does, until nobody can."""
+    for _ in range(20):
+        await anyio.sleep(0)
+
+
+async def until(true: Callable[[], object]) -> None:
+    while not true():
+        await anyio.sleep(0.001)
+
+
+async def line(gateway: Gateway) -> bytes:
+    return await anyio.to_thread.run_sync(gateway.line)
+
+
+async def answer(gateway: Gateway) -> dict:
+    return await anyio.to_thread.run_sync(gateway.answer)
+
+
+async def end(gateway: Gateway) -> bytes:
+    """The rest up to an orderly end; a reset raises."""
+    def read() -> bytes:
+        data, gateway.data = gateway.data, b""
+        while more := gateway.sock.recv(65536):
+            data += more
+        return data
+
+    return await anyio.to_thread.run_sync(read)
+
+
+def look(gateway: Gateway, call: str) -> bytes:
+    """The bytes of a good txn."""
+    gateway.count += 1
+    params = {"call": call, "recv": round(time.time() * 1000), "src": 4, "org": "north", "ttl": 15000,
+              "heap": 20.0, "crit": 0.5, "blob": "YXNr"}
+    message = {"jsonrpc": "2.0", "id": gateway.count, "method": "look", "params": params}
+    return json.dumps(message).encode() + b"\n"
+
+
+def owe(peer: gateways.Peer) -> None:
+    """Answers of the longest kind, more than the system holds for a slow reader."""
+    for n in range(ANSWERS):
+        peer.tell("settled", n + 1, b"r" * 4096, None)
+
+
+def at_rest(peer: gateways.Peer) -> float:
+    """Makes the peer one that was answered long ago and was told `noMore`; when its end is due."""
+    peer.worded, peer.told_no_more = True, 1.0
+    return peer.quiet_since + 2 * IDLE_MS
+
+
+def sweeps(peer: gateways.Peer, due: float) -> None:
+    peer.sweep(due, *SWEEP)
+
+
+def makes_room(peer: gateways.Peer, due: float) -> None:
+    peer.quiet_since = -1e9
+    peer.gateways._make_room()
+
+
+@pytest.mark.parametrize("ends", [sweeps, makes_room])
+def test_a_txn_that_lies_unread_as_its_connection_is_to_end_is_served(
+        ends: Callable[[gateways.Peer, float], None]) -> None:
+    async def play(rig: Inside) -> None:
+        gateway, peer = await rig.connect()
+        due = at_rest(peer)
+        gateway.sock.sendall(look(gateway, A))  # in the queue, for the loop does not run
+        ends(peer, due)
+        assert "result" in await rig.served(gateway, A)
+
+    inside(play)
+
+
+@pytest.mark.parametrize("ends", [sweeps, makes_room])
+def test_half_a_txn_that_lies_unread_keeps_its_connection(
+        ends: Callable[[gateways.Peer, float], None]) -> None:
+    async def play(rig: Inside) -> None:
+        gateway, peer = await rig.connect()
+        due, data = at_rest(peer), look(gateway, A)
+        gateway.sock.sendall(data[:40])
+        ends(peer, due)
+        await rest()
+        gateway.sock.sendall(data[40:])
+        assert "result" in await rig.served(gateway, A)
+
+    inside(play)
+
+
+def test_half_a_txn_after_a_rest_is_no_old_half() -> None:
+    # Its age was once counted from the last whole message, so it was cut off at the next look.
+    async def play(rig: Inside) -> None:
+        gateway, peer = await rig.connect()
+        gateway.sock.sendall(look(gateway, A))
+        await rig.served(gateway, A)
+        data = look(gateway, B)
+        peer.quiet_since -= 60_000.0  # it rested for a minute
+        gateway.sock.sendall(data[:40])
+        await until(lambda: peer.stream.buffer.end > peer.stream.buffer.start)
+        peer.sweep(clock.monotonic(), 1e9, *SWEEP[1:])
+        await rest()
+        gateway.sock.sendall(data[40:])
+        assert "result" in await rig.served(gateway, B)
+
+    inside(play)
+
+
+def test_a_dripping_half_is_cut_off_though_more_of_it_always_lies_unread() -> None:
+    async def play(rig: Inside) -> None:
+        gateway, peer = await rig.connect()
+        at_rest(peer)
+        data = look(gateway, A)
+        gateway.sock.sendall(data[:40])
+        await until(lambda: peer.half_since < 1e300)
+        gateway.sock.sendall(data[40:50])
+        peer.sweep(peer.half_since + gateways.HALF_MS + 1.0, *SWEEP)
+        assert await end(gateway) == b""
+
+    inside(play)
+
+
+def test_what_a_slow_reader_is_owed_outlasts_its_rest() -> None:
+    async def play(rig: Inside) -> None:
+        gateway, peer = await rig.connect(small=True)
+        owe(peer)
+        await rest()
+        assert peer.stream.unsent  # it does not read
+        peer.sweep(at_rest(peer), *SWEEP)
+        makes_room(peer, 0.0)
+        for _ in range(ANSWERS):
+            assert len((await answer(gateway))["result"]["blob"]) > 5000
+        peer.sweep(clock.monotonic() + 1e6, *SWEEP)
+        assert not await end(gateway)
+
+    inside(play)
+
+
+def test_a_peer_that_never_reads_is_given_up_at_last() -> None:
+    async def play(rig: Inside) -> None:
+        _, peer = await rig.connect()
+        peer.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        peer.stream.send([b"x" * 400_000])
+        await rest()
+        peer.sweep(clock.monotonic() + gateways.STUCK_MS - 1000.0, *SWEEP)
+        assert not peer.stream.why
+        peer.sweep(clock.monotonic() + gateways.STUCK_MS + 1.0, *SWEEP)
+        await until(lambda: not rig.gateways.peers)
+
+    inside(play)
+
+
+def test_a_close_over_unread_bytes_is_no_reset_and_answers_come_whole() -> None:
+    # 30 KB of wrong lines: most of them lie unread as the sixth ends the connection.
+    async def play(rig: Inside) -> None:
+        gateway, _ = await rig.connect()
+        gateway.sock.sendall(look(gateway, A) + b"{\n" * 15_000)
+        await until(lambda: rig.turned() and rig.runtime.started == [A])
+        gateway.sock.sendall(look(gateway, B))  # after the last wrong one: never heard
+        rig.helm.post(rig.helm.core.ended, A, Outcome.OK, b"r" * 4096)
+        rig.helm.turn()
+        lines = (await end(gateway)).splitlines()
+        assert len(lines) == gateways.WRONGS_MOST + 1 and json.loads(lines[-1])["id"] == 1
+        rig.helm.turn()
+        assert rig.runtime.started == [A]
+
+    inside(play)
+
+
+def test_owed_answers_of_a_peer_with_too_many_wrong_messages_are_not_cut_in_half() -> None:
+    async def play(rig: Inside) -> None:
+        gateway, peer = await rig.connect(small=True)
+        owe(peer)
+        gateway.sock.sendall(b"{\n" * 10)
+        await until(lambda: peer.stream.why)
+        assert peer.stream.unsent
+        told = [json.loads(text) for text in (await end(gateway)).splitlines()]
+        assert sum("result" in message for message in told) == ANSWERS
+
+    inside(play)
+
+
+def test_nobody_who_neither_reads_nor_closes_and_no_flood_holds_up_a_close() -> None:
+    async def play(rig: Inside) -> None:
+        deaf, deaf_peer = await rig.connect()
+        deaf_peer.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        deaf_peer.stream.send([b"x" * 400_000])
+        flood, flood_peer = await rig.connect()
+        began = time.monotonic()
+        for peer in (deaf_peer, flood_peer):
+            peer.stream.leave("test", 0.1)
+
+        async def pour() -> None:
+            flood.sock.setblocking(False)
+            while flood_peer in rig.gateways.peers:
+                try:
+                    flood.sock.send(b"x" * 65536)
+                except BlockingIOError:
+                    pass
+                except ConnectionError:
+                    return
+                await anyio.sleep(0)
+
+        await pour()
+        await until(lambda: not rig.gateways.peers)
+        assert time.monotonic() - began < 2.0  # 0.1 s each, on a busy machine
+        deaf.close()
+
+    inside(play)
+
+
+def test_what_comes_with_the_last_look_is_answered_and_what_comes_after_is_not_begun() -> None:
+    async def play(rig: Inside) -> None:
+        resting, half, busy = [(await rig.connect())[0] for _ in range(3)]
+        data = look(half, B)
+        half.sock.sendall(data[:30])
+        left = rig.gateways._until_left
+
+        async def last_moment() -> None:
+            rig.gateways._until_left = left
+            try:
+                await left()
+            finally:  # the time that peers have is over; nothing runs from here to the last look
+                resting.sock.sendall(look(resting, A))
+                half.sock.sendall(data[30:])
+                busy.sock.sendall(look(busy, C)[:50])
+
+        rig.gateways._until_left = last_moment
+        rig.helm.post(rig.helm.core.retire, 0.0)  # the stop is now
+        rig.group.start_soon(rig.helm.run)
+        await rig.gateways.run(rig.group)
+        for gateway in (resting, half):
+            told = [json.loads(text) for text in (await end(gateway)).splitlines()]
+            assert [message.get("method") for message in told[:1]] == ["noMore"]
+            assert [message["error"]["code"] for message in told[1:]] == [-32014]
+        assert b"noMore" in await end(busy)  # its half was never a txn
+        assert not rig.runtime.started and not rig.gateways.peers
+
+    inside(play)
+
+
+def test_whoever_waits_to_be_accepted_at_the_end_of_a_drain_is_answered(tmp_path: Path) -> None:
+    # The table is full of connections with an open txn until the stop, so those behind wait in the backlog.
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 48}
+    with Server(tmp_path, limits=limits) as server:
+        runtime = server.runtime()
+        runtime.idle(2)
+        room = 48 - 48 // 8 - gateways.SPARE
+        busy = [server.gateway() for _ in range(room)]
+        for n, gateway in enumerate(busy):
+            gateway.txn(f"{n:016x}")
+        while not server.logged("cannot accept"):  # full, and none may go: those behind wait
+            server.wires.append(waiting := Gateway(server.address))
+            waiting.txn(os.urandom(8).hex())
+            busy.append(waiting)
+            runtime.idle(1) if len(runtime.data) else time.sleep(0.01)
+            assert len(busy) < 3 * room
+        server.process.terminate()
+        answered = 0
+        for gateway in busy:
+            told = gateway.answer()
+            assert "error" in told
+            answered += 1
+        assert answered == len(busy) and server.ends() == 0
+
+
+def stopped(server: Server) -> None:
+    """Held still, so that what comes now comes in one turn."""
+    server.process.send_signal(signal.SIGSTOP)
+    while Path(f"/proc/{server.process.pid}/stat").read_text().rsplit(")")[1].split()[0] != "T":
+        time.sleep(0.001)
+
+
+def test_sigterm_in_the_turn_of_ready_drains_what_it_admits(tmp_path: Path) -> None:
+    with Server(tmp_path) as server:
+        gateway = server.gateway()
+        runtime = server.runtime(ready="")
+        gateway.ask("check")
+        gateway.answer()
+        stopped(server)
+        runtime.say("ready hot 60000")
+        gateway.txn(A), gateway.txn(B, "pay", dedupe=MARK)
+        server.process.terminate()
+        server.process.send_signal(signal.SIGCONT)
+        answers = {}
+        for _ in range(2):  # admitted or declined, each has its answer
+            told = gateway.answer()
+            answers[told["id"]] = told
+        assert len(answers) == 2
+        assert server.ends() == 0 and server.logged("event=left unanswered=0")
+
+
+def test_a_runtime_that_comes_up_in_a_drain_finds_nobody() -> None:
+    async def play(rig: Inside) -> None:
+        the_core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS),
+                             gauge_names(SETTINGS))
+        rig.helm.core = rig.gateways.helm.core = the_core
+        gateway, _ = await rig.connect()
+        rig.helm.post(the_core.retire, 1500.0)
+        rig.helm.post(the_core.begin, True, 60_000.0)
+        rig.helm.post(the_core.linked)
+        gateway.sock.sendall(look(gateway, A))
+        await rest()
+        rig.group.start_soon(rig.helm.run)
+        await rig.gateways.run(rig.group)  # it ends by itself
+        told = [json.loads(text) for text in (await end(gateway)).splitlines()]
+        assert [message["error"]["code"] for message in told if "id" in message] == [-32014]
+        assert not rig.runtime.started
+
+    inside(play)
+
+
+def test_signals_in_any_order_end_in_one_drain(tmp_path: Path) -> None:
+    with Server(tmp_path) as server:
+        runtime, gateway = server.up()
+        gateway.txn(A)
+        runtime.expect("start", A)
+        stopped(server)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+            server.process.send_signal(number)
+        server.process.send_signal(signal.SIGCONT)
+        server.until("draining: 1 in hand", lambda: runtime.idle(1))
+        server.process.send_signal(signal.SIGHUP)  # while it drains
+        server.process.terminate()
+        runtime.ends(A)
+        assert gateway.result() == b"done"
+        assert server.ends() == 0 and server.logged("event=left unanswered=0")
+
+
+def test_sighup_while_the_program_starts_neither_ends_it_nor_is_missed(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first comes as the interpreter starts, the second, with new addresses, after the file was read and
+    before anything listens for signals."""
+    (tmp_path / "sitecustomize.py").write_text(
+        "import os, signal, sys\n"
+        "os.kill(os.getpid(), signal.SIGHUP)\n"
+        "done = []\n"
+        "def hook(event, args):\n"
+        "    if event == 'open' and 'anyio/_backends' in str(args[0]) and not done:\n"
+        "        done.append(1)\n"
+        "        os.replace(os.environ['NODE_CONFIG'] + '.new', os.environ['NODE_CONFIG'])\n"
+        "        os.kill(os.getpid(), signal.SIGHUP)\n"
+        "sys.addaudithook(hook)\n")
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+    moved = listener()
+    new = tmp_path / "config.json.new"
+
+    class Starts(Server):
+        def start(self) -> None:
+            new.write_text(json.dumps(self.told | {"runtime": "{}:{}".format(*moved.getsockname())}))
+            super().start()
+
+    with Starts(tmp_path) as server:
+        server.until("moved=['runtime']")
+        server.runtimes.close()
+        server.runtimes = moved
+        runtime = server.runtime()
+        runtime.idle(2)
+        gateway = server.gateway()
+        gateway.txn(A)
+        runtime.expect("start", A)
+        runtime.ends(A)
+        assert gateway.result() == b"done"
+
+
+BAD_FILES = ["[" * 200_000, "\x00", "{}", '{"settings": {"classes": [{}]}}', '{"limits": 7}', "\ud800"]
+
+
+def test_no_file_that_sighup_brings_ends_the_server(tmp_path: Path) -> None:
+    with Server(tmp_path) as server:
+        runtime, gateway = server.up()
+        for bad in BAD_FILES:
+            server.log.write_text("")
+            server.configuration.write_bytes(bad.encode("utf-8", "surrogatepass"))
+            server.process.send_signal(signal.SIGHUP)
+            server.until("configuration not taken", lambda: runtime.idle(1))
+        server.configuration.unlink()
+        server.log.write_text("")
+        server.process.send_signal(signal.SIGHUP)
+        server.until("configuration not taken", lambda: runtime.idle(1))
+        gateway.txn(A)
+        runtime.expect("start", A)
+        runtime.ends(A)
+        assert gateway.result() == b"done"
+
+
+def test_a_count_of_the_process_that_fails_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    # With no descriptor left the memory's file can't be opened, and the helm once ended with it.
+    async def play(rig: Inside) -> None:
+        def none_left() -> float:
+            raise OSError(24, "Too many open files")
+
+        monkeypatch.setattr("otterrudder.net.helm._rss_mb", none_left)
+        rig.helm.watch.next = 0.0
+        rig.helm.turn()
+        gateway, _ = await rig.connect()
+        gateway.sock.sendall(look(gateway, A))
+        assert "result" in await rig.served(gateway, A)
+
+    inside(play)
+
+
+def test_those_who_ask_get_in_while_idle_clients_fill_the_descriptors(tmp_path: Path) -> None:
+    """Nobody leaves by a new list. All fill the table after a word each, and rest until they are ended."""
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
+    with Server(tmp_path, descriptors=64, limits=limits) as server:
+        runtime = server.runtime()
+        runtime.idle(2)
+        idle = []
+        for _ in range(150):
+            gateway = server.gateway()
+            gateway.ask("check")
+            idle.append(gateway)
+        for n in range(5):
+            call, gateway = f"{n:016x}", server.gateway()
+            began = time.monotonic()
+            gateway.txn(call, ttl=4000)
+            runtime.expect("start", call)
+            if not n:  # descriptors for the service below are there
+                runtime.tell(f"wants {call}", b"?")
+                server.called(call, b"?").say(f"{call} DONE", b"!")
+                runtime.expect("give", call)
+            runtime.ends(call)
+            assert gateway.result() == b"done" and time.monotonic() - began < 4.0
+        assert not server.logged("Too many open files")
+
+
+def told(group: anyio.abc.TaskGroup, address: tuple[str, int]) -> tuple[records.Records, list[tuple]]:
+    """The pool of connections below, and what it tells the core."""
+    heard: list[tuple] = []
+
+    class Ear:
+        core = type("Core", (), {"replied": "replied"})
+
+        def post(self, act: object, call: str, outcome: Outcome, body: bytes = b"", of: str = "") -> None:
+            heard.append((call, outcome, body))
+
+    pool = records.Records(Ear(), address, 256)  # type: ignore[arg-type]
+    pool.group = group
+    return pool, heard
+
+
+def test_a_call_never_goes_out_on_a_connection_that_the_service_has_ended() -> None:
+    async def play(rig: Inside) -> None:
+        service = listener()
+        pool, heard = told(rig.group, service.getsockname())
+        pool.tell("call", A, 500.0, b"?")
+        first = await anyio.to_thread.run_sync(lambda: service.accept()[0])
+        await until(lambda: pool.links and next(iter(pool.links)).stream)
+        await anyio.to_thread.run_sync(lambda: first.recv(100))
+        first.sendall(f"{A} DONE 1\r\n!\r\n".encode())
+        await until(lambda: heard)
+        assert heard.pop() == (A, Outcome.OK, b"!") and pool.idle
+        first.close()  # its end lies unread, for the loop does not run
+        pool.tell("call", B, 500.0, b"?")
+        second = await anyio.to_thread.run_sync(lambda: service.accept()[0])
+        second.sendall(f"{B} DONE 1\r\n!\r\n".encode())
+        await until(lambda: heard)
+        assert heard == [(B, Outcome.OK, b"!")]
+        service.close(), second.close()
+
+    inside(play)
+
+
+def test_the_end_of_an_earlier_calls_connection_is_not_that_of_the_call_now_out() -> None:
+    async def play(rig: Inside) -> None:
+        service = listener()
+        pool, heard = told(rig.group, service.getsockname())
+        ends = []
+        for _ in range(2):
+            pool.tell("call", A, 500.0, b"?")
+            ends.append(await anyio.to_thread.run_sync(lambda: service.accept()[0]))
+        ends[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        ends[0].close()
+        await anyio.sleep(0.05)
+        assert not heard  # the first was given up by the second
+        ends[1].sendall(f"{A} DONE 1\r\n!\r\n".encode())
+        await until(lambda: heard)
+        assert heard == [(A, Outcome.OK, b"!")] and not pool.on
+        service.close(), ends[1].close()
+
+    inside(play)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -510,7 +510,7 @@
         before = cpu_ticks(server.process.pid)
         runtime.idle(25)  # about a second of rings
         assert cpu_ticks(server.process.pid) - before < 60  # of 100 a second
-        settles(runtime, gateway, A)
+        settles(runtime, server.gateway(), A)  # somebody who asks gets in beside all those that only hold on
         for sock in many:
             sock.close()
         settles(runtime, server.gateway(), B)
