--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -224,9 +224,7 @@
             self.sock.close()
         for peer in self.peers:  # nothing is awaited from the last look to the end of hearing
             peer.stream.catch_up()
-        self.helm.turn()  # what came with the last look is declined
-        for peer in self.peers:
-            peer.stream.leave(LEFT, LAST_S)
+            peer.stream.leave(LEFT, LAST_S)  # which waits for the answers to what came with that look
         with anyio.move_on_after(LAST_S):
             await self._until_left()
 
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -151,9 +151,7 @@
         return link
 
     def ended(self, link: Link, call: str, outcome: Outcome, body: bytes = b"") -> None:
-        del link.calls[call]
-        if self.on.get(call) is link:  # else a later call for this txn is out on another
-            del self.on[call]
+        del link.calls[call], self.on[call]
         self.helm.post(self.helm.core.replied, call, outcome, body, of=call)
 
     def gone(self, link: Link) -> None:
--- a/tests/test_otterrudder.py
+++ b/tests/test_otterrudder.py
@@ -1,10 +1,12 @@
+import json
 import struct
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
-from helpers import play
+from helpers import ROOT, play
 
 from otterrudder.drill import frames
 
@@ -58,6 +60,23 @@
     assert (done.returncode, done.stdout) == (0, bytes.fromhex("0000000400000000") * 2)
 
 
+def test_an_instance_boots_and_starts_a_txn_by_the_deploy_files_own_words() -> None:
+    sim = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["sim"]
+    looks = {"effect": "safe", "hardLimitUs": 2900000, "promiseUs": 1200000, "worth": 1}
+    env = json.dumps({"classes": [looks],
+                      "familyInfo": {"cores": 2, "memoryKb": 9000.0, "runFactor": 4.0},
+                      "rules": {"fallMultiple": 4.0, "fallUs": 2000000}, "tickUs": 4000}).encode()
+    boot = struct.pack(">HHQI", 6, 3, 99, len(env)) + env
+    txn = struct.pack(">HHQIQfQIfHIHIH", 1, 3, 0x2964F0E6F2B19, 0, 0, 24.5, 0, 0, 0.6, 0, 0, 0, 17, 0)
+    body = struct.pack(">QI", 8412250, 2) + boot + txn
+    batch = struct.pack(">I", len(body)) + body
+    done = subprocess.run(["/bin/sh", "-c", sim], input=batch, capture_output=True, timeout=60, cwd=ROOT)
+    assert done.returncode == 0, done.stderr.decode()
+    size, count = struct.unpack_from(">II", done.stdout)
+    assert size + 4 == len(done.stdout) and count, done.stdout.hex()
+    assert struct.pack(">HHQ", 76, 3, 0x2964F0E6F2B19) in done.stdout, done.stdout.hex()
+
+
 @pytest.mark.parametrize(
     "data", [EMPTY[:9], EMPTY[:4], BATCH[:40], b"\0\0\0\x0d" + EMPTY[4:] + b"\0",
              EMPTY[:12] + b"\0\0\0\1" , b"\0\0\0\x0e" + EMPTY[4:15] + b"\x01\0\x63"]
