Calls below come back by degrees after a break, and not all servers' at once

Seen (decisions alone, simulated time, tests/test_calls.py): servers whose breaker opened together made their trials in step, and one good trial freed all that waited. With 10 waiting each, 1, 4, 20 and 30 servers sent 10, 40, 200, 300 calls within 100 ms of the return, all of them. A service that has just started meets the sum.

Change: single trials keep 500 to 750 ms apart, drawn by server; the gap halves with each call that goes well and is gone after five.

--- a/otterrudder/logic.py
+++ b/otterrudder/logic.py
@@ -52,7 +52,7 @@
 PACE_MOST = 3.0  # most that one run counts in the pace: a few costly txns are no slow server
 CALL_PAUSE_MS = 60.0  # ms before a call known not to have run is tried again, as much longer with each try
 BREAK_AFTER = 8  # failed calls in a row that open the breaker: one caller's share of a crash is fewer
-BREAK_MS = 500.0  # ms between single trials while it is open
+BREAK_MS = 500.0  # least ms between single trials while it is open, half as much after each that went well
 WAIT_AIM = 0.12  # share of the SLA time spent waiting, read or unread, at which callers are asked for less
 PRESSURE_STEP = 0.01  # pressure gained a ring for each WAIT_AIM above it: full in two to four seconds
 BEYOND_MOST = 2.0  # most WAIT_AIMs above it that count in a ring: a burst must not fill the pressure at once
@@ -522,7 +522,8 @@
     def __init__(self, rudder: "Rudder", below: str, span_ms: float, linger_ms: float) -> None:
         self.rudder, self.shared, self.linger = rudder, below == "shared", linger_ms
         self.debt, self.counted, self.out = 0.0, rudder.now, 0  # ms beyond the share, as of; calls out
-        self.failed, self.next_trial, self.room = 0, 0.0, span_ms * CALLS_ROOM  # in a row; of debt, in shares
+        self.failed, self.room = 0, span_ms * CALLS_ROOM  # in a row; of debt, in shares
+        self.gap = self.called = 0.0  # ms that calls keep apart, 0 but after a break; when the last went out
         self.queue: deque[Txn] = deque()  # waiting for leave to call
 
     def _count(self, by: int) -> None:
@@ -532,10 +533,8 @@
 
     def _allowed(self) -> bool:
         self._count(0)
-        if self.failed >= BREAK_AFTER and self.rudder.now < self.next_trial:
-            return False
-        share = self.rudder.limits.calls
-        return not self.shared or self.out + 1 <= max(share, 1) and self.debt <= share * self.room
+        due, share = self.rudder.now >= self.called + self.gap, self.rudder.limits.calls
+        return due and (not self.shared or self.out + 1 <= max(share, 1) and self.debt <= share * self.room)
 
     def want(self, txn: Txn) -> None:
         self.queue.append(txn)
@@ -552,8 +551,7 @@
                 self.rudder.steps.append(("omit", txn.ident))
                 self.rudder.slots.on_cores(txn)
             elif needed:
-                self.next_trial = self.rudder.now + BREAK_MS
-                txn.tries, txn.calling = txn.tries + 1, True
+                txn.tries, txn.calling, self.called = txn.tries + 1, True, self.rudder.now
                 self._count(1)
                 self.rudder.steps.append(("call", txn.ident, max(txn.due - self.rudder.now, 1.0)))
 
@@ -571,10 +569,12 @@
             if self.failed >= BREAK_AFTER:
                 self.rudder.steps.append(("log", f"calls below work again after {self.failed} failures"))
             self.failed = txn.tries = 0
+            self.gap = self.gap / 2 if self.gap > TICK_MS / 2 else 0.0  # by degrees: all others come back too
             self.rudder.slots.on_cores(txn)
         else:
             self.failed += outcome is not Outcome.FULL  # a tier that is merely full is not broken
             if self.failed == BREAK_AFTER and outcome is not Outcome.FULL:
+                self.gap = BREAK_MS * (1 + self.rudder.chance(txn.ident) / 2)  # no two servers in step
                 self.rudder.steps.append(("log", "calls below stop: too many failures in a row"))
             if txn.effectful and not outcome.never_ran:
                 self.rudder.void(txn)
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,56 @@
+"""What many servers together ask of a service below that was away: decisions alone, in simulated time."""
+
+import heapq
+
+import pytest
+from helpers import SETTINGS
+
+from otterrudder.boot import boot
+from otterrudder.interface import Outcome
+from otterrudder.logic import BREAK_MS, Rudder
+
+WAITING = 10  # txns of each server that stand at a call
+BACK_MS = 5000.0  # when the service is back
+TOOK_MS = 20.0  # ms of a call
+
+
+def calls_after_return(servers: int) -> list[float]:
+    """When calls went out, in ms from the return of the service; all fail before it."""
+    rudders = [boot(0.0, n, n, SETTINGS) for n in range(servers)]
+    due: list[tuple[float, int, int, str]] = []
+    sent = []
+
+    def take(n: int, now: float, rudder: Rudder) -> None:
+        for word, *rest in rudder.done():
+            if word == "wake":
+                heapq.heappush(due, (now + rest[0], n, -1, "ring"))
+            elif word == "run":
+                rudder.needs_call(rest[0])
+                take(n, now, rudder)
+            elif word == "call":
+                sent.append(now - BACK_MS)
+                heapq.heappush(due, (now + TOOK_MS, n, rest[0], "ok" if now >= BACK_MS else "reset"))
+
+    for n, rudder in enumerate(rudders):
+        for ident in range(1, WAITING + 1):
+            rudder.arrive(ident, 0, left_ms=16_000.0)
+        take(n, 0.0, rudder)
+    while due and due[0][0] < BACK_MS + 4000.0:
+        now, n, ident, what = heapq.heappop(due)
+        rudder = rudders[n]
+        rudder.at(now)
+        if what == "ring":
+            rudder.ring(0.2, 1.0)
+        else:
+            rudder.call_ended(ident, Outcome(what))
+        take(n, now, rudder)
+    return [at for at in sent if at >= 0]
+
+
+@pytest.mark.parametrize("servers", [1, 4, 20, 30])
+def test_a_service_that_is_back_is_not_asked_for_all_at_once(servers: int) -> None:
+    """All once sent all that waited within 100 ms: trials were in step, and one good one was enough."""
+    sent = calls_after_return(servers)
+    assert len(sent) == WAITING * servers and max(sent) < 2000.0  # all have gone out, each once
+    assert sum(at < BREAK_MS for at in sent) <= 2 * servers
+    assert max(sum(begins <= at < begins + 100 for at in sent) for begins in range(2000)) <= 2 * servers + 6
