--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import random
 from unittest.mock import Mock
 
@@ -88,9 +89,9 @@
 class Bench:
     """A core with what it sent, by address; answers are counted by their request."""
 
-    def __init__(self, **told: object) -> None:
-        self.core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS, **told),
-                              products_of(SETTINGS), gauge_names(SETTINGS))
+    def __init__(self, settings: dict = SETTINGS, **told: object) -> None:
+        self.core = core.Core(lambda now, warm, up: boot(now, 1, 1, settings, **told),
+                              products_of(settings), gauge_names(settings))
         self.now, self.answers, self.sent = 1000.0, {}, []
         self.step(self.core.begin, True, 1.0)
         self.step(self.core.linked)
@@ -282,3 +283,43 @@
     assert not any(left), left
     assert (rudder.slots.running, rudder.slots.in_hand, rudder.sessions.held) == (0, 0, 0)
     assert abs(rudder.memory.txns_kb) < 1e-6 and rudder.calls.out == 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize(("window", "expiry"), [(1000.0, 3000.0), (2000.0, 6000.0), (9000.0, 3000.0)])
+def test_a_window_shorter_than_a_run_a_deadline_or_a_wait_lets_nothing_run_twice(
+        seed: int, window: float, expiry: float) -> None:
+    """Books of their own: who was started, and when its try was written; runs last up to twice the window."""
+    pay = SETTINGS["classes"][1] | {"windowUs": window * 1e3, "hardLimitUs": expiry * 1e3,
+                                    "promiseUs": expiry * 0.7e3}
+    bench = Bench(SETTINGS | {"classes": [SETTINGS["classes"][0], pay]}, refs_most=30)
+    chance, marks, written, ran, running = random.Random(seed), {}, {}, {}, {}
+    for n in range(1, 1500):
+        mark, age = f"m{chance.randrange(25)}", chance.choice([0.0, 0.0, 5.0, 0.9 * expiry])
+        ms = chance.choice([0.0, 1.0, chance.expovariate(0.02), window / 7])
+        if near := [ends for ends, _, _ in ran.values() if ends > bench.now]:
+            ms = min(near) - bench.now + chance.choice([-1.0, 0.0, 1.0]) if chance.random() < 0.2 else ms
+        ms = max(ms, 0.0)
+        marks[f"{n:016x}"], written[f"{n:016x}"] = mark, bench.now + ms - age
+        out = bench.arrive(n, 1, mark, age=age, ttl=expiry, ms=ms)
+        while out:
+            for _, word, *rest in out:
+                if word != "start":
+                    continue
+                call, mark = rest[0], marks[rest[0]]
+                until, _, first = ran.get(mark, (-math.inf, 0.0, ""))
+                assert written[call] > until, f"{call} was written in the window of {first}, which ran"
+                ran[mark] = (written[call] + window, bench.now, call)
+                running[call] = bench.now + chance.uniform(0.0, 2 * window)
+            over = [call for call, ends in running.items() if ends <= bench.now]
+            if not over:
+                break
+            del running[over[0]]
+            how = chance.choice([Outcome.OK] * 4 + [Outcome.ERROR, Outcome.MOOT])
+            if how is Outcome.MOOT:  # nothing was started, so nothing ran
+                del ran[marks[over[0]]]
+            out = bench.step(bench.core.ended, over[0], how, over[0].encode())
+    for n, ((word, *rest), *more) in bench.answers.items():
+        assert not more
+        assert word != "settled" or marks[rest[0].decode()] == marks[f"{n:016x}"]  # nobody else's result
+    assert len(bench.words("start")) > 50 and len(bench.core.references) <= 25
