--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -223,7 +223,7 @@
 def test_whatever_comes_each_txn_has_one_answer_and_nothing_is_left_over(seed: int) -> None:
     """Random days: repeats, late and lost replies, links that break, callers that leave, a drain."""
     chance, bench = random.Random(seed), Bench(refs_most=40)
-    the_core, running, at_calls, gone, effects = bench.core, {}, set(), set(), {}
+    the_core, running, at_calls, out_below, gone, effects = bench.core, {}, set(), set(), set(), {}
     for n in range(1, 900):
         out = bench.arrive(n, chance.randrange(2), f"m{chance.randrange(60)}", ttl=chance.choice([300, 3000]),
                            age=chance.choice([0.0, 0.0, 250.0]), ms=chance.expovariate(0.05))
@@ -238,9 +238,10 @@
                         effects[mark] = bench.now
                     running[call] = rest[1]
                 elif word == "call":
-                    at_calls.add(rest[0])
+                    assert rest[0] not in out_below  # one at a time, whatever came of the one before
+                    at_calls.add(rest[0]), out_below.add(rest[0])
                 elif word in ("hang up", "give"):
-                    at_calls.discard(rest[0])
+                    at_calls.discard(rest[0]), out_below.discard(rest[0])
             what = chance.randrange(14)
             if what < 6 and running:
                 call = chance.choice(sorted(running))
@@ -254,7 +255,8 @@
                 news = bench.step(the_core.wants, chance.choice(calm), b"?")
             elif what < 10 and at_calls:
                 how = chance.choice([Outcome.OK, Outcome.FULL, Outcome.TIMEOUT, Outcome.RESET, Outcome.MOOT])
-                news = bench.step(the_core.replied, chance.choice(sorted(at_calls)), how, b"!")
+                out_below.discard(call := chance.choice(sorted(at_calls)))
+                news = bench.step(the_core.replied, call, how, b"!")
             elif what == 10:
                 gone.add(chance.randrange(1, n + 1))
                 news = bench.step(the_core.left, f"{max(gone):016x}")
