--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -75,6 +75,13 @@
     CLOSED = "closed"
 
 
+def _heard_by_nobody(_: Buffer) -> None: ...
+
+
+def _owes_nothing() -> bool:
+    return False
+
+
 class Stream:
     """One connection, read and written until either ends. Whoever runs `serve` owns it.
 
@@ -83,7 +90,7 @@
     side had not read yet. `end` is for a connection that is of no more use."""
 
     def __init__(self, sock: socket.socket, room: int, unsent_most: int, hear: Callable[[Buffer], None],
-                 owes: Callable[[], bool] = lambda: False, leave_s: float = 0.0) -> None:
+                 owes: Callable[[], bool] = _owes_nothing, leave_s: float = 0.0) -> None:
         """`hear` takes what is whole from the buffer; what it raises ends this connection and nothing else.
         `owes`: whether something that was heard is still to be answered. `leave_s`: s to write that and to
         read out what still comes, once it is left; 0: whoever is left has nothing to come."""
@@ -113,6 +120,9 @@
             self.end("the server ends")
             self.parts.clear()
             self.sock.close()
+            # Its owner and it held on to each other: left to the collector, the buffers of a day of short
+            # connections are memory that grows.
+            self.hear, self.owes = _heard_by_nobody, _owes_nothing
         return self.why
 
     def send(self, parts: Iterable[bytes]) -> None:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -4,6 +4,7 @@
 a test unless the test waits. `docs/design/closes.md` has the states."""
 
 import contextlib
+import gc
 import json
 import os
 import random
@@ -12,6 +13,7 @@
 import socket
 import struct
 import time
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from unittest.mock import Mock
@@ -304,6 +306,26 @@
     inside(play)
 
 
+def test_a_connection_that_is_over_leaves_nothing_to_the_collector() -> None:
+    async def play(rig: Inside) -> None:
+        gc.disable()
+        try:
+            gateway, peer = await rig.connect()
+            gateway.sock.sendall(look(gateway, A))
+            await rig.served(gateway, A)
+            gateway.close()
+            gone = weakref.ref(peer)
+            del peer
+            await until(lambda: not rig.gateways.peers)
+            rig.helm.turn()
+            await rest()
+            assert gone() is None
+        finally:
+            gc.enable()
+
+    inside(play)
+
+
 def test_what_comes_with_the_last_look_is_answered_and_what_comes_after_is_not_begun() -> None:
     async def play(rig: Inside) -> None:
         resting, half, busy = [(await rig.connect())[0] for _ in range(3)]
