Room is made while another peer is still owed an answer; links are ended as before

Links to the runtime and below are ended at once again: leaving them protects nothing and kept a moved runtime link waiting for up to 50 ms.

--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -255,9 +255,9 @@
                 self.full = False
                 return 0.0
             except OSError as trouble:
-                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    # There are fewer than was told: the links below need theirs too.
+                if trouble.errno == errno.EMFILE:  # fewer than was told: the links below need theirs too
                     self.most = max(min(self.most, len(self.peers) - ROOM_MADE), PEERS_LEAST)
+                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     return self._pause(str(trouble))
                 most -= 1
                 continue  # that one connection went before it was taken
@@ -283,7 +283,7 @@
 
     def _make_room(self) -> bool:
         """Some go at once: the longest wordless, then the longest quiet. Whether any is on its way out."""
-        if any(peer.stream.why for peer in self.peers):
+        if any(peer.stream.why == ROOM for peer in self.peers):  # others may be owed something for long
             return True
         now = clock.monotonic()
         rested = [peer for peer in self.peers if not peer.is_busy() and (self.is_leaving
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -19,7 +19,6 @@
 SWEEP_S = 0.1  # s between looks for connections unused or stuck
 CARRIED_MOST = 16  # last calls known of a connection: a txn's next call must not meet a copy of its reply
 UNSENT_MOST = 1 << 20  # bytes not yet read by the service
-LEAVE_S = 0.05  # s in which the service may close one that takes no more calls: it is on this machine
 CONNECT_S = 1.0  # s to connect: a proxy on this machine answers at once or hangs
 
 
@@ -49,7 +48,7 @@
     def spend(self, why: str) -> None:
         self.spent = self.spent or why
         if self.stream and not self.calls:
-            self.stream.leave(self.spent, LEAVE_S)
+            self.stream.end(self.spent)
 
     def has_gone(self) -> bool:
         """Whether the service has ended it, or says more than it was asked for, and nobody has read that yet:
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -14,7 +14,6 @@
 UNSENT_MOST = 8 << 20  # bytes not yet read by the runtime; past that it hangs, and a new link tells more
 ANEW_MS = 5000.0  # ms a runtime may seem younger before it counts as another: a pause may lie between
 MOVE_S = 0.3  # s that the old link has to prove what it read when the runtime's address changes
-LEAVE_S = 0.05  # s in which the runtime may close the old link: it is on this machine
 MOVED = "the address has changed"
 REPLAYED = "replayed"  # tag of the gauges whose answer ends the replay: commands are dealt with in order
 
@@ -34,7 +33,7 @@
         """The core is asked first: what it decides from then on waits for the new link."""
         self.address, self.left = address, self.stream
         if self.stream and self.replaying:
-            self.stream.leave(MOVED, LEAVE_S)  # nothing was sent on it
+            self.stream.end(MOVED)  # nothing was sent on it
         elif self.stream:
             self.helm.post(self.helm.core.leave_link)
 
@@ -95,7 +94,7 @@
 
     async def _end_late(self, stream: sockets.Stream) -> None:
         await anyio.sleep(MOVE_S)
-        stream.leave(MOVED, LEAVE_S)
+        stream.end(MOVED)
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
         for words, body in lines.messages(buffer, lines.runtime_body):
@@ -130,7 +129,7 @@
             else:
                 self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
                 if words[1] == self.leaving:
-                    self.stream.leave(MOVED, LEAVE_S)
+                    self.stream.end(MOVED)
         elif word == "ready":
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
