A mistyped setting is named at the start; once it ended in a trace, or in no service

Seen by trying: 'gauges': 7 ended a start in a trace, a windowUs that is text was told without its field, and rules or tickUs of the wrong kind passed the check: the module could then not be made once the runtime was up, and the server declined for good. The rest of the settings is passed over as before.

--- a/otterrudder/net/configuration.py
+++ b/otterrudder/net/configuration.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from otterrudder.boot import products_of
+from otterrudder.boot import boot
 
 MOVABLE = ("runtime", "records", "registry")  # what a new configuration changes without a restart
 _Above0 = Annotated[float, msgspec.Meta(gt=0)]
@@ -25,6 +25,9 @@
 
 
 class _Class(msgspec.Struct):
+    name: str | None = None
+    effect: str | None = None  # a word that is not known is taken for the one that forbids most, see boot.py
+    windowUs: _NotBelow0 | None = None
     promiseUs: _Above0 | None = None
     hardLimitUs: _Above0 | None = None
     lateWorth: _NotBelow0 | None = None
@@ -32,6 +35,7 @@
 
 
 class _Realm(msgspec.Struct):
+    name: str | None = None
     share: _NotBelow0 | None = None
     allowancePerS: _NotBelow0 | None = None
 
@@ -43,6 +47,32 @@
 class _FamilyInfo(msgspec.Struct):
     stopMode: Literal["silent", "drop", "pause"] | None = None
     callsOut: _NotBelow0 | None = None
+    cores: _NotBelow0 | None = None
+    callers: _NotBelow0 | None = None
+    memoryKb: _NotBelow0 | None = None
+    runFactor: _NotBelow0 | None = None
+    keyKb: _NotBelow0 | None = None
+    callerIdleUs: _NotBelow0 | None = None
+    depWindowUs: _NotBelow0 | None = None
+    lingerUs: _NotBelow0 | None = None
+    gauges: list[str] | None = None
+    classCalls: list[bool | int | None] | None = None
+    classSkipWorth: list[float | None] | None = None
+    below: str | None = None
+    say: str | None = None
+    freshStart: bool | int | None = None
+
+
+class _Rules(msgspec.Struct):
+    fallMultiple: _NotBelow0 | None = None
+    coldFrom: _NotBelow0 | None = None
+    coldUs: _NotBelow0 | None = None
+    drainGraceUs: _NotBelow0 | None = None
+
+
+class _SiteLimits(msgspec.Struct):
+    maxRetryAfterUs: _NotBelow0 | None = None
+    retryAfter: bool | int | None = None
 
 
 class _Settings(msgspec.Struct):
@@ -52,6 +82,10 @@
     realms: list[_Realm] | None = None
     clients: _Clients | None = None
     familyInfo: _FamilyInfo | None = None
+    rules: _Rules | None = None
+    limits: _SiteLimits | None = None
+    me: float | None = None
+    tickUs: _NotBelow0 | None = None
     servers: Annotated[int, msgspec.Meta(ge=1)] | None = None
     overShareWorth: _NotBelow0 | None = None
 
@@ -92,12 +126,12 @@
         for name in ("listen", *MOVABLE):
             if (value := getattr(checked, name)) is not None:
                 address(value, name)
-        products_of(told["settings"])
+        boot(0.0, 0, 1, told["settings"])  # what is well formed and yet can't be started with
     except msgspec.ValidationError as trouble:
         what, _, at = str(trouble).partition(" - at `$.")
         where = at.rstrip("`")
         raise BadConfiguration(f"the configuration {path}: {f'{where}: ' if where else ''}{what}") from None
-    except (TypeError, ValueError, AttributeError) as trouble:
+    except (TypeError, ValueError, AttributeError, LookupError, ArithmeticError) as trouble:
         raise BadConfiguration(f"the configuration {path}: settings: {trouble}") from None
     except BadConfiguration as trouble:
         raise BadConfiguration(f"the configuration {path}: {trouble}") from None
