--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -270,16 +270,24 @@
         super().__init__(sock, b"\n")
         self.count = 0
 
-    def ask(self, method: str, **params: object) -> int:
+    def message(self, method: str, **params: object) -> bytes:
+        """The next request, not sent."""
         self.count += 1
-        message = {"jsonrpc": "2.0", "id": self.count, "method": method, "params": params}
-        self.sock.sendall(json.dumps(message).encode() + b"\n")
-        return self.count
+        told = {"jsonrpc": "2.0", "id": self.count, "method": method, "params": params}
+        return json.dumps(told).encode() + b"\n"
 
-    def txn(self, call: str, product: str = "look", body: bytes = b"ask", **params: object) -> int:
+    def txn_message(self, call: str, product: str = "look", body: bytes = b"ask", **params: object) -> bytes:
         fields = {"call": call, "recv": round(time.time() * 1000), "src": 4, "org": "north", "ttl": 15000,
                   "heap": 20.0, "crit": 0.5, "blob": base64.b64encode(body).decode()}
-        return self.ask(product, **(fields | params))
+        return self.message(product, **(fields | params))
+
+    def ask(self, method: str, **params: object) -> int:
+        self.sock.sendall(self.message(method, **params))
+        return self.count
+
+    def txn(self, call: str, product: str = "look", body: bytes = b"ask", **params: object) -> int:
+        self.sock.sendall(self.txn_message(call, product, body, **params))
+        return self.count
 
     def answer(self) -> dict:
         while True:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -125,15 +125,6 @@
     return await anyio.to_thread.run_sync(read)
 
 
-def look(gateway: Gateway, call: str) -> bytes:
-    """The bytes of a good txn."""
-    gateway.count += 1
-    params = {"call": call, "recv": round(time.time() * 1000), "src": 4, "org": "north", "ttl": 15000,
-              "heap": 20.0, "crit": 0.5, "blob": "YXNr"}
-    message = {"jsonrpc": "2.0", "id": gateway.count, "method": "look", "params": params}
-    return json.dumps(message).encode() + b"\n"
-
-
 def owe(peer: gateways.Peer) -> None:
     """Answers of the longest kind, more than the system holds for a slow reader."""
     for n in range(ANSWERS):
@@ -161,7 +152,7 @@
     async def play(rig: Inside) -> None:
         gateway, peer = await rig.connect()
         due = at_rest(peer)
-        gateway.sock.sendall(look(gateway, A))  # in the queue, for the loop does not run
+        gateway.sock.sendall(gateway.txn_message(A))  # in the queue, for the loop does not run
         ends(peer, due)
         assert "result" in await rig.served(gateway, A)
 
@@ -173,7 +164,7 @@
         ends: Callable[[gateways.Peer, float], None]) -> None:
     async def play(rig: Inside) -> None:
         gateway, peer = await rig.connect()
-        due, data = at_rest(peer), look(gateway, A)
+        due, data = at_rest(peer), gateway.txn_message(A)
         gateway.sock.sendall(data[:40])
         ends(peer, due)
         await rest()
@@ -188,10 +179,10 @@
     async def play(rig: Inside) -> None:
         monkeypatch.setattr(gateways, "HALF_MS", 50.0)
         gateway, peer = await rig.connect()
-        gateway.sock.sendall(look(gateway, A))
+        gateway.sock.sendall(gateway.txn_message(A))
         await rig.served(gateway, A)
         await anyio.sleep(0.06)  # the rest, longer than a half may last
-        data, before = look(gateway, B), peer.quiet_since
+        data, before = gateway.txn_message(B), peer.quiet_since
         gateway.sock.sendall(data[:40])
         await until(lambda: peer.quiet_since > before)
         peer.sweep(peer.quiet_since, 1e9, *SWEEP[1:])  # in the moment in which it came
@@ -206,7 +197,7 @@
     async def play(rig: Inside) -> None:
         gateway, peer = await rig.connect()
         at_rest(peer)
-        data = look(gateway, A)
+        data = gateway.txn_message(A)
         gateway.sock.sendall(data[:40])
         await until(lambda: peer.half_since < 1e300)
         gateway.sock.sendall(data[40:50])
@@ -251,9 +242,9 @@
     # 30 KB of wrong lines: most of them lie unread as the sixth ends the connection.
     async def play(rig: Inside) -> None:
         gateway, _ = await rig.connect()
-        gateway.sock.sendall(look(gateway, A) + b"{\n" * 15_000)
+        gateway.sock.sendall(gateway.txn_message(A) + b"{\n" * 15_000)
         await until(lambda: rig.turned() and rig.runtime.started == [A])
-        gateway.sock.sendall(look(gateway, B))  # after the last wrong one: never heard
+        gateway.sock.sendall(gateway.txn_message(B))  # after the last wrong one: never heard
         rig.helm.post(rig.helm.core.ended, A, Outcome.OK, b"r" * 4096)
         rig.helm.turn()
         lines = (await end(gateway)).splitlines()
@@ -310,13 +301,13 @@
     # It is on its way out as long as its txn runs; the others were once not asked meanwhile.
     async def play(rig: Inside) -> None:
         owed, owed_peer = await rig.connect()
-        owed.sock.sendall(look(owed, A) + b"{\n" * 6)
+        owed.sock.sendall(owed.txn_message(A) + b"{\n" * 6)
         await until(lambda: owed_peer.stream.why and rig.turned() and rig.runtime.started)
         resting = [await rig.connect() for _ in range(rig.gateways.most - 1)]
         for _, peer in resting:
             peer.quiet_since = -1e9
         newcomer = Gateway(rig.gateways.sock.getsockname())
-        newcomer.sock.sendall(look(newcomer, B))
+        newcomer.sock.sendall(newcomer.txn_message(B))
         rig.group.start_soon(rig.gateways._accept, rig.group)
         assert "result" in await rig.served(newcomer, B)
         assert owed_peer in rig.gateways.peers
@@ -332,7 +323,7 @@
         gc.disable()
         try:
             gateway, peer = await rig.connect()
-            gateway.sock.sendall(look(gateway, A))
+            gateway.sock.sendall(gateway.txn_message(A))
             await rig.served(gateway, A)
             gateway.close()
             gone = weakref.ref(peer)
@@ -350,7 +341,7 @@
 def test_what_comes_with_the_last_look_is_answered_and_what_comes_after_is_not_begun() -> None:
     async def play(rig: Inside) -> None:
         resting, half, busy = [(await rig.connect())[0] for _ in range(3)]
-        data = look(half, B)
+        data = half.txn_message(B)
         half.sock.sendall(data[:30])
         left = rig.gateways._until_left
 
@@ -359,9 +350,9 @@
             try:
                 await left()
             finally:  # the time that peers have is over; nothing runs from here to the last look
-                resting.sock.sendall(look(resting, A))
+                resting.sock.sendall(resting.txn_message(A))
                 half.sock.sendall(data[30:])
-                busy.sock.sendall(look(busy, C)[:50])
+                busy.sock.sendall(busy.txn_message(C)[:50])
 
         rig.gateways._until_left = last_moment
         rig.helm.post(rig.helm.core.retire, 0.0)  # the stop is now
@@ -437,7 +428,7 @@
         rig.helm.post(the_core.retire, 1500.0)
         rig.helm.post(the_core.begin, True, 60_000.0)
         rig.helm.post(the_core.linked)
-        gateway.sock.sendall(look(gateway, A))
+        gateway.sock.sendall(gateway.txn_message(A))
         await rest()
         rig.group.start_soon(rig.helm.run)
         await rig.gateways.run(rig.group)  # it ends by itself
@@ -471,7 +462,7 @@
         rig.group.start_soon(run)
         rig.group.start_soon(rig.helm.run)
         gateway, _ = await rig.connect()
-        gateway.sock.sendall(look(gateway, A))
+        gateway.sock.sendall(gateway.txn_message(A))
         await until(lambda: rig.runtime.started)
         await anyio.sleep(2 * (gateways.CROSS_S + gateways.LAST_S))  # longer than a way out takes
         assert not over.is_set()
@@ -565,7 +556,7 @@
         rig.helm.watch.next = 0.0
         rig.helm.turn()
         gateway, _ = await rig.connect()
-        gateway.sock.sendall(look(gateway, A))
+        gateway.sock.sendall(gateway.txn_message(A))
         assert "result" in await rig.served(gateway, A)
 
     inside(play)
