--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check --quiet .
 	.venv/bin/mypy
 
 run: build  ## serve; NODE_CONFIG names the configuration
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -20,7 +20,12 @@
 SKIPPED = 1  # the first line of turns: the start is in it
 SPAN_S = 21.0  # two of the server's own reports
 FAULTS: dict[str, dict[str, object]] = {
-    "off": {}, "on": {}, "slow": {"slow_ms": 300}, "silent": {"down": True}, "flood": {"flood": 4000}}
+    "off": {},
+    "on": {},
+    "slow": {"slow_ms": 300},
+    "silent": {"down": True},
+    "flood": {"flood": 4000},
+}
 
 
 async def measure(name: str) -> dict[str, float]:
@@ -37,8 +42,11 @@
                     if name == "flood":
                         await rig.tell_store(**FAULTS[name])
         log = (rig.places[0].folder / "log.txt").read_text()
-        turns = [dict(re.findall(r"(\w+)=([\d.]+)", line)) for line in log.splitlines()
-                 if line.startswith("turns ")][SKIPPED:]
+        turns = [
+            dict(re.findall(r"(\w+)=([\d.]+)", line))
+            for line in log.splitlines()
+            if line.startswith("turns ")
+        ][SKIPPED:]
         last = [line for line in log.splitlines() if "event=doing" in line][-1]
         told = dict(re.findall(r"(\w+)=([\d.]+)", last))
         txns = sum(a.answered > 0 for a in rig.wire.asked) / SPAN_S * 10
@@ -52,10 +60,12 @@
     for name in sys.argv[1:] or FAULTS:
         told = await measure(name)
         cpu = told["cpu_s"] * 1e6 / max(told["txns"], 1)
-        print(f"{name:8} {cpu:7.0f} us of CPU a txn, ticks and all; {told['rss_mb']:5.1f} MB; worst turn "
-              f"{told['worst_cpu_ms']:4.2f} ms of CPU ({told['over_1ms']:.0f} of {told['turns']:.0f} over "
-              f"1 ms), {told['worst_turn_ms']:4.1f} ms, worst ring late by "
-              f"{told['worst_ring_late_ms']:4.1f} ms")
+        print(
+            f"{name:8} {cpu:7.0f} us of CPU a txn, ticks and all; {told['rss_mb']:5.1f} MB; worst turn "
+            f"{told['worst_cpu_ms']:4.2f} ms of CPU ({told['over_1ms']:.0f} of {told['turns']:.0f} over "
+            f"1 ms), {told['worst_turn_ms']:4.1f} ms, worst ring late by "
+            f"{told['worst_ring_late_ms']:4.1f} ms"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -1,6 +1,6 @@
 """What levels of reduced service cost a txn: a core without them, with them idle, with one in force.
 
-    .venv/bin/python benchmarks/levels.py            # pyperf; --fast for a quick look
+.venv/bin/python benchmarks/levels.py            # pyperf; --fast for a quick look
 """
 
 import sys
@@ -35,8 +35,20 @@
         now += 5.0
         call = f"{n:016x}"
         core.at(now + 1e12, now)
-        core.arrive("peer", n + 1, 0, call=call, recv=now + 1e12, ttl=2000.0, kb=20.0, tenant=0,
-                    key=n % 997 + 1, retry=False, dedupe="", body=b"body")
+        core.arrive(
+            "peer",
+            n + 1,
+            0,
+            call=call,
+            recv=now + 1e12,
+            ttl=2000.0,
+            kb=20.0,
+            tenant=0,
+            key=n % 997 + 1,
+            retry=False,
+            dedupe="",
+            body=b"body",
+        )
         core.done()
         core.at(now + 1e12, now + 2.0)
         core.ended(call, Outcome.OK, b"result")
--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -56,8 +56,10 @@
             server.process.kill()
     took.sort()
     nine = took[min(int(len(took) * 0.9), len(took) - 1)]
-    print(f"{servers} at once on one core: median {took[len(took) // 2]:.2f} s, nine in ten {nine:.2f} s, "
-          f"last {took[-1]:.2f} s; {'within' if nine <= READY_S else 'OVER'} {READY_S:.0f} s")
+    print(
+        f"{servers} at once on one core: median {took[len(took) // 2]:.2f} s, nine in ten {nine:.2f} s, "
+        f"last {took[-1]:.2f} s; {'within' if nine <= READY_S else 'OVER'} {READY_S:.0f} s"
+    )
 
 
 if __name__ == "__main__":
--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -43,9 +43,11 @@
 
 def limits_of(settings: dict) -> Limits:
     told = settings.get("limits") or {}
-    return Limits(_ms(told, "maxRetryAfterUs") if told.get("retryAfter") else 0.0,
-                  (settings.get("familyInfo") or {}).get("callsOut") or 0.0,
-                  settings.get("overShareWorth") or 0.0)
+    return Limits(
+        _ms(told, "maxRetryAfterUs") if told.get("retryAfter") else 0.0,
+        (settings.get("familyInfo") or {}).get("callsOut") or 0.0,
+        settings.get("overShareWorth") or 0.0,
+    )
 
 
 def below_of(settings: dict) -> str:
--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -48,8 +48,14 @@
 TRIES_MOST = 5  # of a commit whose answer was lost, each after a reading of what became of it
 _T = TypeVar("_T")
 
-FILE = click.option("--fleet", "file", envvar="OTTERRUDDER_FLEET", required=True, metavar="FILE",
-                    help="TOML file of the fleet (or OTTERRUDDER_FLEET).")
+FILE = click.option(
+    "--fleet",
+    "file",
+    envvar="OTTERRUDDER_FLEET",
+    required=True,
+    metavar="FILE",
+    help="TOML file of the fleet (or OTTERRUDDER_FLEET).",
+)
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="As JSON, for scripts.")
 
 
@@ -143,19 +149,42 @@
     members = []
     for name, roster in sorted(view.rosters.items()):
         live, vote = lives.get(name), votes.get(name)
-        members.append(dict(
-            name=name, alive=live is not None, state=live.state if live else "down or cut off",
-            version=live.version if live else None, zone=live.zone if live else "",
-            program=live.program if live else "", absent=roster.absent,
-            vote=None if vote is None else "yes" if vote.yes else f"no: {vote.why}"))
+        members.append(
+            dict(
+                name=name,
+                alive=live is not None,
+                state=live.state if live else "down or cut off",
+                version=live.version if live else None,
+                zone=live.zone if live else "",
+                program=live.program if live else "",
+                absent=roster.absent,
+                vote=None if vote is None else "yes" if vote.yes else f"no: {vote.why}",
+            )
+        )
     return dict(
-        fleet=view.keys.fleet, store_id=f"{view.snapshot.cluster:x}", revision=view.snapshot.revision,
-        policy=dict(version=head.version, digest=head.digest, author=head.author, note=head.note,
-                    at=_when(head.at)) if head else None,
-        change=dict(id=change.id, version=change.version, author=change.author, note=change.note,
-                    owed=list(told.owed), left_out=list(told.left_out),
-                    noes=[f"{name}: {why}" for name, why in told.noes]) if change and told else None,
-        trial=_trial(view), members=members, strangers=sorted(set(lives) - set(view.rosters)))
+        fleet=view.keys.fleet,
+        store_id=f"{view.snapshot.cluster:x}",
+        revision=view.snapshot.revision,
+        policy=dict(
+            version=head.version, digest=head.digest, author=head.author, note=head.note, at=_when(head.at)
+        )
+        if head
+        else None,
+        change=dict(
+            id=change.id,
+            version=change.version,
+            author=change.author,
+            note=change.note,
+            owed=list(told.owed),
+            left_out=list(told.left_out),
+            noes=[f"{name}: {why}" for name, why in told.noes],
+        )
+        if change and told
+        else None,
+        trial=_trial(view),
+        members=members,
+        strangers=sorted(set(lives) - set(view.rosters)),
+    )
 
 
 def _trial(view: View) -> dict[str, str] | None:
@@ -163,8 +192,10 @@
     if not trial:
         return None
     now = figures_of(view, trial)
-    return dict(conditions=_in_words(trial.conditions),
-                now=", ".join(f"{fact} {value:.3g}" for fact, value in now.items()) or "not known yet")
+    return dict(
+        conditions=_in_words(trial.conditions),
+        now=", ".join(f"{fact} {value:.3g}" for fact, value in now.items()) or "not known yet",
+    )
 
 
 def _in_words(conditions: tuple[tuple[str, float], ...]) -> str:
@@ -173,9 +204,12 @@
 
 def _lines(told: dict[str, Any]) -> list[str]:
     policy, change = told["policy"], told["change"]
-    in_force = (f"version {policy['version']} in force since {policy['at']} "
-                f"({policy['author'] or 'unnamed'}: {policy['note'] or 'no note'})"
-                if policy else "no policy yet: each server goes by its own files")
+    in_force = (
+        f"version {policy['version']} in force since {policy['at']} "
+        f"({policy['author'] or 'unnamed'}: {policy['note'] or 'no note'})"
+        if policy
+        else "no policy yet: each server goes by its own files"
+    )
     lines = [f"{told['fleet']}, on the store {told['store_id']}: {in_force}"]
     if told["trial"]:
         trial = told["trial"]
@@ -187,8 +221,10 @@
     for member in told["members"]:
         version = "-" if member["version"] is None else str(member["version"])
         vote = f"  {member['vote']}" if member["vote"] else ""
-        lines.append(f"  {member['name']:{wide}}  {version:>4}  {member['state']}"
-                     f"{'  ' + member['zone'] if member['zone'] else ''}{vote}")
+        lines.append(
+            f"  {member['name']:{wide}}  {version:>4}  {member['state']}"
+            f"{'  ' + member['zone'] if member['zone'] else ''}{vote}"
+        )
     return lines
 
 
@@ -203,6 +239,7 @@
     """Say that the server NAME is gone for good: no change waits for it any more.
 
     Its folder must never serve again. One that comes back joins anew, with what is in force then."""
+
     async def act(store: Store) -> None:
         for _ in range(TRIES_MOST):
             try:
@@ -245,8 +282,11 @@
 def diff(file: str, policy_file: Path) -> None:
     """What POLICY_FILE would change; exits with 1 if anything."""
     name, before = _text(file, None, "")
-    lines = list(difflib.unified_diff(before.splitlines(True), _text_of(policy_file).splitlines(True), name,
-                                      str(policy_file)))
+    lines = list(
+        difflib.unified_diff(
+            before.splitlines(True), _text_of(policy_file).splitlines(True), name, str(policy_file)
+        )
+    )
     click.echo("".join(lines), nl=False)
     sys.exit(1 if lines else 0)
 
@@ -268,8 +308,14 @@
 
 _AUTHOR = click.option("--author", default=lambda: os.environ.get("USER", ""), help="Who asks for it.")
 _NOTE = click.option("--note", default="", help="Why, for the history.")
-_DEADLINE = click.option("--deadline", "deadline_s", type=click.FloatRange(1, 3600), default=30.0,
-                         show_default=True, help="Seconds until a change that waits is given up.")
+_DEADLINE = click.option(
+    "--deadline",
+    "deadline_s",
+    type=click.FloatRange(1, 3600),
+    default=30.0,
+    show_default=True,
+    help="Seconds until a change that waits is given up.",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,14 +350,27 @@
 @FILE
 @click.argument("policy_file", type=click.Path(path_type=Path))
 @click.option("--trial", "trial_s", type=click.FloatRange(1, 86_400), help="Seconds on trial.")
-@click.option("--if", "conditions", multiple=True, metavar="'FIGURE > NUMBER'",
-              help="In the mean of the fleet during the trial: it goes back by itself. May be given again.")
+@click.option(
+    "--if",
+    "conditions",
+    multiple=True,
+    metavar="'FIGURE > NUMBER'",
+    help="In the mean of the fleet during the trial: it goes back by itself. May be given again.",
+)
 @_AUTHOR
 @_NOTE
 @_DEADLINE
 @click.option("--first", is_flag=True, help="Also where nobody is of the fleet yet.")
-def apply(file: str, policy_file: Path, trial_s: float | None, conditions: tuple[str, ...], author: str,
-          note: str, deadline_s: float, first: bool) -> None:
+def apply(
+    file: str,
+    policy_file: Path,
+    trial_s: float | None,
+    conditions: tuple[str, ...],
+    author: str,
+    note: str,
+    deadline_s: float,
+    first: bool,
+) -> None:
     """Bring POLICY_FILE into force on all servers, or on none.
 
     Prints each vote as it comes. Interrupted, the change goes on by itself: `fleet status` shows it. On trial
@@ -340,8 +399,16 @@
     _change(file, _text(file, version)[1], author, note or f"back to version {version}", deadline_s)
 
 
-def _change(file: str, text: str, author: str, note: str, deadline_s: float, trial_s: float = 0.0,
-            conditions: tuple[tuple[str, float], ...] = (), first: bool = False) -> None:
+def _change(
+    file: str,
+    text: str,
+    author: str,
+    note: str,
+    deadline_s: float,
+    trial_s: float = 0.0,
+    conditions: tuple[tuple[str, float], ...] = (),
+    first: bool = False,
+) -> None:
     ident = secrets.token_hex(8)
     asked = Asked(ident, text, author, note, deadline_s * 1000, trial_s * 1000, conditions, first)
     end = _run(file, lambda store: _play(store, asked))
@@ -392,11 +459,23 @@
         if fate(view, ident):
             return view
         if not (view.rosters or view.policy or asked.is_first):  # so looks a store that was lost, too
-            _end(ABORTED, f"nobody is of {view.keys.fleet} yet on the store {view.snapshot.cluster:x}: is it "
-                          "the right one? --first puts a policy in force for servers to come")
+            _end(
+                ABORTED,
+                f"nobody is of {view.keys.fleet} yet on the store {view.snapshot.cluster:x}: is it "
+                "the right one? --first puts a policy in force for servers to come",
+            )
         try:
-            commit = propose(view, ident, asked.text, asked.author, asked.note, time.time() * 1000,
-                             asked.deadline_ms, asked.trial_ms, asked.conditions)
+            commit = propose(
+                view,
+                ident,
+                asked.text,
+                asked.author,
+                asked.note,
+                time.time() * 1000,
+                asked.deadline_ms,
+                asked.trial_ms,
+                asked.conditions,
+            )
         except Refused as why:
             _end(ABORTED, why)
         await store.commit(commit)
@@ -411,6 +490,7 @@
 @click.argument("ident")
 def withdraw_command(file: str, ident: str) -> None:
     """Give up the open change IDENT (`fleet status --json` names it)."""
+
     async def act(store: Store) -> None:
         view = await store.view()
         try:
@@ -429,6 +509,7 @@
 
 def _text(file: str, version: int | None, none: str | None = None) -> tuple[str, str]:
     """A committed policy's name and text. `none`: what stands for it where there was never one."""
+
     async def read(store: Store) -> tuple[str, str]:
         view = await store.view()
         head = view.policy
@@ -463,8 +544,9 @@
         else:
             told = tomllib.loads(text)
             named = [c for lv in tables_in(told.get("levels"), "level") for c in tables_in(lv, "cut")]
-            named += [{key: list(told[key])} for key in ("products", "tenants")
-                      if isinstance(told.get(key), dict)]
+            named += [
+                {key: list(told[key])} for key in ("products", "tenants") if isinstance(told.get(key), dict)
+            ]
             own = Own(*named_in(named))
         parse(text, own)
     except (BadPolicy, BadConfiguration, ValueError) as trouble:
--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -69,8 +69,13 @@
 @click.option("--shrink", is_flag=True, help="Cut a run that broke a claim down to the fewest faults.")
 @click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
 def processes(
-    file: Path, seed: int | None, servers: int | None, quick: bool, names: tuple[str, ...], shrink: bool,
-    folder: Path | None
+    file: Path,
+    seed: int | None,
+    servers: int | None,
+    quick: bool,
+    names: tuple[str, ...],
+    shrink: bool,
+    folder: Path | None,
 ) -> None:
     """Play an experiment FILE with processes of the program and faults between them; exits with 1 if a claim
     does not hold. Needs the extra `fleet` as well."""
--- a/otterrudder/drill/frames.py
+++ b/otterrudder/drill/frames.py
@@ -28,8 +28,14 @@
 }
 INBOUND, LEFT, FINISHED, NEEDS, CALLED, BOOT, RETIRE, KILL, RING = range(1, 10)
 OUTCOMES = {
-    0: Outcome.OK, 13: Outcome.ERROR, 8: Outcome.FULL, 4: Outcome.TIMEOUT, 14: Outcome.UNREACHED,
-    10: Outcome.RESET, 1: Outcome.STOPPED, 9: Outcome.MOOT,
+    0: Outcome.OK,
+    13: Outcome.ERROR,
+    8: Outcome.FULL,
+    4: Outcome.TIMEOUT,
+    14: Outcome.UNREACHED,
+    10: Outcome.RESET,
+    1: Outcome.STOPPED,
+    9: Outcome.MOOT,
 }
 _WAKE = struct.Struct(">HHII")
 _ADVERTISE = struct.Struct(">HHf")
--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -44,8 +44,16 @@
         if code == frames.INBOUND:
             ident, _hint, earlier, kb, key, age, rank, product, left, flags, _source, tenant = f
             rudder.arrive(
-                ident, product, tenant=tenant, key=key, kb=kb, age_ms=age / 1000,
-                left_ms=left / 1000, earlier=earlier, retry=bool(flags & 2), rank=rank,
+                ident,
+                product,
+                tenant=tenant,
+                key=key,
+                kb=kb,
+                age_ms=age / 1000,
+                left_ms=left / 1000,
+                earlier=earlier,
+                retry=bool(flags & 2),
+                rank=rank,
             )
         elif code == frames.FINISHED:
             rudder.finished(f[0], frames.OUTCOMES.get(f[1], Outcome.ERROR))
--- a/otterrudder/fleet/__init__.py
+++ b/otterrudder/fleet/__init__.py
@@ -8,5 +8,20 @@
 from otterrudder.fleet.records import Keys, View, digest_of
 from otterrudder.fleet.store import Store, StoreAway
 
-__all__ = ["Keys", "Member", "Policy", "Record", "Refused", "Rules", "Settler", "Standing", "Store",
-           "StoreAway", "View", "digest_of", "fate", "propose", "settle"]
+__all__ = [
+    "Keys",
+    "Member",
+    "Policy",
+    "Record",
+    "Refused",
+    "Rules",
+    "Settler",
+    "Standing",
+    "Store",
+    "StoreAway",
+    "View",
+    "digest_of",
+    "fate",
+    "propose",
+    "settle",
+]
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -49,18 +49,37 @@
 
 
 class Agent:
-    def __init__(self, fleet: Fleet, store: Store, name: str, live: Live, judge: Callable[[str], str],
-                 orders: Orders, folder: Folder | None, record: Record | None,
-                 facts: Callable[[], Mapping[str, float]] = dict) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        store: Store,
+        name: str,
+        live: Live,
+        judge: Callable[[str], str],
+        orders: Orders,
+        folder: Folder | None,
+        record: Record | None,
+        facts: Callable[[], Mapping[str, float]] = dict,
+    ) -> None:
         """`record`: what the folder holds, see `open_folder`; `facts`: how the server does, for trials."""
         self.facts, self.judge = facts, judge
         keys, epoch = Keys(fleet.name), secrets.token_hex(8)
         self.timeout = fleet.timeout_ms
         self.store, self.folder, self.orders = store, folder, orders
         place = record.folder if record else secrets.token_hex(8)
-        self.member = Member(clock.monotonic(), keys, name, epoch, place, fleet.rules, judge, record=record,
-                             has_disk=folder is not None, live=msgspec.structs.replace(live, epoch=epoch),
-                             cluster=fleet.store_id)
+        self.member = Member(
+            clock.monotonic(),
+            keys,
+            name,
+            epoch,
+            place,
+            fleet.rules,
+            judge,
+            record=record,
+            has_disk=folder is not None,
+            live=msgspec.structs.replace(live, epoch=epoch),
+            cluster=fleet.store_id,
+        )
         self.settler = Settler(keys, name)
         self.wake = anyio.Event()
         self.is_writing = False  # to the folder
@@ -79,8 +98,12 @@
         if self.taken is not member.known:
             self.taken = member.known
             self.orders.take(member.known.text)
-            log.info("policy in force", version=member.known.version, digest=member.known.digest,
-                     change=member.known.change)
+            log.info(
+                "policy in force",
+                version=member.known.version,
+                digest=member.known.digest,
+                change=member.known.change,
+            )
         standing = member.standing(now)
         if standing is self.standing:
             return
@@ -88,8 +111,14 @@
         if before is None or before.admits is not standing.admits:
             self.orders.stand_aside(not standing.admits)
             self.counts["asides"] += not standing.admits
-        log.info("fleet standing", now=standing.name.lower(), before=before.name.lower() if before else "",
-                 admits=standing.admits, version=member.known.version, why=member.why or standing.value)
+        log.info(
+            "fleet standing",
+            now=standing.name.lower(),
+            before=before.name.lower() if before else "",
+            admits=standing.admits,
+            version=member.known.version,
+            why=member.why or standing.value,
+        )
 
     # Its own tasks.
 
@@ -119,13 +148,25 @@
         member, now = self.member, clock.monotonic()
         standing = member.standing(now)
         worst, self.worst_ms = self.worst_ms, 0.0
-        return dict(fleet=member.keys.fleet, name=member.name, epoch=member.epoch, folder=member.folder,
-                    standing=standing.name.lower(), admits=standing.admits, why=member.why or standing.value,
-                    version=member.known.version, digest=member.known.digest,
-                    head=member.head, pledged=member.pledge.change if member.pledge else "",
-                    registered=bool(member.registered), duty=member.on_duty, absent=member.rules.absent,
-                    lease_left_ms=round(max(member.lease_until - now, 0.0), 1),
-                    worst_answer_ms=round(worst, 1), counts=self.counts)
+        return dict(
+            fleet=member.keys.fleet,
+            name=member.name,
+            epoch=member.epoch,
+            folder=member.folder,
+            standing=standing.name.lower(),
+            admits=standing.admits,
+            why=member.why or standing.value,
+            version=member.known.version,
+            digest=member.known.digest,
+            head=member.head,
+            pledged=member.pledge.change if member.pledge else "",
+            registered=bool(member.registered),
+            duty=member.on_duty,
+            absent=member.rules.absent,
+            lease_left_ms=round(max(member.lease_until - now, 0.0), 1),
+            worst_answer_ms=round(worst, 1),
+            counts=self.counts,
+        )
 
     def _settler_wants(self, now: float) -> list[Want]:
         seen = self.member.seen
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -75,8 +75,17 @@
     return Count(tuple(yes), tuple(noes), tuple(owed), tuple(left_out))
 
 
-def propose(view: View, ident: str, text: str, author: str, note: str, at: float, deadline_ms: float,
-            trial_ms: float = 0.0, conditions: tuple[tuple[str, float], ...] = ()) -> Commit:
+def propose(
+    view: View,
+    ident: str,
+    text: str,
+    author: str,
+    note: str,
+    at: float,
+    deadline_ms: float,
+    trial_ms: float = 0.0,
+    conditions: tuple[tuple[str, float], ...] = (),
+) -> Commit:
     """Opens a change; Refused says by whom another one is open. `ident`: the proposer's own, never used
     before. `trial_ms` and `conditions`: what it is on trial for once it is in force."""
     if len(text.encode()) > TEXT_MOST:
@@ -94,10 +103,14 @@
 def _open(view: View, change: Change, more: tuple[Write, ...] = ()) -> Commit:
     keys = view.keys
     if opened := view.change:
-        raise Refused(f"a change to version {opened.version} is open: {opened.author or 'unnamed'}, "
-                      f"{opened.note or 'no note'} ({opened.id})")
-    compares = (Compare(keys.change, "created", 0),
-                Compare(keys.policy, "modified", view.snapshot.modified(keys.policy)))
+        raise Refused(
+            f"a change to version {opened.version} is open: {opened.author or 'unnamed'}, "
+            f"{opened.note or 'no note'} ({opened.id})"
+        )
+    compares = (
+        Compare(keys.change, "created", 0),
+        Compare(keys.policy, "modified", view.snapshot.modified(keys.policy)),
+    )
     return Commit("propose", compares, (Put(keys.change, encode(change)), *more), Lane.SETTLE)
 
 
@@ -122,8 +135,11 @@
     if not trial or not head or view.change:
         return None, strikes
     figures = figures_of(view, trial)
-    over = [f"{fact} {figures[fact]:.3g} > {bound:g}" for fact, bound in trial.conditions
-            if figures.get(fact, -math.inf) > bound]
+    over = [
+        f"{fact} {figures[fact]:.3g} > {bound:g}"
+        for fact, bound in trial.conditions
+        if figures.get(fact, -math.inf) > bound
+    ]
     ident = f"back-{trial.change}"
     is_tried = fate(view, ident) is not None  # and was aborted: an operator has to look
     if is_tried or head.version != trial.version or age_ms >= trial.span_ms:
@@ -179,23 +195,36 @@
         raise Refused(f"{name} is not on the roster")
     if name in view.lives:
         raise Refused(f"{name} lives: its lease has not lapsed")
-    compares = (Compare(keys.roster(name), "modified", view.snapshot.modified(keys.roster(name))),
-                Compare(keys.live(name), "created", 0))
+    compares = (
+        Compare(keys.roster(name), "modified", view.snapshot.modified(keys.roster(name))),
+        Compare(keys.live(name), "created", 0),
+    )
     return Commit("gone", compares, (Delete(keys.roster(name)),), Lane.SETTLE)
 
 
 def _end(view: View, change: Change, committed: bool, why: str, left_out: tuple[str, ...] = ()) -> Commit:
     keys, entries = view.keys, view.snapshot.entries
-    end = Settled(change.id, change.version, change.digest, committed, why[:NOTE_MOST], change.author,
-                  change.note, left_out[:REASONS_MOST])
+    end = Settled(
+        change.id,
+        change.version,
+        change.digest,
+        committed,
+        why[:NOTE_MOST],
+        change.author,
+        change.note,
+        left_out[:REASONS_MOST],
+    )
     ends = [*view.settled, end]
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
     kept = ends[-SETTLED_MOST:]
     needed = {in_force, *(one.digest for one in kept)}
     needed |= {trial.back for trial in (change.trial, view.trial) if trial}
-    writes: list[Write] = [Put(keys.settled, msgspec.json.encode(kept)), Delete(keys.change),
-                           Delete(keys.votes, whole_prefix=True)]
+    writes: list[Write] = [
+        Put(keys.settled, msgspec.json.encode(kept)),
+        Delete(keys.change),
+        Delete(keys.votes, whole_prefix=True),
+    ]
     writes += [Delete(keys.text(digest)) for digest in {one.digest for one in ends} - needed]
     if committed:
         new = PolicyHead(change.version, change.id, change.digest, change.author, change.note, change.at)
@@ -230,8 +259,9 @@
     def due(self) -> float:
         return self._at if self.change and not self._busy else float("inf")
 
-    def wants(self, now: float, opened: str, has_duty: bool, anybody_has: bool, lease: int,
-              registered: int) -> Read | Commit | None:
+    def wants(
+        self, now: float, opened: str, has_duty: bool, anybody_has: bool, lease: int, registered: int
+    ) -> Read | Commit | None:
         """`opened`: the open change's id, or the trial's that is on; "": neither; `has_duty`: it is this
         member's; `anybody_has`: somebody has it; `lease` and `registered`: what the duty hangs on, and the
         life it is taken for."""
@@ -246,8 +276,10 @@
             if anybody_has or not (lease and registered):
                 return None
             self._busy = True
-            compares = (Compare(self.keys.duty, "created", 0),
-                        Compare(self.keys.live(self.name), "created", registered))
+            compares = (
+                Compare(self.keys.duty, "created", 0),
+                Compare(self.keys.live(self.name), "created", registered),
+            )
             return Commit("duty", compares, (Put(self.keys.duty, self.name.encode(), lease),), Lane.SETTLE)
         self._busy = True
         return Read(whole(self.keys), Lane.SETTLE)
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -62,7 +62,8 @@
         answer = await self._call("kv", "Txn", rpc.TxnRequest(success=ranges), timeout_ms)
         entries = {
             kv.key.decode("utf-8", "replace"): Entry(kv.value, kv.create_revision, kv.mod_revision, kv.lease)
-            for part in answer.responses for kv in part.response_range.kvs
+            for part in answer.responses
+            for kv in part.response_range.kvs
         }
         return Snapshot(answer.header.cluster_id, answer.header.revision, entries)
 
@@ -153,8 +154,11 @@
             return
         target = "{}:{}".format(*self._stores[self._at])
         make = grpc.aio.insecure_channel
-        self._channel = (grpc.aio.secure_channel(target, self._credentials, options=OPTIONS)
-                         if self._credentials else make(target, options=OPTIONS))
+        self._channel = (
+            grpc.aio.secure_channel(target, self._credentials, options=OPTIONS)
+            if self._credentials
+            else make(target, options=OPTIONS)
+        )
         self._kv, self._leases = rpc.KVStub(self._channel), rpc.LeaseStub(self._channel)
         self._watches = rpc.WatchStub(self._channel)
 
@@ -178,8 +182,9 @@
     """What the files by path hold, for the channel; None without them. OSError names the file."""
     if ca is None:
         return None
-    return grpc.ssl_channel_credentials(ca.read_bytes(), key.read_bytes() if key else None,
-                                        cert.read_bytes() if cert else None)
+    return grpc.ssl_channel_credentials(
+        ca.read_bytes(), key.read_bytes() if key else None, cert.read_bytes() if cert else None
+    )
 
 
 def _leased(answer: Any) -> Leased:
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -73,8 +73,10 @@
     """BadFleet says what is wrong, by the file's name and the key, or that the store's client is missing."""
     path = Path(path)
     if missing := [name for name in NEEDS if find_spec(name) is None]:
-        raise BadFleet(f"{path.name}: a fleet needs {missing[0]}: pip install 'otterrudder[fleet]', or "
-                       "-r requirements-fleet.txt")
+        raise BadFleet(
+            f"{path.name}: a fleet needs {missing[0]}: pip install 'otterrudder[fleet]', or "
+            "-r requirements-fleet.txt"
+        )
     return _checked(convert(load_toml(path, BadFleet), _Fleet, f"{path.name}: ", BadFleet), path)
 
 
@@ -91,14 +93,22 @@
     if not BOUND_LEAST_MS <= told.bound_ms <= BOUND_MOST_MS:
         raise bad("bound_ms", f"{told.bound_ms:g} is not from {BOUND_LEAST_MS:g} to {BOUND_MOST_MS:g}")
     if not LEASE_LEAST_MS <= told.lease_ms <= LEASE_MOST_MS or told.lease_ms % 1000:
-        raise bad("lease_ms", f"{told.lease_ms:g} is not whole seconds from {LEASE_LEAST_MS:g} to "
-                              f"{LEASE_MOST_MS:g}")
+        raise bad(
+            "lease_ms",
+            f"{told.lease_ms:g} is not whole seconds from {LEASE_LEAST_MS:g} to " f"{LEASE_MOST_MS:g}",
+        )
     if told.absent == "wait" and not told.folder:
-        raise bad("folder", 'absent = "wait" needs one: a restart that has forgotten its vote could admit '
-                            "under a policy that is no longer in force")
+        raise bad(
+            "folder",
+            'absent = "wait" needs one: a restart that has forgotten its vote could admit '
+            "under a policy that is no longer in force",
+        )
     if told.start == "folder" and told.absent != "wait":
-        raise bad("start", f'"folder" goes with absent = "wait" only: under "{told.absent}" a change may '
-                           "have been made without this server")
+        raise bad(
+            "start",
+            f'"folder" goes with absent = "wait" only: under "{told.absent}" a change may '
+            "have been made without this server",
+        )
     try:
         store_id = int(told.store_id or "0", 16)
     except ValueError:
@@ -114,7 +124,14 @@
         stores = tuple(address(text, "store") for text in told.store)
     except BadConfiguration as trouble:
         raise BadFleet(f"{path.name}: {trouble}") from None
-    return Fleet(told.fleet, stores,
-                 Rules(told.absent, told.bound_ms, told.lease_ms, told.start == "folder"), folder, told.zone,
-                 beside / tls.ca if tls else None, beside / tls.cert if tls and tls.cert else None,
-                 beside / tls.key if tls and tls.key else None, store_id)
+    return Fleet(
+        told.fleet,
+        stores,
+        Rules(told.absent, told.bound_ms, told.lease_ms, told.start == "folder"),
+        folder,
+        told.zone,
+        beside / tls.ca if tls else None,
+        beside / tls.cert if tls and tls.cert else None,
+        beside / tls.key if tls and tls.key else None,
+        store_id,
+    )
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -128,16 +128,67 @@
 
 
 class Member:
-    __slots__ = ("_busy", "_disk_at", "_failed", "_floor", "_is_void", "_judged", "_need_text", "_read_at",
-                 "_renew_at", "_retry_at", "_saved", "_stale", "_tell_at", "_texts", "_to_judge", "_told",
-                 "_unfit", "cluster", "disk_trouble", "doubt", "epoch", "figures", "folder", "fresh_at",
-                 "has_disk", "head", "head_change", "joined", "keys", "known", "lease", "lease_until",
-                 "live", "name", "on_duty", "pledge", "registered", "revision", "rules",
-                 "seen", "sure", "vote_sent", "waited")
-
-    def __init__(self, now: float, keys: Keys, name: str, epoch: str, folder: str, rules: Rules,
-                 judge: Callable[[str], str], *, record: Record | None = None, has_disk: bool = True,
-                 live: Live | None = None, cluster: int = 0) -> None:
+    __slots__ = (
+        "_busy",
+        "_disk_at",
+        "_failed",
+        "_floor",
+        "_is_void",
+        "_judged",
+        "_need_text",
+        "_read_at",
+        "_renew_at",
+        "_retry_at",
+        "_saved",
+        "_stale",
+        "_tell_at",
+        "_texts",
+        "_to_judge",
+        "_told",
+        "_unfit",
+        "cluster",
+        "disk_trouble",
+        "doubt",
+        "epoch",
+        "figures",
+        "folder",
+        "fresh_at",
+        "has_disk",
+        "head",
+        "head_change",
+        "joined",
+        "keys",
+        "known",
+        "lease",
+        "lease_until",
+        "live",
+        "name",
+        "on_duty",
+        "pledge",
+        "registered",
+        "revision",
+        "rules",
+        "seen",
+        "sure",
+        "vote_sent",
+        "waited",
+    )
+
+    def __init__(
+        self,
+        now: float,
+        keys: Keys,
+        name: str,
+        epoch: str,
+        folder: str,
+        rules: Rules,
+        judge: Callable[[str], str],
+        *,
+        record: Record | None = None,
+        has_disk: bool = True,
+        live: Live | None = None,
+        cluster: int = 0,
+    ) -> None:
         """`record`: what the folder held, None where it was empty; `folder`: its name, new with an empty one.
         `judge`: what is wrong for this server with the text that the record holds, "" if nothing. `cluster`:
         the only engine that is believed, where the fleet's file names it; 0: the first that is heard."""
@@ -274,8 +325,12 @@
 
     def _read(self, now: float) -> Read:
         self._stale, self._read_at = False, now
-        names = [self.keys.head, self.keys.roster(self.name), self.keys.live(self.name),
-                 self.keys.vote(self.name)]
+        names = [
+            self.keys.head,
+            self.keys.roster(self.name),
+            self.keys.live(self.name),
+            self.keys.vote(self.name),
+        ]
         if self._need_text:
             names.append(self.keys.text(self._need_text))
         return Read(tuple(names))
@@ -308,12 +363,16 @@
 
     def _register(self, seen: Seen) -> Commit:
         keys, roster = self.keys, Roster(self.folder, self.rules.absent)
-        compares = (Compare(keys.live(self.name), "created", 0),
-                    Compare(keys.roster(self.name), "modified", seen.roster_modified))
-        writes = [Put(keys.live(self.name), encode(self._live()), self.lease),
-                  # Who has counted the votes without this member has to count anew. Not the change itself is
-                  # touched: it is watched by all, and a zone that comes back would have all read for each.
-                  Put(keys.joined, self.name.encode())]
+        compares = (
+            Compare(keys.live(self.name), "created", 0),
+            Compare(keys.roster(self.name), "modified", seen.roster_modified),
+        )
+        writes = [
+            Put(keys.live(self.name), encode(self._live()), self.lease),
+            # Who has counted the votes without this member has to count anew. Not the change itself is
+            # touched: it is watched by all, and a zone that comes back would have all read for each.
+            Put(keys.joined, self.name.encode()),
+        ]
         if seen.roster != roster:
             writes.append(Put(keys.roster(self.name), encode(roster)))
         return Commit("register", compares, tuple(writes))
@@ -333,9 +392,11 @@
         if not trouble and not self.vote_sent:
             self.vote_sent, self.fresh_at = True, now
         keys = self.keys
-        compares = (Compare(keys.change, "created", change.created),
-                    Compare(keys.live(self.name), "created", self.registered),
-                    Compare(keys.vote(self.name), "created", 0))
+        compares = (
+            Compare(keys.change, "created", change.created),
+            Compare(keys.live(self.name), "created", self.registered),
+            Compare(keys.vote(self.name), "created", 0),
+        )
         vote = Vote(not trouble, trouble, self.epoch)
         return Commit("vote", compares, (Put(keys.vote(self.name), encode(vote)),))
 
@@ -372,8 +433,9 @@
         asked = {fact for fact, _ in trial.conditions} if trial and now is not None else ()
         # One that is no number would be null in the record, and unread the whole of it.
         figures = tuple(one for one in self.figures if one[0] in asked and math.isfinite(one[1]))
-        return Live(self.epoch, live.program, live.zone, version, self.known.digest, state, live.products,
-                    figures)
+        return Live(
+            self.epoch, live.program, live.zone, version, self.known.digest, state, live.products, figures
+        )
 
     def _judge_want(self) -> Want | None:
         text = dict(self._texts).get(self._to_judge)
@@ -393,8 +455,16 @@
         return Save(self._record())
 
     def _record(self) -> Record:
-        return Record(self.name, self.folder, self.known, self.pledge, self.joined, self.cluster,
-                      self.revision, self.waited)
+        return Record(
+            self.name,
+            self.folder,
+            self.known,
+            self.pledge,
+            self.joined,
+            self.cluster,
+            self.revision,
+            self.waited,
+        )
 
     def _must_save(self) -> bool:
         """A folder that failed is tried again, so that it is known when it works."""
@@ -511,9 +581,17 @@
         if change and entry:
             opened = Open(change.id, change.version, change.digest, entry.created)
         vote = view.vote(self.name)
-        return Seen(snapshot.revision, opened, vote.yes if vote else None, view.roster(self.name),
-                    snapshot.modified(keys.roster(self.name)), view.live(self.name),
-                    snapshot.created(keys.live(self.name)), bool(view.duty), view.trial)
+        return Seen(
+            snapshot.revision,
+            opened,
+            vote.yes if vote else None,
+            view.roster(self.name),
+            snapshot.modified(keys.roster(self.name)),
+            view.live(self.name),
+            snapshot.created(keys.live(self.name)),
+            bool(view.duty),
+            view.trial,
+        )
 
     def _check_registration(self, seen: Seen) -> None:
         """Whether the live key is this life's, and the roster's entry still this folder's."""
@@ -535,8 +613,10 @@
             if (text := view.text(digest)) is not None:
                 self._texts = (*(kept for kept in self._texts if kept[0] != digest), (digest, text))[-2:]
                 self._need_text = ""
-        if self._need_text not in (head.digest if head else "", self.seen.open.digest
-                                   if self.seen and self.seen.open else ""):
+        if self._need_text not in (
+            head.digest if head else "",
+            self.seen.open.digest if self.seen and self.seen.open else "",
+        ):
             self._need_text = ""  # of a change that has ended
         if not head or head.version <= self.known.version:
             return
--- a/otterrudder/fleet/policy.py
+++ b/otterrudder/fleet/policy.py
@@ -54,8 +54,13 @@
 
 def own_of(settings: dict[str, Any]) -> Own:
     """Of the settings in a server's configuration."""
-    return Own(products_of(settings), tenants_of(settings), max(settings.get("servers") or 1, 1),
-               limits_of(settings), below_of(settings) == "shared")
+    return Own(
+        products_of(settings),
+        tenants_of(settings),
+        max(settings.get("servers") or 1, 1),
+        limits_of(settings),
+        below_of(settings) == "shared",
+    )
 
 
 class _Product(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -131,8 +136,9 @@
     found = limits
     if (away := told.limits.stay_away_ms) is not None:
         if _within(away, STAY_AWAY_MOST_MS, "limits.stay_away_ms") > limits.stay_away_ms:
-            raise BadPolicy(f"limits.stay_away_ms: {away:g} is more than callers honour here, "
-                            f"{limits.stay_away_ms:g}")
+            raise BadPolicy(
+                f"limits.stay_away_ms: {away:g} is more than callers honour here, " f"{limits.stay_away_ms:g}"
+            )
         found = replace(found, stay_away_ms=away)
     if (share := told.limits.over_share_value) is not None:
         found = replace(found, over_value=_within(share, 1.0, "limits.over_share_value"))
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -121,8 +121,19 @@
 class Keys:
     """The keys of one fleet; those that end in a slash are prefixes."""
 
-    __slots__ = ("change", "duty", "fleet", "head", "joined", "lives", "policy", "rosters", "settled",
-                 "trial", "votes")
+    __slots__ = (
+        "change",
+        "duty",
+        "fleet",
+        "head",
+        "joined",
+        "lives",
+        "policy",
+        "rosters",
+        "settled",
+        "trial",
+        "votes",
+    )
 
     def __init__(self, fleet: str) -> None:
         self.fleet, self.joined = fleet, f"{fleet}/joined"
--- a/otterrudder/lab/arrivals.py
+++ b/otterrudder/lab/arrivals.py
@@ -99,6 +99,4 @@
         """The next txn of a session, asked for as soon as the last has settled."""
         self._count += 1
         work = self._draw_work(ask.product)
-        return replace(
-            ask, number=self._count, at=now, work=work, patience=float("inf"), left=ask.left - 1
-        )
+        return replace(ask, number=self._count, at=now, work=work, patience=float("inf"), left=ask.left - 1)
--- a/otterrudder/lab/day.py
+++ b/otterrudder/lab/day.py
@@ -217,8 +217,9 @@
         """s at which the last of the servers was back at full service for good; the day's length if one was
         not."""
         ends = [mine[-1] if mine else None for mine in self._by_server()]
-        return max(0.0 if end is None else end.at_s if end.entered == FULL else self.length_ms / 1000
-                   for end in ends)
+        return max(
+            0.0 if end is None else end.at_s if end.entered == FULL else self.length_ms / 1000 for end in ends
+        )
 
     def _home_spread(self) -> float:
         """s between the first and the last of the servers that came back to full service for good; 0 for
--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -210,8 +210,11 @@
     told = count(view)
     if view.change and not told.noes and told.owed and len(told.yes) >= len(told.owed):
         names = {*told.owed}
-        entries = {k: e for k, e in view.snapshot.entries.items()
-                   if not (k.startswith(view.keys.rosters) and k.removeprefix(view.keys.rosters) in names)}
+        entries = {
+            k: e
+            for k, e in view.snapshot.entries.items()
+            if not (k.startswith(view.keys.rosters) and k.removeprefix(view.keys.rosters) in names)
+        }
         return settle(View(view.keys, view.snapshot._replace(entries=entries)), is_late)
     return settle(view, is_late)
 
@@ -224,8 +227,11 @@
 
 def deaf(view: View, is_late: bool) -> Commit | None:
     """Hears no no."""
-    entries = {k: e for k, e in view.snapshot.entries.items()
-               if not (k.startswith(view.keys.votes) and b'"yes":false' in e.value)}
+    entries = {
+        k: e
+        for k, e in view.snapshot.entries.items()
+        if not (k.startswith(view.keys.votes) and b'"yes":false' in e.value)
+    }
     rosters = {view.keys.roster(name) for name, vote in view.votes.items() if not vote.yes}
     told = {k: e for k, e in entries.items() if k not in rosters}
     return settle(View(view.keys, view.snapshot._replace(entries=told)), is_late)
@@ -250,35 +256,111 @@
     faults: int = 0
 
 
-_LATE_VOTE = ("0.1 vote: given up", "late count", "late count: abort", "time", "0.1 read", "~0.1 read",
-              "0 is cut off", "B reads", "B: propose", "0.-1 vote", "1.1 vote", "~1.1 read", "~1.1 read",
-              "time", "~1.1 read", "~1.1 read", "~1.1 read", "~1.1 vote")
-_OLD_LIFE = ("0.1 vote: given up", "0 dies", "1.1 vote", "time", "time", "time", "time", "0 starts",
-             "0.2 read", "0.2 read", "0.2 register", "0.2 read", "0 is cut off", "0.-1 vote")
-_NO_ROOM = ("0 has no room", "A reads", "A: propose", "1.1 read", "1.1 read", "~1.1 read", "1.1 vote",
-            "~0.1 read", "~0.1 read", "~0.1 read", "~0.1 vote", "0 is cut off", "0 dies")
+_LATE_VOTE = (
+    "0.1 vote: given up",
+    "late count",
+    "late count: abort",
+    "time",
+    "0.1 read",
+    "~0.1 read",
+    "0 is cut off",
+    "B reads",
+    "B: propose",
+    "0.-1 vote",
+    "1.1 vote",
+    "~1.1 read",
+    "~1.1 read",
+    "time",
+    "~1.1 read",
+    "~1.1 read",
+    "~1.1 read",
+    "~1.1 vote",
+)
+_OLD_LIFE = (
+    "0.1 vote: given up",
+    "0 dies",
+    "1.1 vote",
+    "time",
+    "time",
+    "time",
+    "time",
+    "0 starts",
+    "0.2 read",
+    "0.2 read",
+    "0.2 register",
+    "0.2 read",
+    "0 is cut off",
+    "0.-1 vote",
+)
+_NO_ROOM = (
+    "0 has no room",
+    "A reads",
+    "A: propose",
+    "1.1 read",
+    "1.1 read",
+    "~1.1 read",
+    "1.1 vote",
+    "~0.1 read",
+    "~0.1 read",
+    "~0.1 read",
+    "~0.1 vote",
+    "0 is cut off",
+    "0 dies",
+)
 _HALF_KNOWN = ("0 dies", "time", "time", "time", "time", "0 starts", "0.2 read")
-_LAPSED_NAME = ("0 is cut off", *(("time", "~2.1 read") * 6), "~2.1 register", "~2.1 read", "~2.1 read",
-                "A reads", "A: propose", *(("~1.1 read", "~2.1 read") * 3), "~1.1 vote", "~2.1 vote")
-_KEPT_ALIVE = ("the store is copied", "an older copy answers", *(("time",) * 5), "0 is cut off",
-               "the store itself answers", "A reads", "A: propose", "count", "count: commit")
-_OLD_RULE = ("0 dies", *(("time",) * 5), "A reads", "A: propose", "1.1 read", "~1.1 read", "~1.1 read",
-             "1.1 vote", "count", "count: commit")
+_LAPSED_NAME = (
+    "0 is cut off",
+    *(("time", "~2.1 read") * 6),
+    "~2.1 register",
+    "~2.1 read",
+    "~2.1 read",
+    "A reads",
+    "A: propose",
+    *(("~1.1 read", "~2.1 read") * 3),
+    "~1.1 vote",
+    "~2.1 vote",
+)
+_KEPT_ALIVE = (
+    "the store is copied",
+    "an older copy answers",
+    *(("time",) * 5),
+    "0 is cut off",
+    "the store itself answers",
+    "A reads",
+    "A: propose",
+    "count",
+    "count: commit",
+)
+_OLD_RULE = (
+    "0 dies",
+    *(("time",) * 5),
+    "A reads",
+    "A: propose",
+    "1.1 read",
+    "~1.1 read",
+    "~1.1 read",
+    "1.1 vote",
+    "count",
+    "count: commit",
+)
 # Each fault with the world that it shows in.
 FAULTS: dict[str, Hunt] = {
-    "vote before disk": Hunt(Variant(VoteBeforeDisk, rules=FOLDER, fills_disks=True), Stage.CALM, _NO_ROOM,
-                             4, 0),
+    "vote before disk": Hunt(
+        Variant(VoteBeforeDisk, rules=FOLDER, fills_disks=True), Stage.CALM, _NO_ROOM, 4, 0
+    ),
     "believes its folder": Hunt(Variant(BelievesFolder, rules=FOLDER), Stage.VOTED, (), 5, 2),
-    "believes its file": Hunt(Variant(BelievesItsFile, rules=LEAVE, others=FOLDER), Stage.CALM, _OLD_RULE,
-                              4, 1),
+    "believes its file": Hunt(
+        Variant(BelievesItsFile, rules=LEAVE, others=FOLDER), Stage.CALM, _OLD_RULE, 4, 1
+    ),
     "sleeps through": Hunt(Variant(SleepsThrough), Stage.VOTED, (), 7, 1),
     "fresh by answer": Hunt(Variant(FreshByAnswer)),
     "never aside": Hunt(Variant(NeverAside)),
     "serves lapsed": Hunt(Variant(ServesLapsed, rules=LEAVE)),
     "keeps its old reading": Hunt(Variant(KeepsOldReading, rules=LEAVE, has_disk=False)),
     "votes for any change": Hunt(Variant(VotesForAnyChange), Stage.OPEN, _LATE_VOTE, 5, 0),
-    "votes for any life": Hunt(Variant(VotesForAnyLife, rules=LEAVE, has_disk=False), Stage.OPEN, _OLD_LIFE,
-                               5, 0),
+    "votes for any life": Hunt(
+        Variant(VotesForAnyLife, rules=LEAVE, has_disk=False), Stage.OPEN, _OLD_LIFE, 5, 0
+    ),
     "sure at once": Hunt(Variant(SureAtOnce, rules=LEAVE, has_disk=False)),
     "joins unseen": Hunt(Variant(JoinsUnseen, rules=LEAVE, has_disk=False)),
     "takes names": Hunt(Variant(TakesNames, has_twin=True), Stage.CALM, _LAPSED_NAME, 6, 0),
@@ -286,8 +368,9 @@
     "any policy": Hunt(Variant(AnyPolicy)),
     "forgets its pledge": Hunt(Variant(ForgetsPledge, rules=FOLDER), Stage.COMMITTED, _HALF_KNOWN, 3, 9),
     "believes any store": Hunt(Variant(BelievesAnyStore, copies=True)),
-    "believes any lease": Hunt(Variant(BelievesAnyLease, rules=LEAVE, copies=True), Stage.CALM, _KEPT_ALIVE,
-                               3, 2),
+    "believes any lease": Hunt(
+        Variant(BelievesAnyLease, rules=LEAVE, copies=True), Stage.CALM, _KEPT_ALIVE, 3, 2
+    ),
     "believes a late reading": Hunt(Variant(BelievesLateReading, rules=LEAVE)),
     "never reads again": Hunt(Variant(NeverReadsAgain)),
     "most votes": Hunt(Variant(settle=most_votes)),
--- a/otterrudder/lab/fleet/hours.py
+++ b/otterrudder/lab/fleet/hours.py
@@ -152,8 +152,17 @@
         host.life += 1
         host.frozen_until, host.held = -1.0, []
         epoch = f"{host.name}.{host.life}"
-        host.member = Member(self.now, KEYS, host.name, epoch, host.folder, self.rules, lambda text: "",
-                             record=host.disk, live=Live(epoch))
+        host.member = Member(
+            self.now,
+            KEYS,
+            host.name,
+            epoch,
+            host.folder,
+            self.rules,
+            lambda text: "",
+            record=host.disk,
+            live=Live(epoch),
+        )
         host.settler = Settler(KEYS, host.name)
         self._turn(host, host.life)
 
@@ -199,6 +208,7 @@
             self.at(sent + self.between(JUDGE_MS), lambda: self._told(host, life, want, sent, ""))
             return
         if isinstance(want, Save):
+
             def saved() -> None:
                 host.disk = want.record if host.life == life else host.disk  # type: ignore[assignment]
                 self._told(host, life, want, sent, True)
@@ -314,13 +324,28 @@
         agreed = not opened and all(member.admits(self.now) == self.version for member in up)
         switched = [host.switched for host in self.hosts if host.member and host.switched < math.inf]
         last = max(switched, default=0.0) - self.committed_at if self.version else 0.0
-        return Result(self.version > 0, self.breaches, self.old_ms, max(last, 0.0),
-                      self.asides / max(self.looks, 1), agreed, self.counts["reads"], self.counts["writes"],
-                      self.counts["hints"], self.calm_reads / 2.0)
-
-
-def play(servers: int, seed: int, faults: int, absent: str = "wait", bound_ms: float = 2000.0,
-         lease_ms: float = 6000.0) -> Result:
+        return Result(
+            self.version > 0,
+            self.breaches,
+            self.old_ms,
+            max(last, 0.0),
+            self.asides / max(self.looks, 1),
+            agreed,
+            self.counts["reads"],
+            self.counts["writes"],
+            self.counts["hints"],
+            self.calm_reads / 2.0,
+        )
+
+
+def play(
+    servers: int,
+    seed: int,
+    faults: int,
+    absent: str = "wait",
+    bound_ms: float = 2000.0,
+    lease_ms: float = 6000.0,
+) -> Result:
     """One plan."""
     rules = replace(Rules(), absent=absent, bound_ms=bound_ms, lease_ms=lease_ms)  # type: ignore[arg-type]
     return Hours(servers, seed, rules, faults).play()
--- a/otterrudder/lab/fleet/report.py
+++ b/otterrudder/lab/fleet/report.py
@@ -35,12 +35,21 @@
     of the search by breadth with two members, one less with three, two less with four."""
     good = True
     with ProcessPoolExecutor(workers) as pool:
-        drawn = {(name, members): [pool.submit(_walk, name, members, seed * 1000 + n, min(CHUNK, walks))
-                                   for n in range(max(walks // CHUNK, 1))]
-                 for name in SOUND for members in (2, 3, 4)}
-        deep = {(name, members, stage.name): pool.submit(_search, name, members, stage.name, deep)
-                for members in (2, 3, 4) if (deep := depth + 2 - members) > 0
-                for name in SOUND for stage in Stage}
+        drawn = {
+            (name, members): [
+                pool.submit(_walk, name, members, seed * 1000 + n, min(CHUNK, walks))
+                for n in range(max(walks // CHUNK, 1))
+            ]
+            for name in SOUND
+            for members in (2, 3, 4)
+        }
+        deep = {
+            (name, members, stage.name): pool.submit(_search, name, members, stage.name, deep)
+            for members in (2, 3, 4)
+            if (deep := depth + 2 - members) > 0
+            for name in SOUND
+            for stage in Stage
+        }
         hunted = {name: pool.submit(_hunt, name) for name in FAULTS}
         say("| variant | members | worlds by drawn walks | broken |")
         say("| --- | ---: | ---: | --- |")
@@ -48,13 +57,17 @@
             found = [part.result() for part in parts]
             broken = next((one for one in found if one.broken), None)
             good = good and not broken
-            say(f"| {name} | {members} | {sum(one.worlds for one in found)} | "
-                f"{f'{broken.broken}: {broken.trail}' if broken else 'none'} |")
+            say(
+                f"| {name} | {members} | {sum(one.worlds for one in found)} | "
+                f"{f'{broken.broken}: {broken.trail}' if broken else 'none'} |"
+            )
         for (name, members, stage_name), part in deep.items():
             one = part.result()
             good = good and not one.broken
-            say(f"| {name}, from {stage_name.lower()} | {members} | {one.worlds}, each to depth {one.depth} "
-                f"| {f'{one.broken}: {one.trail}' if one.broken else 'none'} |")
+            say(
+                f"| {name}, from {stage_name.lower()} | {members} | {one.worlds}, each to depth {one.depth} "
+                f"| {f'{one.broken}: {one.trail}' if one.broken else 'none'} |"
+            )
         say("")
         say("| fault put in | found after worlds | as |")
         say("| --- | ---: | --- |")
@@ -68,8 +81,10 @@
 def played(servers: int, plans: int, workers: int | None, say: Callable[[str], None]) -> bool:
     """Whether nobody was past the bound in any plan, and all agreed after it."""
     good = True
-    say("| rule | plans | committed | past the bound | not agreed | worst age of the old, ms | "
-        "last switch, ms: median, 95%, most | aside |")
+    say(
+        "| rule | plans | committed | past the bound | not agreed | worst age of the old, ms | "
+        "last switch, ms: median, 95%, most | aside |"
+    )
     say("| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
     with ProcessPoolExecutor(workers) as pool:
         for absent in ("wait", "leave-out"):
@@ -77,18 +92,24 @@
             results = [part.result() for part in parts]
             breaches, apart = sum(r.breaches for r in results), sum(not r.agreed for r in results)
             good = good and not breaches and not apart
-            say(f"| {absent} | {plans} | {sum(r.committed for r in results)} | {breaches} | {apart} | "
+            say(
+                f"| {absent} | {plans} | {sum(r.committed for r in results)} | {breaches} | {apart} | "
                 f"{max(r.worst_old_ms for r in results):.0f} | {_spread(results)} | "
-                f"{sum(r.aside_share for r in results) / plans:.2%} |")
+                f"{sum(r.aside_share for r in results) / plans:.2%} |"
+            )
         say("")
-        say("| servers, no fault | last switch, ms | reads a change | writes | watch events | "
-            "reads a second, calm |")
+        say(
+            "| servers, no fault | last switch, ms | reads a change | writes | watch events | "
+            "reads a second, calm |"
+        )
         say("| ---: | ---: | ---: | ---: | ---: | ---: |")
         calm = {size: pool.submit(play, size, 1, 0) for size in CALM_SIZES}
         for size, part in calm.items():
             one = part.result()
-            say(f"| {size} | {one.last_switch_ms:.0f} | {one.reads} | {one.writes} | {one.hints} | "
-                f"{one.reads_calm_per_s:.0f} |")
+            say(
+                f"| {size} | {one.last_switch_ms:.0f} | {one.reads} | {one.writes} | {one.hints} | "
+                f"{one.reads_calm_per_s:.0f} |"
+            )
     return good
 
 
--- a/otterrudder/lab/fleet/search.py
+++ b/otterrudder/lab/fleet/search.py
@@ -14,9 +14,32 @@
 from otterrudder.lab.fleet.world import Apart, Stage, Variant, World, following, staged
 
 # What events are told apart by, in the words of their labels; the first that fits counts.
-KINDS = ("time goes on", "copied", "copy answers", "empty store", "itself answers", "dies", "starts",
-         "freezes", "wakes", "is cut off", "healed", "no room", "has room", "gone", "answer lost", "given up",
-         "slow answer", "late count", "count: commit", "propose", "count", "vote", "register", "read")
+KINDS = (
+    "time goes on",
+    "copied",
+    "copy answers",
+    "empty store",
+    "itself answers",
+    "dies",
+    "starts",
+    "freezes",
+    "wakes",
+    "is cut off",
+    "healed",
+    "no room",
+    "has room",
+    "gone",
+    "answer lost",
+    "given up",
+    "slow answer",
+    "late count",
+    "count: commit",
+    "propose",
+    "count",
+    "vote",
+    "register",
+    "read",
+)
 PEACE_EVERY = 64  # worlds from one that is left in peace to the next: that costs as much as a hundred others
 
 
@@ -28,8 +51,14 @@
     trail: tuple[str, ...] = ()
 
 
-def search(variant: Variant, depth: int, faults_most: int, worlds_most: int = 1_000_000,
-           stage: Stage = Stage.CALM, story: tuple[str, ...] = ()) -> Found:
+def search(
+    variant: Variant,
+    depth: int,
+    faults_most: int,
+    worlds_most: int = 1_000_000,
+    stage: Stage = Stage.CALM,
+    story: tuple[str, ...] = (),
+) -> Found:
     """Breadth first from a change that has come so far, and from the end of a story, if one is told; so that
     what is found is as short as it can be."""
     first = told(staged(variant, stage), story)
--- a/otterrudder/lab/fleet/world.py
+++ b/otterrudder/lab/fleet/world.py
@@ -93,13 +93,38 @@
     right: KeySpace | None = None  # the store itself, while another engine answers in its place
 
     def copy(self, event: str = "", spent: int = 0) -> "World":
-        hosts = [Host(h.name, h.folder, h.member and clone(h.member), h.life, h.disk, h.is_frozen, h.is_cut,
-                      h.started, h.is_struck, h.is_full) for h in self.hosts]
+        hosts = [
+            Host(
+                h.name,
+                h.folder,
+                h.member and clone(h.member),
+                h.life,
+                h.disk,
+                h.is_frozen,
+                h.is_cut,
+                h.started,
+                h.is_struck,
+                h.is_full,
+            )
+            for h in self.hosts
+        ]
         flight = [Flight(f.host, f.life, f.want, f.sent, f.is_answer, f.outcome) for f in self.flight]
         trail = (*self.trail, event) if event else self.trail
-        return World(self.variant, self.store.copy(), hosts, flight, dict(self.pending), self.proposed,
-                     self.now, dict(self.committed), self.spent + spent, trail, self.bug, self.kept,
-                     self.right and self.right.copy())
+        return World(
+            self.variant,
+            self.store.copy(),
+            hosts,
+            flight,
+            dict(self.pending),
+            self.proposed,
+            self.now,
+            dict(self.committed),
+            self.spent + spent,
+            trail,
+            self.bug,
+            self.kept,
+            self.right and self.right.copy(),
+        )
 
     # Its life.
 
@@ -114,10 +139,18 @@
         epoch = f"{n}.{host.life}"
         is_other = self.variant.others and (n + host.life) % 2 == 0
         rules = self.variant.others if is_other and self.variant.others else self.variant.rules
-        host.member = self.variant.member(self.now, KEYS, host.name, epoch, host.folder, rules,
-                                          lambda text: self.judge(n, text),
-                                          record=host.disk, has_disk=self.variant.has_disk,
-                                          cluster=STORE_ID if self.variant.names_store else 0)
+        host.member = self.variant.member(
+            self.now,
+            KEYS,
+            host.name,
+            epoch,
+            host.folder,
+            rules,
+            lambda text: self.judge(n, text),
+            record=host.disk,
+            has_disk=self.variant.has_disk,
+            cluster=STORE_ID if self.variant.names_store else 0,
+        )
         self.settle_down()
 
     def judge(self, n: int, text: str) -> str:
@@ -134,8 +167,11 @@
                     if not _is_plain(want):
                         self.flight.append(flight)
                         continue
-                    is_lost = (host.is_full if isinstance(want, Save) else
-                               host.is_cut and not isinstance(want, Judge))
+                    is_lost = (
+                        host.is_full
+                        if isinstance(want, Save)
+                        else host.is_cut and not isinstance(want, Judge)
+                    )
                     flight.outcome = None if is_lost else self.arrive(flight)
                     self.answer(flight)
 
@@ -271,10 +307,14 @@
         if world.view().change:
             return "in peace a change stays open"
         may = {Standing.FOREIGN, Standing.TAKEN} if world.variant.has_twin else set()
-        odd = [f"{n} {host.member.standing(world.now).name}" for n, host in enumerate(world.hosts)
-               if host.member and host.member.admits(world.now) != version
-               and host.member.standing(world.now) not in may
-               and not (n == world.variant.bad_for and host.member.standing(world.now) is Standing.UNFIT)]
+        odd = [
+            f"{n} {host.member.standing(world.now).name}"
+            for n, host in enumerate(world.hosts)
+            if host.member
+            and host.member.admits(world.now) != version
+            and host.member.standing(world.now) not in may
+            and not (n == world.variant.bad_for and host.member.standing(world.now) is Standing.UNFIT)
+        ]
         return f"in peace not all admit under {version}: {', '.join(odd)}" if odd else ""
 
     def view(self) -> View:
@@ -296,19 +336,45 @@
     # Whether two worlds are one.
 
     def key(self) -> tuple[object, ...]:
-        hosts = tuple((host.life, host.member and _member_key(host.member, self.now), host.disk and
-                       replace(host.disk, revision=0), host.is_frozen, host.is_cut, host.is_struck,
-                       host.is_full, self._started_key(host)) for host in self.hosts)
-        flight = tuple(sorted(repr((f.host, f.life, f.want, _ago(f.sent, self.now), f.is_answer, f.outcome))
-                              for f in self.flight))
+        hosts = tuple(
+            (
+                host.life,
+                host.member and _member_key(host.member, self.now),
+                host.disk and replace(host.disk, revision=0),
+                host.is_frozen,
+                host.is_cut,
+                host.is_struck,
+                host.is_full,
+                self._started_key(host),
+            )
+            for host in self.hosts
+        )
+        flight = tuple(
+            sorted(
+                repr((f.host, f.life, f.want, _ago(f.sent, self.now), f.is_answer, f.outcome))
+                for f in self.flight
+            )
+        )
         ends = self.store.leases.items()
         leases = tuple(sorted((lease, _left(end, self.now)) for lease, (_, end) in ends))
-        committed = tuple((version, change, _ago(at, self.now)) for version, (change, at) in
-                          sorted(self.committed.items()))
-        others = tuple(space and (space.cluster, space.revision, tuple(sorted(space.keys.items())))
-                       for space in (self.kept, self.right))
-        return (hosts, flight, leases, committed, self.store.revision, self.proposed, others,
-                tuple(sorted(self.store.keys.items())), tuple(sorted(map(repr, self.pending.items()))))
+        committed = tuple(
+            (version, change, _ago(at, self.now)) for version, (change, at) in sorted(self.committed.items())
+        )
+        others = tuple(
+            space and (space.cluster, space.revision, tuple(sorted(space.keys.items())))
+            for space in (self.kept, self.right)
+        )
+        return (
+            hosts,
+            flight,
+            leases,
+            committed,
+            self.store.revision,
+            self.proposed,
+            others,
+            tuple(sorted(self.store.keys.items())),
+            tuple(sorted(map(repr, self.pending.items()))),
+        )
 
     def _started_key(self, host: Host) -> int:
         """How many versions were committed before it started: all that the promises ask of its age."""
@@ -324,18 +390,27 @@
     return twin
 
 
-_IS_TIME = {"fresh_at": -1, "lease_until": 1, "_read_at": -1, "_retry_at": 1, "_renew_at": 1, "_disk_at": 1,
-            "_tell_at": 1}
+_IS_TIME = {
+    "fresh_at": -1,
+    "lease_until": 1,
+    "_read_at": -1,
+    "_retry_at": 1,
+    "_renew_at": 1,
+    "_disk_at": 1,
+    "_tell_at": 1,
+}
 _PASSED_OVER = {"keys", "rules", "live", "name", "epoch", "folder", "has_disk", "_failed", "cluster"}
 
 
 def _member_key(member: Member, now: float) -> tuple[object, ...]:
     """By which two members behave alike from here on: times as what is left or has passed of them, in
     steps, for time goes on by whole steps."""
-    return tuple(_left(value, now) if _IS_TIME.get(name) == 1 else
-                 _ago(value, now) if name in _IS_TIME else value
-                 for name in Member.__slots__ if name not in _PASSED_OVER
-                 for value in (getattr(member, name),))
+    return tuple(
+        _left(value, now) if _IS_TIME.get(name) == 1 else _ago(value, now) if name in _IS_TIME else value
+        for name in Member.__slots__
+        if name not in _PASSED_OVER
+        for value in (getattr(member, name),)
+    )
 
 
 def _left(at: float, now: float) -> float:
@@ -348,6 +423,7 @@
 
 # Events: each gives the worlds that it may lead to. `faults_most` bounds those that harm.
 
+
 def following(world: World, faults_most: int) -> Iterator[World]:
     for at in range(len(world.flight)):
         yield from _of_flight(world, at, faults_most)
@@ -488,8 +564,11 @@
                 yield turned
 
 
-_STATES = (("is_frozen", "freezes", "wakes"), ("is_cut", "is cut off", "is healed"),
-           ("is_full", "has no room", "has room"))
+_STATES = (
+    ("is_frozen", "freezes", "wakes"),
+    ("is_cut", "is cut off", "is healed"),
+    ("is_full", "has no room", "has room"),
+)
 
 
 def _struck(world: World, n: int) -> Iterator[World]:
@@ -566,4 +645,3 @@
         world.hosts.append(Host("n0", "another folder"))
         world.boot(variant.members)
     return world
-
--- a/otterrudder/lab/keyspace.py
+++ b/otterrudder/lab/keyspace.py
@@ -37,8 +37,17 @@
 
     def copy(self) -> "KeySpace":
         """A twin that goes its own way."""
-        return KeySpace(self.cluster, self.revision, dict(self.keys), dict(self.leases), self.granted,
-                        list(self.history), self.compacted, self.keeps_history, self.writes)
+        return KeySpace(
+            self.cluster,
+            self.revision,
+            dict(self.keys),
+            dict(self.leases),
+            self.granted,
+            list(self.history),
+            self.compacted,
+            self.keeps_history,
+            self.writes,
+        )
 
     def lapse(self, now: float) -> None:
         """Leases whose end has passed go, with the keys that hang on them."""
--- a/otterrudder/lab/processes/books.py
+++ b/otterrudder/lab/processes/books.py
@@ -64,9 +64,15 @@
     return False
 
 
-def judge(wire: Wire, versions: list[InForce], bound_ms: float, harmed: dict[int, list[tuple[float, float]]],
-          listed: dict[str, Listed] | None = None, drains: Sequence[Drain] = (),
-          stop_ms: float = 0.0) -> Verdict:
+def judge(
+    wire: Wire,
+    versions: list[InForce],
+    bound_ms: float,
+    harmed: dict[int, list[tuple[float, float]]],
+    listed: dict[str, Listed] | None = None,
+    drains: Sequence[Drain] = (),
+    stop_ms: float = 0.0,
+) -> Verdict:
     """`harmed`: by server, when its process was killed or frozen, or its gateway's link harmed: what was open
     then is owed no answer in time. To a server that drains every answer is owed, and its end by `stop_ms`."""
     verdict, shown = Verdict(), Counter[str]()
@@ -74,8 +80,10 @@
     def breach(rule: str, asked: Asked, what: str) -> None:
         shown[rule] += 1
         if shown[rule] <= SHOWN_MOST:
-            verdict.breaches.append(f"{rule}: {asked.call} ({asked.product}, server {asked.server}, sent at "
-                                    f"{asked.sent:.0f}, {asked.outcome} at {asked.answered:.0f}): {what}")
+            verdict.breaches.append(
+                f"{rule}: {asked.call} ({asked.product}, server {asked.server}, sent at "
+                f"{asked.sent:.0f}, {asked.outcome} at {asked.answered:.0f}): {what}"
+            )
 
     first_run: dict[str, str] = {}
     for start in wire.started:
@@ -90,8 +98,10 @@
     settled = {asked.call: asked for asked in wire.asked if asked.outcome == "settled"}
     old = 0
     for asked in wire.asked:
-        spoiled = any(asked.sent <= end and (asked.answered or float("inf")) >= start
-                      for start, end in [*harmed.get(asked.server, ()), *stalls])
+        spoiled = any(
+            asked.sent <= end and (asked.answered or float("inf")) >= start
+            for start, end in [*harmed.get(asked.server, ()), *stalls]
+        )
         if asked.answers > 1:
             breach("answered twice", asked, f"{asked.answers} answers")
         if asked.outcome == "refused":
@@ -119,8 +129,10 @@
         took = drain.ended - drain.began
         if drain.code != 0 or took > stop_ms + DRAIN_MS:
             shown["drain"] += 1
-            verdict.breaches.append(f"drain: server {drain.server}, told at {drain.began:.0f}, ended with "
-                                    f"{drain.code} after {took:.0f} ms")
+            verdict.breaches.append(
+                f"drain: server {drain.server}, told at {drain.began:.0f}, ended with "
+                f"{drain.code} after {took:.0f} ms"
+            )
     verdict.figures = _figures(wire, versions, bound_ms, old) | {"drains": len(drains)}
     for rule, count in shown.items():
         verdict.figures[f"breaches of '{rule}'"] = count
@@ -136,8 +148,11 @@
     """Of over `GAP_MS` that nothing excuses."""
     pairs = zip(told.heard, told.heard[1:], strict=False)
     long = [(start, end) for start, end in pairs if end - start > GAP_MS + LATE_MS]
-    return [(start, end) for start, end in long
-            if not any(start <= to and end >= since for since, to in told.excused)]
+    return [
+        (start, end)
+        for start, end in long
+        if not any(start <= to and end >= since for since, to in told.excused)
+    ]
 
 
 def _figures(wire: Wire, versions: list[InForce], bound_ms: float, old: int) -> dict[str, float]:
@@ -147,16 +162,26 @@
     for asked in wire.asked:
         if asked.call != asked.first:
             continue
-        now = [v for n, v in enumerate(versions) if v.by <= asked.sent
-               and (n + 1 == len(versions) or asked.answered <= versions[n + 1].after)]
+        now = [
+            v
+            for n, v in enumerate(versions)
+            if v.by <= asked.sent and (n + 1 == len(versions) or asked.answered <= versions[n + 1].after)
+        ]
         if not now or now[-1].declines == asked.product:
             continue
         served += asked.outcome == "settled"
         declined += asked.outcome == "declined"
         lost += asked.outcome in ("", "lost")
     asked_in_all = max(served + declined, 1)
-    return dict(txns=len(wire.asked), settled=sum(a.outcome == "settled" for a in wire.asked),
-                repeats=sum(a.call != a.first for a in wire.asked), lost_with_server=lost,
-                aside_share=declined / asked_in_all, wrong_version=old, runs=len(wire.started),
-                versions=len(versions), bound_ms=bound_ms,
-                stalled_ms=round(sum(end - start for start, end in wire.stalls)))
+    return dict(
+        txns=len(wire.asked),
+        settled=sum(a.outcome == "settled" for a in wire.asked),
+        repeats=sum(a.call != a.first for a in wire.asked),
+        lost_with_server=lost,
+        aside_share=declined / asked_in_all,
+        wrong_version=old,
+        runs=len(wire.started),
+        versions=len(versions),
+        bound_ms=bound_ms,
+        stalled_ms=round(sum(end - start for start, end in wire.stalls)),
+    )
--- a/otterrudder/lab/processes/demo.py
+++ b/otterrudder/lab/processes/demo.py
@@ -11,8 +11,7 @@
 from otterrudder.lab.processes.rig import Rig
 
 SERVERS = 6
-ROUNDS = [Round(1, "look", (), 0.3),
-          Round(2, "pay", (Fault("kill at point", 3, "after save"),), 1.5)]
+ROUNDS = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("kill at point", 3, "after save"),), 1.5)]
 
 
 async def _play(folder: Path, say: Callable[[str], None]) -> Played:
@@ -39,8 +38,10 @@
     with tempfile.TemporaryDirectory() as folder:
         played = anyio.run(_play, Path(folder), say)
     figures = played.verdict.figures
-    say(f"{figures['txns']:.0f} txns, {figures['settled']:.0f} settled; under a wrong version "
-        f"{figures['wrong_version']:.0f}; servers that went by another policy {played.odd}")
+    say(
+        f"{figures['txns']:.0f} txns, {figures['settled']:.0f} settled; under a wrong version "
+        f"{figures['wrong_version']:.0f}; servers that went by another policy {played.odd}"
+    )
     for breach in played.verdict.breaches:
         say(breach)
     return not played.verdict.breaches and not played.odd and not played.undecided
--- a/otterrudder/lab/processes/double.py
+++ b/otterrudder/lab/processes/double.py
@@ -107,6 +107,7 @@
 
 def _declines_repeats() -> None:
     """A repeat of what ran is turned away."""
+
     def reuse(self: core.Core, txn: core.Txn) -> None:
         self._decline(txn, False, 0.0)
         assert self.rudder
--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -192,8 +192,9 @@
         await engine.answer(context)
         create, queue = first.create_request, asyncio.Queue[Any]()
         if create.start_revision and engine.space.since("", create.start_revision) is None:
-            yield rpc_pb2.WatchResponse(header=engine.header(), created=True, canceled=True,
-                                        compact_revision=engine.space.compacted)
+            yield rpc_pb2.WatchResponse(
+                header=engine.header(), created=True, canceled=True, compact_revision=engine.space.compacted
+            )
             return
         for event in engine.space.since("", create.start_revision) or [] if create.start_revision else []:
             queue.put_nowait(event)
@@ -217,8 +218,13 @@
 
 
 def _kv(key: str, entry: Entry) -> Any:
-    return kv_pb2.KeyValue(key=key.encode(), value=entry.value, create_revision=entry.created,
-                           mod_revision=entry.modified, lease=entry.lease)
+    return kv_pb2.KeyValue(
+        key=key.encode(),
+        value=entry.value,
+        create_revision=entry.created,
+        mod_revision=entry.modified,
+        lease=entry.lease,
+    )
 
 
 def _response(space: KeySpace, op: Any) -> Any:
--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -20,8 +20,17 @@
 
 VERSION = 1
 SERVERS_MOST = 24  # processes of one machine; more of them measure its scheduler
-RULES = ("lost", "answered twice", "late", "another result", "run twice", "repeat declined", "wrong version",
-         "unlisted", "drain")
+RULES = (
+    "lost",
+    "answered twice",
+    "late",
+    "another result",
+    "run twice",
+    "repeat declined",
+    "wrong version",
+    "unlisted",
+    "drain",
+)
 
 
 class _Variant(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -65,8 +74,11 @@
         if self.is_baseline:
             return []
         figures, played = self.played.verdict.figures, self.played
-        found = [f"{rule}: {figures[f'breaches of {rule!r}']:.0f}" for rule in RULES
-                 if f"breaches of {rule!r}" in figures]
+        found = [
+            f"{rule}: {figures[f'breaches of {rule!r}']:.0f}"
+            for rule in RULES
+            if f"breaches of {rule!r}" in figures
+        ]
         found += [f"{played.odd} servers went by another policy after a round"] if played.odd else []
         found += [f"{played.undecided} changes had no end"] if played.undecided else []
         return found
@@ -94,8 +106,9 @@
     return msgspec.structs.replace(experiment, variant=kept)
 
 
-def perform(experiment: Experiment, seeds: list[int], servers: int, changes: int,
-            tell: Callable[[str], None]) -> list[Run]:
+def perform(
+    experiment: Experiment, seeds: list[int], servers: int, changes: int, tell: Callable[[str], None]
+) -> list[Run]:
     """All variants under all seeds, one at a time: they share the cores."""
     runs = []
     for seed in seeds:
@@ -106,14 +119,29 @@
     return runs
 
 
-def perform_one(experiment: Experiment, name: str, seed: int, rounds: list[Round], servers: int,
-                tell: Callable[[str], None] = lambda line: None, double: str = "") -> Run:
+def perform_one(
+    experiment: Experiment,
+    name: str,
+    seed: int,
+    rounds: list[Round],
+    servers: int,
+    tell: Callable[[str], None] = lambda line: None,
+    double: str = "",
+) -> Run:
     """One variant with a plan as it is."""
     variant = next(variant for variant in experiment.variant if variant.name == name)
     with tempfile.TemporaryDirectory() as folder:
-        rig = Rig(Path(folder), servers, absent=variant.absent, bound_ms=experiment.bound_ms,
-                  lease_ms=experiment.lease_ms, pace_ms=experiment.pace_ms, with_fleet=not variant.baseline,
-                  double=double, names_store=variant.names_store)
+        rig = Rig(
+            Path(folder),
+            servers,
+            absent=variant.absent,
+            bound_ms=experiment.bound_ms,
+            lease_ms=experiment.lease_ms,
+            pace_ms=experiment.pace_ms,
+            with_fleet=not variant.baseline,
+            double=double,
+            names_store=variant.names_store,
+        )
         played = anyio.run(_perform, rig, rounds, tell)
     lines = [(a.sent, a.server, a.product, a.outcome) for a in rig.wire.asked if a.call == a.first]
     return Run(name, seed, variant.baseline, played, rig.marks, rig.versions, lines, servers)
@@ -127,15 +155,41 @@
 
 def table(runs: list[Run]) -> str:
     """Markdown, a line a run."""
-    head = ["variant", "seed", "in force", "aborted", "odd after a round", "odd at the end", "wrong version",
-            "lost", "run twice", "drains", "aside", "faults", "missed", "txns"]
+    head = [
+        "variant",
+        "seed",
+        "in force",
+        "aborted",
+        "odd after a round",
+        "odd at the end",
+        "wrong version",
+        "lost",
+        "run twice",
+        "drains",
+        "aside",
+        "faults",
+        "missed",
+        "txns",
+    ]
     rows = ["| " + " | ".join(head) + " |", "| --- |" + " ---: |" * (len(head) - 1)]
     for run in runs:
         figures, played = run.played.verdict.figures, run.played
-        of = [run.variant, run.seed, played.committed, played.aborted, played.odd, played.odd_at_end,
-              f"{figures['wrong_version']:.0f}", f"{figures.get(_breaches('lost'), 0):.0f}",
-              f"{figures.get(_breaches('run twice'), 0):.0f}", f"{figures['drains']:.0f}",
-              f"{figures['aside_share']:.1%}", played.dealt, played.missed, f"{figures['txns']:.0f}"]
+        of = [
+            run.variant,
+            run.seed,
+            played.committed,
+            played.aborted,
+            played.odd,
+            played.odd_at_end,
+            f"{figures['wrong_version']:.0f}",
+            f"{figures.get(_breaches('lost'), 0):.0f}",
+            f"{figures.get(_breaches('run twice'), 0):.0f}",
+            f"{figures['drains']:.0f}",
+            f"{figures['aside_share']:.1%}",
+            played.dealt,
+            played.missed,
+            f"{figures['txns']:.0f}",
+        ]
         rows.append("| " + " | ".join(map(str, of)) + " |")
     return "\n".join(rows)
 
@@ -147,10 +201,18 @@
 def write(runs: list[Run], folder: Path, name: str) -> None:
     """results.json, the table, and a chart of the first run of each variant."""
     folder.mkdir(parents=True, exist_ok=True)
-    told = [dict(variant=run.variant, seed=run.seed, figures=run.played.verdict.figures,
-                 breaches=run.played.verdict.breaches, broken=run.broken, rounds=run.played.rounds,
-                 marks=[(round(at), server, what) for at, server, what in run.marks])
-            for run in runs]
+    told = [
+        dict(
+            variant=run.variant,
+            seed=run.seed,
+            figures=run.played.verdict.figures,
+            breaches=run.played.verdict.breaches,
+            broken=run.broken,
+            rounds=run.played.rounds,
+            marks=[(round(at), server, what) for at, server, what in run.marks],
+        )
+        for run in runs
+    ]
     (folder / "results.json").write_text(json.dumps(told, indent=1))
     (folder / "table.md").write_text(table(runs) + "\n")
     shown: set[str] = set()
@@ -173,11 +235,21 @@
     figure, axes = plt.subplots(figsize=(11, 0.45 * run.servers + 1.6))
     colours = {"look": "#1b7837", "pay": "#2166ac"}
     for product, colour in colours.items():
-        points = [((at - start) / 1000, server) for at, server, what, how in run.lines
-                  if what == product and how == "settled"]
-        axes.plot([x for x, _ in points], [y for _, y in points], "|", ms=7, color=colour, alpha=0.5,
-                  rasterized=True,  # thousands of them
-                  label=f"{product} settled")
+        points = [
+            ((at - start) / 1000, server)
+            for at, server, what, how in run.lines
+            if what == product and how == "settled"
+        ]
+        axes.plot(
+            [x for x, _ in points],
+            [y for _, y in points],
+            "|",
+            ms=7,
+            color=colour,
+            alpha=0.5,
+            rasterized=True,  # thousands of them
+            label=f"{product} settled",
+        )
     for n, version in enumerate(run.versions[1:], 1):
         axes.axvline((version.by - start) / 1000, color="#666666", lw=0.6)
         if len(run.versions) < 40:
@@ -196,6 +268,7 @@
 
 def cut_down(experiment: Experiment, run: Run, tell: Callable[[str], None]) -> list[Round]:
     """The fewest rounds and faults of a run that broke a claim, each try played anew."""
+
     def broke(rounds: list[Round]) -> bool:
         again = perform_one(experiment, run.variant, run.seed, rounds, run.servers)
         tell(f"  {len(rounds)} rounds: {'; '.join(again.broken) or 'holds'}")
--- a/otterrudder/lab/processes/link.py
+++ b/otterrudder/lab/processes/link.py
@@ -46,8 +46,9 @@
     loss: float = 0.0  # share of datagrams that go, drawn by their number
 
 
-async def accept_all(sock: socket.socket,
-                     serve: Callable[[socket.socket], Coroutine[Any, Any, None]]) -> None:
+async def accept_all(
+    sock: socket.socket, serve: Callable[[socket.socket], Coroutine[Any, Any, None]]
+) -> None:
     """Each connection in a task of its own, until cancelled; the listener is closed then."""
     async with anyio.create_task_group() as group:
         try:
@@ -113,8 +114,9 @@
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 sock.close()
 
-    async def _pump(self, source: socket.socket, sink: socket.socket, there: bool,
-                    scope: anyio.CancelScope) -> None:
+    async def _pump(
+        self, source: socket.socket, sink: socket.socket, there: bool, scope: anyio.CancelScope
+    ) -> None:
         moved = 0
         with contextlib.suppress(OSError):
             while True:
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -36,9 +36,12 @@
 PROPOSER_POINTS = ("before propose", "after propose", *COMMIT)
 # Harms to links: which one, and what is done to it.
 HARMS = {
-    "cut": ("store", Harm(is_cut=True)), "one way there": ("store", Harm(holds_there=True)),
-    "one way back": ("store", Harm(holds_back=True)), "slow link": ("store", Harm(delay_ms=150.0)),
-    "slow reader": ("store", Harm(per_s=4000.0)), "half a message": ("store", Harm(breaks_after=700)),
+    "cut": ("store", Harm(is_cut=True)),
+    "one way there": ("store", Harm(holds_there=True)),
+    "one way back": ("store", Harm(holds_back=True)),
+    "slow link": ("store", Harm(delay_ms=150.0)),
+    "slow reader": ("store", Harm(per_s=4000.0)),
+    "half a message": ("store", Harm(breaks_after=700)),
     "gateway cut": ("gateway", Harm(is_cut=True)),
     "gateway one way there": ("gateway", Harm(holds_there=True)),
     "gateway one way back": ("gateway", Harm(holds_back=True)),
@@ -49,20 +52,44 @@
     "runtime one way back": ("runtime", Harm(holds_back=True)),
     "runtime slow": ("runtime", Harm(delay_ms=60.0)),
     "runtime half a message": ("runtime", Harm(breaks_after=700)),
-    "list cut": ("list", Harm(is_cut=True)), "list loses": ("list", Harm(loss=0.5, delay_ms=100.0)),
-    "network gone": ("network", Harm(is_cut=True))}
-SERVER_FAULTS = ("kill", "drain", "drain later", "freeze", "freeze later", "cut later", "disk full",
-                 "disk hangs", "name taken", "folder lost", *HARMS)
+    "list cut": ("list", Harm(is_cut=True)),
+    "list loses": ("list", Harm(loss=0.5, delay_ms=100.0)),
+    "network gone": ("network", Harm(is_cut=True)),
+}
+SERVER_FAULTS = (
+    "kill",
+    "drain",
+    "drain later",
+    "freeze",
+    "freeze later",
+    "cut later",
+    "disk full",
+    "disk hangs",
+    "name taken",
+    "folder lost",
+    *HARMS,
+)
 POINT_FAULTS = ("kill at point", "halt at point", "store killed at point")  # of a server, at each point
-STORE_FAULTS = ("store slow", "store loses answers", "store frozen", "watches cancelled", "watches deaf",
-                "watches flooded", "store killed", "older copy answers", "older copy later",
-                "empty store answers")
+STORE_FAULTS = (
+    "store slow",
+    "store loses answers",
+    "store frozen",
+    "watches cancelled",
+    "watches deaf",
+    "watches flooded",
+    "store killed",
+    "older copy answers",
+    "older copy later",
+    "empty store answers",
+)
 PROPOSER_FAULTS = ("proposer killed", "store killed at proposal")  # at each of its points
 CHANGE_FAULTS = ("two at once", "bad policy")
 # Each of them once: a plan deals them all before it deals one again.
-DECK = (*((kind, "") for kind in SERVER_FAULTS + STORE_FAULTS + CHANGE_FAULTS),
-        *((kind, point) for kind in POINT_FAULTS for point in POINTS),
-        *((kind, point) for kind in PROPOSER_FAULTS for point in PROPOSER_POINTS))
+DECK = (
+    *((kind, "") for kind in SERVER_FAULTS + STORE_FAULTS + CHANGE_FAULTS),
+    *((kind, point) for kind in POINT_FAULTS for point in POINTS),
+    *((kind, point) for kind in PROPOSER_FAULTS for point in PROPOSER_POINTS),
+)
 REPLACED = ("older copy answers", "older copy later", "empty store answers")
 # While these last no vote is seen, or the store can't be told to wait.
 NO_VOTES = ("store frozen", "store killed", "older copy answers", "empty store answers")
@@ -148,8 +175,13 @@
             return False
         if "bad policy" in kinds and any(fault.point.endswith("save") for fault in of_points):
             return False  # nobody promises anything
-    return all(_leaves_votes(other) for fault in faults if fault.point in COMMIT
-               for other in faults if other is not fault)
+    return all(
+        _leaves_votes(other)
+        for fault in faults
+        if fault.point in COMMIT
+        for other in faults
+        if other is not fault
+    )
 
 
 def _leaves_votes(fault: Fault) -> bool:
@@ -159,10 +191,20 @@
 
 
 # What a fault is to servers that are told by hand: down, frozen, or out of the operator's reach.
-_PLAIN = {"kill": "kill", "folder lost": "kill", "drain": "drain", "drain later": "drain",
-          "kill at point": "kill", "halt at point": "freeze",
-          "freeze": "freeze", "freeze later": "freeze", "cut": "cut", "one way there": "cut",
-          "one way back": "cut", "network gone": "network gone"}
+_PLAIN = {
+    "kill": "kill",
+    "folder lost": "kill",
+    "drain": "drain",
+    "drain later": "drain",
+    "kill at point": "kill",
+    "halt at point": "freeze",
+    "freeze": "freeze",
+    "freeze later": "freeze",
+    "cut": "cut",
+    "one way there": "cut",
+    "one way back": "cut",
+    "network gone": "network gone",
+}
 
 
 async def play(rig: Rig, rounds: list[Round], tell: Callable[[str], None] = lambda line: None) -> Played:
@@ -193,22 +235,28 @@
         played.odd_at_end = len(odd)
         named = _named(this.faults)
         played.dealt, played.missed = played.dealt + len(this.faults), played.missed + len(missed)
-        played.rounds.append(dict(round=this.number, faults=named, missed=_named(missed), how=how,
-                                  in_force=is_in, odd=odd))
-        tell(f"{this.number:4}  {'in force' if is_in else 'aborted ':8}  {how:12}  {named or 'no fault'}"
-             + (f"  (missed: {_named(missed)})" if missed else "") + (f"  ODD: {odd}" if odd else ""))
+        played.rounds.append(
+            dict(round=this.number, faults=named, missed=_named(missed), how=how, in_force=is_in, odd=odd)
+        )
+        tell(
+            f"{this.number:4}  {'in force' if is_in else 'aborted ':8}  {how:12}  {named or 'no fault'}"
+            + (f"  (missed: {_named(missed)})" if missed else "")
+            + (f"  ODD: {odd}" if odd else "")
+        )
     return played
 
 
 def _named(faults: Iterable[Fault]) -> str:
-    return ", ".join(" ".join(filter(None, (f.kind, f.point, f"n{f.server}" if f.server >= 0 else "")))
-                     for f in faults)
+    return ", ".join(
+        " ".join(filter(None, (f.kind, f.point, f"n{f.server}" if f.server >= 0 else ""))) for f in faults
+    )
 
 
 def conclude(rig: Rig, played: Played) -> Played:
     """The books of a run that is over."""
-    played.verdict = judge(rig.wire, rig.versions, rig.bound_ms, rig.harmed(), rig.listed(), rig.drains,
-                           STOP_MS)
+    played.verdict = judge(
+        rig.wire, rig.versions, rig.bound_ms, rig.harmed(), rig.listed(), rig.drains, STOP_MS
+    )
     return played
 
 
@@ -260,9 +308,12 @@
 
 
 _STORE: dict[str, dict[str, object]] = {
-    "store slow": {"slow_ms": 150}, "store loses answers": {"lose_answers": 3},
-    "watches cancelled": {"cancel_watches": 1}, "watches deaf": {"deaf_watches": True},
-    "watches flooded": {"flood": 2000}}
+    "store slow": {"slow_ms": 150},
+    "store loses answers": {"lose_answers": 3},
+    "watches cancelled": {"cancel_watches": 1},
+    "watches deaf": {"deaf_watches": True},
+    "watches flooded": {"flood": 2000},
+}
 
 
 def _named_end(code: int | None) -> str:
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -130,9 +130,20 @@
 class Rig:
     """`with_fleet`: the servers are of a fleet; else each has a table of levels of its own, the baseline."""
 
-    def __init__(self, folder: Path, servers: int, *, absent: str = "wait", bound_ms: float = 1000.0,
-                 lease_ms: float = 3000.0, pace_ms: float = 40.0, with_fleet: bool = True,
-                 start: str = "wait", double: str = "", names_store: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        servers: int,
+        *,
+        absent: str = "wait",
+        bound_ms: float = 1000.0,
+        lease_ms: float = 3000.0,
+        pace_ms: float = 40.0,
+        with_fleet: bool = True,
+        start: str = "wait",
+        double: str = "",
+        names_store: bool = False,
+    ) -> None:
         """`double`: the fault that is put into the first server's program; `names_store`: the fleet's file
         says which engine is believed."""
         self.folder, self.count, self.absent, self.start = folder, servers, absent, start
@@ -292,9 +303,11 @@
         lasting = f'folder = "{folder}"\n' if folder else ""
         absent = self.absent if folder else "leave-out"
         lasting += f'store_id = "{CLUSTER:x}"\n' if self.names_store else ""
-        return (f'version = 1\nfleet = "{FLEET}"\nstore = ["127.0.0.1:{port}"]\nabsent = "{absent}"\n'
-                f'start = "{self.start if folder else "wait"}"\n'
-                f"bound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n{lasting}")
+        return (
+            f'version = 1\nfleet = "{FLEET}"\nstore = ["127.0.0.1:{port}"]\nabsent = "{absent}"\n'
+            f'start = "{self.start if folder else "wait"}"\n'
+            f"bound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n{lasting}"
+        )
 
     # The servers.
 
@@ -303,14 +316,24 @@
         (folder / "halts").mkdir(parents=True)
         runtime = Runtime(n, self.wire)
         address = ("127.0.0.1", free_port())
-        links = {"store": Link(("127.0.0.1", self.store_at)), "runtime": Link(runtime.address),
-                 "gateway": Link(address)}
+        links = {
+            "store": Link(("127.0.0.1", self.store_at)),
+            "runtime": Link(runtime.address),
+            "gateway": Link(address),
+        }
         listing = Datagrams(self.list.address, n)
         gateway = Gateway(n, links["gateway"], runtime, self.wire, self.pace_ms)
         where = "{}:{}".format
-        told = {"name": f"n{n}", "listen": where(*address), "runtime": where(*links["runtime"].address),
-                "registry": where(*listing.address), "seed": f"{n:016x}", "stop_ms": STOP_MS,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS}
+        told = {
+            "name": f"n{n}",
+            "listen": where(*address),
+            "runtime": where(*links["runtime"].address),
+            "registry": where(*listing.address),
+            "seed": f"{n:016x}",
+            "stop_ms": STOP_MS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "settings": SETTINGS,
+        }
         (folder / "config.json").write_text(json.dumps(told))
         (folder / "levels.toml").write_text(levels_text("look"))
         self.places.append(Place(n, f"n{n}", folder, runtime, gateway, links, listing))
@@ -334,11 +357,15 @@
     def _launch(self, folder: Path, line: str, *halts: Path) -> subprocess.Popen[bytes]:
         """The server's program, by what lies in its folder."""
         name = "FLEET" if self.with_fleet else "LEVELS"
-        told = {"NODE_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
-                f"OTTERRUDDER_{name}": str(folder / f"{name.lower()}.toml")}
+        told = {
+            "NODE_CONFIG": str(folder / "config.json"),
+            "TMPDIR": str(folder),
+            f"OTTERRUDDER_{name}": str(folder / f"{name.lower()}.toml"),
+        }
         with (folder / "log.txt").open("ab") as log:
-            return subprocess.Popen(["/bin/sh", "-c", line], cwd=ROOT, env=_environment(told, *halts),
-                                    stderr=log)
+            return subprocess.Popen(
+                ["/bin/sh", "-c", line], cwd=ROOT, env=_environment(told, *halts), stderr=log
+            )
 
     def kill(self, place: Place) -> None:
         if place.process:
@@ -485,8 +512,9 @@
 
     # Changes.
 
-    def propose(self, number: int, declines: str, deadline_s: float, text: str = "",
-                more: tuple[str, ...] = ()) -> subprocess.Popen[bytes]:
+    def propose(
+        self, number: int, declines: str, deadline_s: float, text: str = "", more: tuple[str, ...] = ()
+    ) -> subprocess.Popen[bytes]:
         """The operators' own command, begun; `more`: further words of it."""
         text = text or policy_text(declines, number)
         self.kinds[digest_of(text)] = declines
@@ -538,8 +566,10 @@
 
     def harmed(self) -> dict[int, list[tuple[float, float]]]:
         now = clock()
-        return {p.number: p.harmed + [(p.begun[what], now) for what in OWED_MS if what in p.begun]
-                for p in self.places}
+        return {
+            p.number: p.harmed + [(p.begun[what], now) for what in OWED_MS if what in p.begun]
+            for p in self.places
+        }
 
     def listed(self) -> dict[str, Listed]:
         """By server: from when to when it was to be heard by the list, and when it was not."""
--- a/otterrudder/lab/processes/standins.py
+++ b/otterrudder/lab/processes/standins.py
@@ -29,22 +29,43 @@
 SETTINGS: dict[str, object] = {
     "classes": [
         {"name": "look", "effect": "safe", "worth": 1, "promiseUs": 2e6, "hardLimitUs": 4e6},
-        {"name": "pay", "effect": "keyed", "worth": 5, "promiseUs": 2e6, "hardLimitUs": 4e6,
-         "windowUs": 20e6},
+        {
+            "name": "pay",
+            "effect": "keyed",
+            "worth": 5,
+            "promiseUs": 2e6,
+            "hardLimitUs": 4e6,
+            "windowUs": 20e6,
+        },
     ],
     "realms": [{"name": "north", "share": 1.0}],
-    "familyInfo": {"cores": 6, "memoryKb": 80000.0, "runFactor": 4.0, "keyKb": 100.0, "callers": 3,
-                   "classCalls": [False, False], "callerIdleUs": 30e6, "passesDeadline": True,
-                   "tellsGone": True, "gauges": ["core_use", "on_cores", "heap_share", "links"],
-                   "stopMode": "silent", "say": "tokens"},
+    "familyInfo": {
+        "cores": 6,
+        "memoryKb": 80000.0,
+        "runFactor": 4.0,
+        "keyKb": 100.0,
+        "callers": 3,
+        "classCalls": [False, False],
+        "callerIdleUs": 30e6,
+        "passesDeadline": True,
+        "tellsGone": True,
+        "gauges": ["core_use", "on_cores", "heap_share", "links"],
+        "stopMode": "silent",
+        "say": "tokens",
+    },
     "rules": {"fallMultiple": 8.0, "fallUs": 3e6, "drainGraceUs": 400e3},
     "limits": {"maxRetryAfterUs": 1e6, "retryAfter": True},
     "tickUs": 20000,
 }
 
 
-_GONE = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError,
-         anyio.IncompleteRead)
+_GONE = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.IncompleteRead,
+)
 
 
 @dataclass(slots=True)
@@ -251,8 +272,15 @@
             asked = Asked(self.server, life, product, call, mark, first, clock())
             self.runtime.marks[call] = mark
             params: dict[str, object] = dict(
-                call=call, recv=round(unix()), src=1, org="north", ttl=TTL_MS, heap=20.0,
-                crit=0.5, blob=base64.b64encode(b"ask").decode())
+                call=call,
+                recv=round(unix()),
+                src=1,
+                org="north",
+                ttl=TTL_MS,
+                heap=20.0,
+                crit=0.5,
+                blob=base64.b64encode(b"ask").decode(),
+            )
             params |= {"dedupe": mark} if mark else {}
             params |= {"rep": 1} if again else {}
             line = json.dumps({"jsonrpc": "2.0", "id": number, "method": product, "params": params})
--- a/otterrudder/lab/search.py
+++ b/otterrudder/lab/search.py
@@ -52,8 +52,18 @@
             return ()
         m, g = self.machine, self.gate
         free = max(_shift(g._free_at, now) or 0.0, 0.0)
-        return (m.state, m.priority, m.interval, _shift(self.timer.at, now), _shift(m.delay_until, now),
-                g.door, _shift(g.due, now), g.returns, _shift(g._left_at, now), free)
+        return (
+            m.state,
+            m.priority,
+            m.interval,
+            _shift(self.timer.at, now),
+            _shift(m.delay_until, now),
+            g.door,
+            _shift(g.due, now),
+            g.returns,
+            _shift(g._left_at, now),
+            free,
+        )
 
 
 def _shift(at: float | None, now: float) -> float | None:
@@ -90,8 +100,13 @@
     return Machine(IPv4Address(f"192.0.2.{number + 1}"), priority, INTERVAL_MS, preempts=preempts)
 
 
-def search(priorities: tuple[int, ...], depth: int, make: Maker = machine_of, worlds_most: int = 2_000_000,
-           gate: type[Gate] = Gate) -> Found:
+def search(
+    priorities: tuple[int, ...],
+    depth: int,
+    make: Maker = machine_of,
+    worlds_most: int = 2_000_000,
+    gate: type[Gate] = Gate,
+) -> Found:
     """Every order of events to `depth`, breadth first, or the first world that breaks a rule."""
     first = World([_fresh(n, priority, make, gate) for n, priority in enumerate(priorities)])
     for n in range(len(priorities)):
--- a/otterrudder/levels/__init__.py
+++ b/otterrudder/levels/__init__.py
@@ -8,5 +8,17 @@
 from otterrudder.levels.table import BadTable, Table, parse, read
 from otterrudder.levels.watch import News, Watch
 
-__all__ = ["BadTable", "Bound", "Damping", "Ladder", "Move", "News", "Rung", "Table", "Watch", "Why",
-           "parse", "read"]
+__all__ = [
+    "BadTable",
+    "Bound",
+    "Damping",
+    "Ladder",
+    "Move",
+    "News",
+    "Rung",
+    "Table",
+    "Watch",
+    "Why",
+    "parse",
+    "read",
+]
--- a/otterrudder/levels/ladder.py
+++ b/otterrudder/levels/ladder.py
@@ -135,8 +135,9 @@
 
 
 class Ladder:
-    def __init__(self, rungs: tuple[Rung, ...], damping: Damping, *, spread: float = 0.0,
-                 start: str = FULL) -> None:
+    def __init__(
+        self, rungs: tuple[Rung, ...], damping: Damping, *, spread: float = 0.0, start: str = FULL
+    ) -> None:
         """`rungs`: mildest first, at least one. `start`: the name of the rung that a fresh process begins
         on."""
         self.rungs, self.damping, self.spread = rungs, damping, spread
@@ -254,8 +255,11 @@
         longer = (factor - 1.0) * rung.exit_ms  # the window itself has been calm at `since`
         if since is None or now - since < longer or self.stayed(now) < max(stay_ms, rung.stay_ms) * factor:
             return ()
-        return tuple(Reading(bound.fact, self._windows.of(bound.fact, rung.exit_ms).mean(), bound.value)
-                     for bound in rung.exit if asked or bound.fact not in ASKED)
+        return tuple(
+            Reading(bound.fact, self._windows.of(bound.fact, rung.exit_ms).mean(), bound.value)
+            for bound in rung.exit
+            if asked or bound.fact not in ASKED
+        )
 
     def _go(self, now: float, position: int, why: Why, readings: tuple[Reading, ...]) -> Move:
         left, up = self.name, position > self.position
--- a/otterrudder/levels/table.py
+++ b/otterrudder/levels/table.py
@@ -159,8 +159,9 @@
 class _Maker:
     """One level on its way from text to rung."""
 
-    def __init__(self, n: int, told: dict[str, Any], products: Sequence[Product],
-                 tenants: Sequence[Tenant]) -> None:
+    def __init__(
+        self, n: int, told: dict[str, Any], products: Sequence[Product], tenants: Sequence[Tenant]
+    ) -> None:
         self.where = f"level[{n}]"
         self.products, self.tenants = products, tenants
         self.told: _Level = _convert(told, _Level, self.where)
@@ -173,8 +174,10 @@
         self.entry, entry_s, needs_all = self._bounds(told.entry, "entry")
         self.exit, exit_s, _ = self._bounds(told.exit, "exit")
         if entry_s >= exit_s:
-            raise BadTable(f"{where}.exit.for_s: {exit_s:g} is not longer than its entry's, {entry_s:g}: "
-                           "a level is entered sooner than it is left")
+            raise BadTable(
+                f"{where}.exit.for_s: {exit_s:g} is not longer than its entry's, {entry_s:g}: "
+                "a level is entered sooner than it is left"
+            )
         for fact, value in self.exit.items():
             if fact in self.entry and value >= self.entry[fact]:
                 raise BadTable(f"{where}.exit.{fact}: {value:g} is not below its entry, {self.entry[fact]:g}")
@@ -184,8 +187,17 @@
             raise BadTable(f"{where}.cut: a level that cuts nothing does nothing")
         trims = tuple(tuple(trim for _, trim in self._strongest_first(fits)) for fits in self.trims)
         relief = Relief(told.name, trims, told.held == "answer", told.stay_away, stay * 1000)
-        return Rung(told.name, _as_bounds(self.entry), entry_s * 1000, _as_bounds(self.exit), exit_s * 1000,
-                    stay * 1000, trial * 1000, relief, needs_all)
+        return Rung(
+            told.name,
+            _as_bounds(self.entry),
+            entry_s * 1000,
+            _as_bounds(self.exit),
+            exit_s * 1000,
+            stay * 1000,
+            trial * 1000,
+            relief,
+            needs_all,
+        )
 
     def check_above(self, lower: "_Maker") -> None:
         """Nothing is let in here that the level before cuts more; nor does it start where that one ends."""
@@ -196,8 +208,10 @@
                     raise BadTable(f"{self.where}.cut: {spec.name}{shown} is cut less than by {lower.where}")
         for fact, value in self.entry.items():
             if value <= lower.exit.get(fact, -math.inf):
-                raise BadTable(f"{self.where}.entry.{fact}: {value:g} is not above the exit of "
-                               f"{lower.where}, {lower.exit[fact]:g}")
+                raise BadTable(
+                    f"{self.where}.entry.{fact}: {value:g} is not above the exit of "
+                    f"{lower.where}, {lower.exit[fact]:g}"
+                )
 
     def strength(self, product: int, tenant: int, rank: float) -> tuple[int, float]:
         """How much is cut of what one tenant sends of a product at a rank: the kind, then the share not let
@@ -244,7 +258,7 @@
     def _cut(self, told: _Cut, n: int) -> None:
         where, cut = f"{self.where}.cut[{n}]", Cut(told.do)
         if (told.share is not None) != (cut is Cut.SHARE):
-            raise BadTable(f"{where}.share: it goes with do = \"share\", and that needs it")
+            raise BadTable(f'{where}.share: it goes with do = "share", and that needs it')
         share = _within(told.share, 0.01, 0.99, f"{where}.share") if told.share is not None else 0.0
         rank = math.inf
         if told.rank_below is not None:
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -53,11 +53,35 @@
 class Txn:
     """A txn that is owed an answer, or whose run is not over."""
 
-    __slots__ = ("number", "call", "peer", "rpc", "product", "body", "mark", "what", "answered", "started",
-                 "proof", "wants", "given", "calling", "waits_on")
-
-    def __init__(self, number: int, call: str, peer: Hashable, rpc: int, product: int, body: bytes,
-                 mark: str, what: bytes) -> None:
+    __slots__ = (
+        "number",
+        "call",
+        "peer",
+        "rpc",
+        "product",
+        "body",
+        "mark",
+        "what",
+        "answered",
+        "started",
+        "proof",
+        "wants",
+        "given",
+        "calling",
+        "waits_on",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        call: str,
+        peer: Hashable,
+        rpc: int,
+        product: int,
+        body: bytes,
+        mark: str,
+        what: bytes,
+    ) -> None:
         self.number, self.call, self.peer, self.rpc, self.product = number, call, peer, rpc, product
         self.body, self.mark, self.what = body, mark, what
         self.answered = self.started = self.calling = False
@@ -68,8 +92,13 @@
 
 
 class Core:
-    def __init__(self, boot: Callable[..., Rudder], products: list[Product], gauges: list[str],
-                 levels: "Watch | None" = None) -> None:
+    def __init__(
+        self,
+        boot: Callable[..., Rudder],
+        products: list[Product],
+        gauges: list[str],
+        levels: "Watch | None" = None,
+    ) -> None:
         """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms). `levels`:
         the ladder of reduced service, if there is one."""
         self.levels = levels
@@ -120,9 +149,23 @@
 
     # From the gateways.
 
-    def arrive(self, peer: Hashable, rpc: int, product: int, *, call: str, recv: float, ttl: float | None,
-               kb: float, tenant: int, key: int, retry: bool, dedupe: str, body: bytes,
-               rank: float = 1.0) -> None:
+    def arrive(
+        self,
+        peer: Hashable,
+        rpc: int,
+        product: int,
+        *,
+        call: str,
+        recv: float,
+        ttl: float | None,
+        kb: float,
+        tenant: int,
+        key: int,
+        retry: bool,
+        dedupe: str,
+        body: bytes,
+        rank: float = 1.0,
+    ) -> None:
         if call in self.calls:
             self.out.append((peer, "rejected", rpc, "this call is open already"))
             return
@@ -144,8 +187,18 @@
             self.fresh[mark] = Reference(txn.number, asked)
         age = max(self.unix - recv, 0.0)
         left = 0.0 if ttl is None else max(ttl - age, 1e-3)  # 0 would say that nothing is known
-        self.rudder.arrive(txn.number, product, tenant=tenant, key=key, kb=kb, age_ms=age, left_ms=left,
-                           earlier=known.holder if known else 0, retry=retry, rank=rank)
+        self.rudder.arrive(
+            txn.number,
+            product,
+            tenant=tenant,
+            key=key,
+            kb=kb,
+            age_ms=age,
+            left_ms=left,
+            earlier=known.holder if known else 0,
+            retry=retry,
+            rank=rank,
+        )
 
     def left(self, call: str) -> None:
         """Its caller waits no more, or its connection has gone: no answer is owed."""
@@ -273,8 +326,14 @@
         if self.levels and not self.retiring:
             self._tell_level(self.levels.take(table, self.now))
 
-    def take_policy(self, table: "Table | None", make: "Callable[[Table], Watch]", products: list[Product],
-                    tenants: list[Tenant], limits: Limits) -> None:
+    def take_policy(
+        self,
+        table: "Table | None",
+        make: "Callable[[Table], Watch]",
+        products: list[Product],
+        tenants: list[Tenant],
+        limits: Limits,
+    ) -> None:
         """A policy is in force: its table of levels takes the place of any other, or of none; what comes from
         now on is worth what it says."""
         self.values = products, tenants, limits
@@ -307,11 +366,17 @@
         if not self.rudder:
             return {}
         slots = self.rudder.slots
-        return dict(in_hand=slots.in_hand, running=slots.running, held=self.rudder.sessions.held,
-                    runs=sum(txn.started for txn in self.txns.values()),
-                    at_calls=sum(txn.wants is not None for txn in self.txns.values()),
-                    on_cores=self.told_cores, gauges_behind=self.asked - self.heard, load=self.load,
-                    **(self.levels.beliefs(self.now) if self.levels else {}))
+        return dict(
+            in_hand=slots.in_hand,
+            running=slots.running,
+            held=self.rudder.sessions.held,
+            runs=sum(txn.started for txn in self.txns.values()),
+            at_calls=sum(txn.wants is not None for txn in self.txns.values()),
+            on_cores=self.told_cores,
+            gauges_behind=self.asked - self.heard,
+            load=self.load,
+            **(self.levels.beliefs(self.now) if self.levels else {}),
+        )
 
     def serve_part(self, part: Part, is_up: bool, left_ms: float) -> None:
         """A part of the txns is served here from now on, or left with so long to answer what was read of it.
@@ -489,6 +554,13 @@
 
 
 _OF_A_TXN: dict[str, Any] = {
-    "run": Core._run, "reuse": Core._reuse, "stop": Core._stop, "decline": Core._decline, "void": Core._void,
-    "keep": Core._keep, "forget": Core._forget, "call": Core._call, "omit": Core._omit,
+    "run": Core._run,
+    "reuse": Core._reuse,
+    "stop": Core._stop,
+    "decline": Core._decline,
+    "void": Core._void,
+    "keep": Core._keep,
+    "forget": Core._forget,
+    "call": Core._call,
+    "omit": Core._omit,
 }
--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -49,8 +49,14 @@
     def __init__(self, gateways: "Gateways", sock: socket.socket) -> None:
         self.gateways, self.helm = gateways, gateways.helm
         self.open: dict[int, str] = {}  # calls by the id of their request
-        self.stream = sockets.Stream(sock, jsonrpc.LINE_MOST, UNSENT_MOST, self._hear_all,
-                                     owes=lambda: bool(self.open), leave_s=LEAVE_S)
+        self.stream = sockets.Stream(
+            sock,
+            jsonrpc.LINE_MOST,
+            UNSENT_MOST,
+            self._hear_all,
+            owes=lambda: bool(self.open),
+            leave_s=LEAVE_S,
+        )
         self.since = self.quiet_since = clock.monotonic()
         self.half_since = math.inf  # when what is half read began to come
         self.told_no_more = 0.0  # when
@@ -119,8 +125,12 @@
             self._reject(rpc, jsonrpc.REQUEST, f"more than {OPEN_MOST} open requests")
         else:
             try:
-                fields = jsonrpc.txn(params, self.gateways.tenants, clock.unix(),
-                                     core.products[product].effect is Effect.REFERENCED)
+                fields = jsonrpc.txn(
+                    params,
+                    self.gateways.tenants,
+                    clock.unix(),
+                    core.products[product].effect is Effect.REFERENCED,
+                )
             except ValueError as trouble:
                 self._reject(rpc, jsonrpc.PARAMS, str(trouble))
                 return
@@ -182,8 +192,9 @@
 
 
 class Gateways:
-    def __init__(self, helm: Helm, address: tuple[str, int], sockets_most: int,
-                 tenants: dict[str, int]) -> None:
+    def __init__(
+        self, helm: Helm, address: tuple[str, int], sockets_most: int, tenants: dict[str, int]
+    ) -> None:
         """`sockets_most`: descriptors that are left to connections."""
         self.helm, self.tenants = helm, tenants
         self.most = max(sockets_most - SPARE, PEERS_LEAST)
@@ -286,8 +297,12 @@
         if any(peer.stream.why == ROOM for peer in self.peers):  # others may be owed something for long
             return True
         now = clock.monotonic()
-        rested = [peer for peer in self.peers if not peer.is_busy() and (self.is_leaving
-                  or now - peer.quiet_since > (RESTED_MS if peer.worded else HUSHED_MS))]
+        rested = [
+            peer
+            for peer in self.peers
+            if not peer.is_busy()
+            and (self.is_leaving or now - peer.quiet_since > (RESTED_MS if peer.worded else HUSHED_MS))
+        ]
         rested.sort(key=lambda peer: (peer.worded, peer.quiet_since))
         made = 0
         for peer in rested:
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -131,12 +131,22 @@
             return
         used = resource.getrusage(resource.RUSAGE_SELF)
         cpu = used.ru_utime + used.ru_stime
-        log.info("doing", **of.beliefs(), txns=len(of.txns), references=len(of.references),
-                 numbered=of.numbered,
-                 worst_ring_late_ms=round(self.lag, 1), worst_turn_ms=round(self.turn_ms, 1),
-                 most_mail=self.mail, turns=self.turns, events=self.events, cpu_s=round(cpu - self.cpu, 3),
-                 rss_mb=_rss_mb(), most_rss_mb=round(used.ru_maxrss / 1024, 1),
-                 collections=gc.get_stats()[2]["collections"])
+        log.info(
+            "doing",
+            **of.beliefs(),
+            txns=len(of.txns),
+            references=len(of.references),
+            numbered=of.numbered,
+            worst_ring_late_ms=round(self.lag, 1),
+            worst_turn_ms=round(self.turn_ms, 1),
+            most_mail=self.mail,
+            turns=self.turns,
+            events=self.events,
+            cpu_s=round(cpu - self.cpu, 3),
+            rss_mb=_rss_mb(),
+            most_rss_mb=round(used.ru_maxrss / 1024, 1),
+            collections=gc.get_stats()[2]["collections"],
+        )
         self.next, self.cpu = now + REPORT_MS, cpu
         self.lag = self.turn_ms = 0.0
         self.mail = self.turns = self.events = 0
--- a/otterrudder/net/jsonrpc.py
+++ b/otterrudder/net/jsonrpc.py
@@ -135,20 +135,25 @@
         data += b'%s"pushback":%d' % (b"," if data else b"", math.ceil(stay_away_ms))
     told = _load(load)
     data += told if data else told[1:]
-    return [b'{"jsonrpc":"2.0","id":%d,"error":{"code":%d,"message":"declined","data":{%s}}}\n'
-            % (rpc, NEVER_RAN, data)]
+    return [
+        b'{"jsonrpc":"2.0","id":%d,"error":{"code":%d,"message":"declined","data":{%s}}}\n'
+        % (rpc, NEVER_RAN, data)
+    ]
 
 
 def voided(rpc: int | None, code: int, why: str, load: float | None) -> list[bytes]:
     number = b"null" if rpc is None else b"%d" % rpc
     data = b',"data":{%s}' % _load(load)[1:] if load is not None else b""
-    return [b'{"jsonrpc":"2.0","id":%s,"error":{"code":%d,"message":%s%s}}\n'
-            % (number, code, _encode(why), data)]
+    return [
+        b'{"jsonrpc":"2.0","id":%s,"error":{"code":%d,"message":%s%s}}\n' % (number, code, _encode(why), data)
+    ]
 
 
 def health(rpc: int, good: bool, load: float | None) -> list[bytes]:
-    return [b'{"jsonrpc":"2.0","id":%d,"result":{"pass":%s%s}}\n'
-            % (rpc, b"true" if good else b"false", _load(load))]
+    return [
+        b'{"jsonrpc":"2.0","id":%d,"result":{"pass":%s%s}}\n'
+        % (rpc, b"true" if good else b"false", _load(load))
+    ]
 
 
 NO_MORE = [b'{"jsonrpc":"2.0","method":"noMore"}\n']
--- a/otterrudder/net/lines.py
+++ b/otterrudder/net/lines.py
@@ -11,8 +11,13 @@
 ROOM = 64 * 1024  # bytes of a receive buffer: a body and its line fit
 
 ENDS = {"complete": Outcome.OK, "error": Outcome.ERROR, "cancelled": Outcome.STOPPED, "unknown": Outcome.MOOT}
-REPLIES = {"DONE": Outcome.OK, "WAIT": Outcome.FULL, "ERROR": Outcome.ERROR, "PAST": Outcome.TIMEOUT,
-           "EMPTY": Outcome.MOOT}
+REPLIES = {
+    "DONE": Outcome.OK,
+    "WAIT": Outcome.FULL,
+    "ERROR": Outcome.ERROR,
+    "PAST": Outcome.TIMEOUT,
+    "EMPTY": Outcome.MOOT,
+}
 
 Words = list[str]
 
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -74,8 +74,11 @@
             if not self.stream:
                 self.records.is_refused = True
             if self.calls:
-                log.warning("records connection lost" if self.stream else "records service refuses", why=why,
-                            calls=len(self.calls))
+                log.warning(
+                    "records connection lost" if self.stream else "records service refuses",
+                    why=why,
+                    calls=len(self.calls),
+                )
             for call in list(self.calls):
                 self.records.ended(self, call, outcome)
             self.records.gone(self)
@@ -101,8 +104,12 @@
         stream = self.stream
         if not self.calls and now - self.heard > REUSE_MS:
             self.spend("unused")
-        elif (stream and stream.buffer.start < stream.buffer.end and now - self.heard > HALF_MS
-              and not stream.catch_up()):  # the other half may lie unread where this loop was busy
+        elif (
+            stream
+            and stream.buffer.start < stream.buffer.end
+            and now - self.heard > HALF_MS
+            and not stream.catch_up()
+        ):  # the other half may lie unread where this loop was busy
             stream.end("half a reply")
 
 
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -45,8 +45,11 @@
             return
         if self.replaying or self.leaving:
             return
-        self.stream.send(lines.say_body(rest[-1], word, *rest[:-1]) if word in ("start", "give")
-                         else lines.say(word, *rest))
+        self.stream.send(
+            lines.say_body(rest[-1], word, *rest[:-1])
+            if word in ("start", "give")
+            else lines.say(word, *rest)
+        )
 
     async def run(self) -> None:
         async with anyio.create_task_group() as self.group:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -89,7 +89,8 @@
     why = "the runtime's protocol has no word for it, so it is kept off"
     omits = any(product.omit_value for product in products_of(settings))
     return [f"familyInfo.stopMode: work can't be stopped here: {why}"] * can_stop(settings) + [
-        f"familyInfo.classSkipWorth: no call is left out here: {why}"] * omits
+        f"familyInfo.classSkipWorth: no call is left out here: {why}"
+    ] * omits
 
 
 def run(told: dict, files: Files) -> int:
@@ -105,15 +106,22 @@
     return 0
 
 
-async def _serve(told: dict, files: Files, levels: "Table | None", groups: "Groups | None",
-                 fleet: "Fleet | None") -> None:
+async def _serve(
+    told: dict, files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
+) -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
         await _live(told, files, levels, groups, fleet, signals)
 
 
-async def _live(told: dict, files: Files, levels: "Table | None", groups: "Groups | None",
-                fleet: "Fleet | None", signals: AsyncIterator[signal.Signals]) -> None:
+async def _live(
+    told: dict,
+    files: Files,
+    levels: "Table | None",
+    groups: "Groups | None",
+    fleet: "Fleet | None",
+    signals: AsyncIterator[signal.Signals],
+) -> None:
     settings, seed = told["settings"], int(told["seed"], 16)
     products = [replace(product, omit_value=0.0) for product in products_of(settings)]  # see `unsaid`
     # A reference outlives its window by an expiry, see core.py.
@@ -122,9 +130,18 @@
     refs_most = told["limits"]["memory_mb"] * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
 
     def make(now: float, warm: bool, up_ms: float) -> Rudder:
-        return boot(now, settings.get("me") or 0, seed, settings, fresh=not warm, up_ms=up_ms,
-                    products=products, may_stop=False,
-                    ref_kb=0.0, refs_most=refs_most)  # results lie here, not in the runtime's memory
+        return boot(
+            now,
+            settings.get("me") or 0,
+            seed,
+            settings,
+            fresh=not warm,
+            up_ms=up_ms,
+            products=products,
+            may_stop=False,
+            ref_kb=0.0,
+            refs_most=refs_most,
+        )  # results lie here, not in the runtime's memory
 
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     # A fleet shares one table: each server's own lag keeps them from leaving a level together.
@@ -172,8 +189,9 @@
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
-def _speaker(groups: "Groups", helm: Helm, runtime: Runtime, records: Records,
-             registry: Registry) -> "Speaker":
+def _speaker(
+    groups: "Groups", helm: Helm, runtime: Runtime, records: Records, registry: Registry
+) -> "Speaker":
     """VRRP's actor, its socket taken: what it orders goes to the core by the helm, ahead of what arrives."""
     from otterrudder.vrrp.speaker import Speaker
 
@@ -182,9 +200,13 @@
 
     def facts() -> dict[str, bool]:
         core = helm.core
-        return dict(runtime=not core.is_linked, records=records.is_refused, late=helm.watch.is_late(),
-                    level=core.levels is not None and core.levels.name != "full",
-                    unhealthy=bool(core.rudder) and not core.healthy and not core.left_parts)
+        return dict(
+            runtime=not core.is_linked,
+            records=records.is_refused,
+            late=helm.watch.is_late(),
+            level=core.levels is not None and core.levels.name != "full",
+            unhealthy=bool(core.rudder) and not core.healthy and not core.left_parts,
+        )
 
     def changed() -> None:
         registry.draining = helm.core.retiring or not speaker.is_serving
@@ -215,8 +237,14 @@
             content = parsed.get(text) or parse(text or NO_POLICY, own)
         except BadPolicy:
             return  # it stands aside for that, and says why
-        helm.post(helm.core.take_policy, content.levels, lambda table: Watch(table, spread), content.products,
-                  content.tenants, content.limits)
+        helm.post(
+            helm.core.take_policy,
+            content.levels,
+            lambda table: Watch(table, spread),
+            content.products,
+            content.tenants,
+            content.limits,
+        )
 
     def judge(text: str) -> str:
         try:
@@ -240,8 +268,15 @@
 
     agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
     helm.ahead.append(agent.pulse)
-    log.info("of a fleet", fleet=fleet.name, absent=fleet.rules.absent, bound_ms=fleet.rules.bound_ms,
-             known=agent.member.known.version, pledged=bool(agent.member.pledge), folder=str(fleet.folder))
+    log.info(
+        "of a fleet",
+        fleet=fleet.name,
+        absent=fleet.rules.absent,
+        bound_ms=fleet.rules.bound_ms,
+        known=agent.member.known.version,
+        pledged=bool(agent.member.pledge),
+        folder=str(fleet.folder),
+    )
     return agent
 
 
@@ -249,8 +284,16 @@
     return address(told["records"]) if told.get("records") else None
 
 
-async def _watch(signals: AsyncIterator[signal.Signals], told: dict, files: Files, helm: Helm,
-                 runtime: Runtime, records: Records, registry: Registry, speaker: "Speaker | None") -> None:
+async def _watch(
+    signals: AsyncIterator[signal.Signals],
+    told: dict,
+    files: Files,
+    helm: Helm,
+    runtime: Runtime,
+    records: Records,
+    registry: Registry,
+    speaker: "Speaker | None",
+) -> None:
     async for number in _heard(signals):
         if number == signal.SIGHUP:
             try:
--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -89,8 +89,15 @@
     last bytes are read, for a close over unread ones resets the connection and takes with it what the other
     side had not read yet. `end` is for a connection that is of no more use."""
 
-    def __init__(self, sock: socket.socket, room: int, unsent_most: int, hear: Callable[[Buffer], None],
-                 owes: Callable[[], bool] = _owes_nothing, leave_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        room: int,
+        unsent_most: int,
+        hear: Callable[[Buffer], None],
+        owes: Callable[[], bool] = _owes_nothing,
+        leave_s: float = 0.0,
+    ) -> None:
         """`hear` takes what is whole from the buffer; what it raises ends this connection and nothing else.
         `owes`: whether something that was heard is still to be answered. `leave_s`: s to write that and to
         read out what still comes, once it is left; 0: whoever is left has nothing to come."""
--- a/otterrudder/vrrp/group.py
+++ b/otterrudder/vrrp/group.py
@@ -126,8 +126,14 @@
     except BadKeys as trouble:
         raise BadGroups(str(trouble)) from None
     hand_over = _within(whole.hand_over_ms, 0.0, 600_000.0, f"{where}: hand_over_ms")
-    return Groups(udp_address(whole.listen, f"{where}: listen"), whole.check_hops, hand_over, hold_down,
-                  tuple(groups), keys)
+    return Groups(
+        udp_address(whole.listen, f"{where}: listen"),
+        whole.check_hops,
+        hand_over,
+        hold_down,
+        tuple(groups),
+        keys,
+    )
 
 
 def _group(told: Any, where: str, products: Sequence[Product], tenants: Sequence[Tenant]) -> Group:
@@ -160,10 +166,26 @@
     if len({track.fact for track in tracks}) < len(tracks):
         raise BadGroups(f"{where}.track: a fact stands twice")
     delay = _within(group.preempt_delay_ms, 0.0, 3.6e6, f"{where}.preempt_delay_ms")
-    part = Part(_numbers(group.products, [p.name for p in products], f"{where}.products"),
-                _numbers(group.tenants, [t.name for t in tenants], f"{where}.tenants"))
-    return Group(group.name, group.vrid, address, destination, virtual, group.priority, interval,
-                 group.learns_interval, group.preempt, delay, group.accept, part, peers, tracks)
+    part = Part(
+        _numbers(group.products, [p.name for p in products], f"{where}.products"),
+        _numbers(group.tenants, [t.name for t in tenants], f"{where}.tenants"),
+    )
+    return Group(
+        group.name,
+        group.vrid,
+        address,
+        destination,
+        virtual,
+        group.priority,
+        interval,
+        group.learns_interval,
+        group.preempt,
+        delay,
+        group.accept,
+        part,
+        peers,
+        tracks,
+    )
 
 
 def _peer(told: Any, where: str) -> Peer:
--- a/otterrudder/vrrp/machine.py
+++ b/otterrudder/vrrp/machine.py
@@ -50,11 +50,30 @@
 
 
 class Machine:
-    __slots__ = ("accepts", "address", "base_interval", "delay_until", "interval", "number",
-                 "preempt_delay", "preempts", "priority", "state", "timer_at")
-
-    def __init__(self, address: Address, priority: int, interval_ms: float, *, preempts: bool = True,
-                 preempt_delay_ms: float = 0.0, accepts: bool = False) -> None:
+    __slots__ = (
+        "accepts",
+        "address",
+        "base_interval",
+        "delay_until",
+        "interval",
+        "number",
+        "preempt_delay",
+        "preempts",
+        "priority",
+        "state",
+        "timer_at",
+    )
+
+    def __init__(
+        self,
+        address: Address,
+        priority: int,
+        interval_ms: float,
+        *,
+        preempts: bool = True,
+        preempt_delay_ms: float = 0.0,
+        accepts: bool = False,
+    ) -> None:
         """`address`: one's primary address, which breaks a tie; `priority`: 1 to 255."""
         self.address, self.priority = address, priority
         self.base_interval = interval_ms  # one's own, as configured
--- a/otterrudder/vrrp/packet.py
+++ b/otterrudder/vrrp/packet.py
@@ -117,8 +117,9 @@
     return Advert(vrid, priority, (interval & INTERVAL_MOST) * CENTISECOND_MS, addresses)
 
 
-def accept(advert: Advert, vrid: int, addresses: frozenset[Address], interval_ms: float,
-           learns_interval: bool) -> None:
+def accept(
+    advert: Advert, vrid: int, addresses: frozenset[Address], interval_ms: float, learns_interval: bool
+) -> None:
     """The checks of a group on an advert; BadPacket says which failed. A priority of 0 names no interval to
     go by."""
     if advert.vrid != vrid or not advert.vrid:
--- a/otterrudder/vrrp/speaker.py
+++ b/otterrudder/vrrp/speaker.py
@@ -57,15 +57,23 @@
 
 
 class Speaker:
-    def __init__(self, groups: Groups, epoch: int, orders: Callable[[Order], None],
-                 facts: Callable[[], Mapping[str, bool]]) -> None:
+    def __init__(
+        self,
+        groups: Groups,
+        epoch: int,
+        orders: Callable[[Order], None],
+        facts: Callable[[], Mapping[str, bool]],
+    ) -> None:
         """`epoch`: this life's number, see Seal; `orders` hears what the module is to be told; `facts` says
         which of the tracked facts are bad."""
         self.groups, self.seal = groups, Seal(groups.keys, epoch)
         self._orders, self._facts = orders, facts
         self.members = [_member(group, groups) for group in groups.groups]
-        self._peers = {(member.group.vrid, peer.udp): (member, peer)
-                       for member in self.members for peer in member.group.peers}
+        self._peers = {
+            (member.group.vrid, peer.udp): (member, peer)
+            for member in self.members
+            for peer in member.group.peers
+        }
         self.counts: Counter[str] = Counter()  # of datagrams of no group
         self.late: list[float] = []  # ms by which adverts went out late
         self.sock: socket.socket | None = None
@@ -287,23 +295,44 @@
     def _shown(member: Member, now: float) -> dict[str, object]:
         machine, gate, group = member.machine, member.gate, member.group
         timer = round(member.timer.at - now, 1) if member.timer.at < math.inf else None
-        return dict(group=group.name, vrid=group.vrid, state=machine.state.value, door=gate.door.value,
-                    priority=machine.priority, base=group.priority, lowered_by=member.track.counting,
-                    interval_ms=machine.interval, timer_ms=timer, returns=gate.returns,
-                    counts=dict(member.counts))
+        return dict(
+            group=group.name,
+            vrid=group.vrid,
+            state=machine.state.value,
+            door=gate.door.value,
+            priority=machine.priority,
+            base=group.priority,
+            lowered_by=member.track.counting,
+            interval_ms=machine.interval,
+            timer_ms=timer,
+            returns=gate.returns,
+            counts=dict(member.counts),
+        )
 
 
 def _member(group: Group, groups: Groups) -> Member:
-    machine = Machine(group.address, group.priority, group.interval_ms, preempts=group.preempts,
-                      preempt_delay_ms=group.preempt_delay_ms, accepts=group.accepts)
-    return Member(group, machine, Gate(group.part, groups.hand_over_ms, groups.hold_down),
-                  Track(group.priority, group.tracks))
+    machine = Machine(
+        group.address,
+        group.priority,
+        group.interval_ms,
+        preempts=group.preempts,
+        preempt_delay_ms=group.preempt_delay_ms,
+        accepts=group.accepts,
+    )
+    return Member(
+        group,
+        machine,
+        Gate(group.part, groups.hand_over_ms, groups.hold_down),
+        Track(group.priority, group.tracks),
+    )
 
 
 def _hops(ancillary: list[tuple[int, int, bytes]]) -> int | None:
     for level, kind, data in ancillary:
-        is_hops = (level, kind) in ((socket.IPPROTO_IP, socket.IP_TTL),
-                                    (socket.IPPROTO_IPV6, socket.IPV6_HOPLIMIT))
+        is_hops = (level, kind) in (
+            (socket.IPPROTO_IP, socket.IP_TTL),
+            (socket.IPPROTO_IPV6, socket.IPV6_HOPLIMIT),
+        )
         if is_hops and len(data) >= 4:
             return int(struct.unpack_from("=i", data)[0])
     return None
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -28,22 +28,30 @@
 ROOT = Path(__file__).parents[2]
 GOOD = 'version = 1\nfleet = "f"\nstore = ["127.0.0.1:2379"]\nfolder = "state"\n'
 KEYS = Keys("f")
-PRODUCTS = [Product(name, Effect.INQUIRY, 1.0, 1000.0, 2000.0)
-            for name in ("addr-lookup", "form-check", "form-submit")]
-
-
-@pytest.mark.parametrize(("change", "says"), [
-    (("folder", 'other = 1\nfolder'), "fleet.toml: : Object contains unknown field `other`"),
-    (("version = 1", "version = 2"), "fleet.toml: version: this program reads 1, not 2"),
-    (('"f"', '"a/b"'), "fleet.toml: fleet: a name without a slash is wanted, not 'a/b'"),
-    (("2379", "x"), "fleet.toml: store: '127.0.0.1:x' is no address and port"),
-    (('["127.0.0.1:2379"]', "[]"), "fleet.toml: store: from 1 to 9 addresses are wanted, not 0"),
-    (('folder = "state"\n', ""), 'fleet.toml: folder: absent = "wait" needs one'),
-    (("folder", 'absent = "leave-out"\nstart = "folder"\nfolder'), 'fleet.toml: start: "folder" goes with'),
-    (("folder", "bound_ms = 100\nfolder"), "fleet.toml: bound_ms: 100 is not from 400 to 60000"),
-    (("folder", "lease_ms = 3500\nfolder"), "fleet.toml: lease_ms: 3500 is not whole seconds"),
-    (("folder", 'absent = "never"\nfolder'), "fleet.toml: .absent: Invalid enum value 'never'"),
-])
+PRODUCTS = [
+    Product(name, Effect.INQUIRY, 1.0, 1000.0, 2000.0)
+    for name in ("addr-lookup", "form-check", "form-submit")
+]
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        (("folder", "other = 1\nfolder"), "fleet.toml: : Object contains unknown field `other`"),
+        (("version = 1", "version = 2"), "fleet.toml: version: this program reads 1, not 2"),
+        (('"f"', '"a/b"'), "fleet.toml: fleet: a name without a slash is wanted, not 'a/b'"),
+        (("2379", "x"), "fleet.toml: store: '127.0.0.1:x' is no address and port"),
+        (('["127.0.0.1:2379"]', "[]"), "fleet.toml: store: from 1 to 9 addresses are wanted, not 0"),
+        (('folder = "state"\n', ""), 'fleet.toml: folder: absent = "wait" needs one'),
+        (
+            ("folder", 'absent = "leave-out"\nstart = "folder"\nfolder'),
+            'fleet.toml: start: "folder" goes with',
+        ),
+        (("folder", "bound_ms = 100\nfolder"), "fleet.toml: bound_ms: 100 is not from 400 to 60000"),
+        (("folder", "lease_ms = 3500\nfolder"), "fleet.toml: lease_ms: 3500 is not whole seconds"),
+        (("folder", 'absent = "never"\nfolder'), "fleet.toml: .absent: Invalid enum value 'never'"),
+    ],
+)
 def test_a_bad_file_is_refused_by_its_key(tmp_path: Path, change: tuple[str, str], says: str) -> None:
     path = tmp_path / "fleet.toml"
     path.write_text(GOOD.replace(*change))
@@ -79,20 +87,28 @@
     assert "products.x: no product" in trouble_in("version = 1\n[products.x]\nvalue = 1", Own(PRODUCTS, []))
     assert "tenants.x: no tenant" in trouble_in("version = 1\n[tenants.x]\nper_s = 1", Own(PRODUCTS, []))
     assert trouble_in("version = 1\n[products.form-check]\nlate_value = 2", Own(PRODUCTS, [])) == (
-        "products.form-check.late_value: 2 is not from 0 to 1")
-    told = parse("version = 1\n[products.form-check]\nvalue = 7\n[tenants.north]\nper_s = 400",
-                 Own(PRODUCTS, [Tenant("north", 0.5), Tenant("south", 0.5, 0.02)], servers=4))
+        "products.form-check.late_value: 2 is not from 0 to 1"
+    )
+    told = parse(
+        "version = 1\n[products.form-check]\nvalue = 7\n[tenants.north]\nper_s = 400",
+        Own(PRODUCTS, [Tenant("north", 0.5), Tenant("south", 0.5, 0.02)], servers=4),
+    )
     assert [product.value for product in told.products] == [1.0, 7.0, 1.0]
     assert [tenant.per_ms for tenant in told.tenants] == [0.1, 0.02]
-    told = parse("version = 1\n[limits]\nstay_away_ms = 300\n[budgets]\ncalls = 24",
-                 Own(PRODUCTS, [], 8, Limits(500.0, 1.0, 0.1)))
+    told = parse(
+        "version = 1\n[limits]\nstay_away_ms = 300\n[budgets]\ncalls = 24",
+        Own(PRODUCTS, [], 8, Limits(500.0, 1.0, 0.1)),
+    )
     assert told.limits == Limits(300.0, 3.0, 0.1)
     assert "limits.stay_away_ms: 600 is more than callers honour here, 500" in trouble_in(
-        "version = 1\n[limits]\nstay_away_ms = 600", Own(PRODUCTS, [], 8, Limits(500.0)))
+        "version = 1\n[limits]\nstay_away_ms = 600", Own(PRODUCTS, [], 8, Limits(500.0))
+    )
     assert trouble_in("version = 1\n[budgets]\ncalls = 24", Own(PRODUCTS, [], shares_below=False)) == (
-        "budgets.calls: here no service lies below that all servers share")
+        "budgets.calls: here no service lies below that all servers share"
+    )
     assert "limits.over_share_value: 3 is not from 0 to 1" in trouble_in(
-        "version = 1\n[limits]\nover_share_value = 3", Own(PRODUCTS, []))
+        "version = 1\n[limits]\nover_share_value = 3", Own(PRODUCTS, [])
+    )
     with pytest.raises(BadPolicy, match="not TOML"):
         parse("version = ", Own(PRODUCTS, []))
 
@@ -114,8 +130,16 @@
             return f"{name}: bad" if text == text_is_bad else ""
 
         self.judges[name] = judge
-        self.members[name] = Member(self.now, KEYS, name, f"{name}{epoch}", f"of {name}", self.rules, judge,
-                                    record=self.disks.get(name))
+        self.members[name] = Member(
+            self.now,
+            KEYS,
+            name,
+            f"{name}{epoch}",
+            f"of {name}",
+            self.rules,
+            judge,
+            record=self.disks.get(name),
+        )
         return self.members[name]
 
     def turn(self, *cut: str) -> None:
@@ -312,13 +336,26 @@
 def test_where_the_file_names_the_engine_a_first_start_believes_no_other() -> None:
     space = KeySpace(cluster=7)
     for store_id, admits in ((0, 0), (7, 0), (9, None)):
-        member = Member(0.0, KEYS, "a", "1", "of a", Rules(absent="leave-out"), lambda text: "",
-                        has_disk=False, cluster=store_id)
+        member = Member(
+            0.0,
+            KEYS,
+            "a",
+            "1",
+            "of a",
+            Rules(absent="leave-out"),
+            lambda text: "",
+            has_disk=False,
+            cluster=store_id,
+        )
         for _ in range(6):
             for want in member.wants(0.0):
-                outcome = (space.read(want.names) if isinstance(want, Read) else
-                           space.commit(want.compares, want.writes) if isinstance(want, Commit) else
-                           space.grant(0.0, 6000.0))
+                outcome = (
+                    space.read(want.names)
+                    if isinstance(want, Read)
+                    else space.commit(want.compares, want.writes)
+                    if isinstance(want, Commit)
+                    else space.grant(0.0, 6000.0)
+                )
                 member.told(0.0, want, 0.0, outcome)
         assert member.admits(0.0) == admits
         space = KeySpace(cluster=7)
@@ -463,13 +500,16 @@
     return fleet
 
 
-@pytest.mark.parametrize(("figures", "goes_back"), [
-    ({"a": {"busy": 0.9}, "b": {"busy": 0.9}, "c": {"busy": 0.9}}, True),
-    ({"a": {"busy": 2.0}, "b": {"busy": 0.1}, "c": {"busy": 0.1}}, True),  # 0.73 in the mean
-    ({"a": {"busy": 0.9}, "b": {"busy": 0.1}, "c": {"busy": 0.1}}, False),
-    ({"a": {"busy": 9.0}}, False),  # one of three: the others are not known, and not taken for idle
-    ({"a": {"busy": float("nan")}, "b": {"busy": float("nan")}, "c": {"busy": 0.1}}, False),
-])
+@pytest.mark.parametrize(
+    ("figures", "goes_back"),
+    [
+        ({"a": {"busy": 0.9}, "b": {"busy": 0.9}, "c": {"busy": 0.9}}, True),
+        ({"a": {"busy": 2.0}, "b": {"busy": 0.1}, "c": {"busy": 0.1}}, True),  # 0.73 in the mean
+        ({"a": {"busy": 0.9}, "b": {"busy": 0.1}, "c": {"busy": 0.1}}, False),
+        ({"a": {"busy": 9.0}}, False),  # one of three: the others are not known, and not taken for idle
+        ({"a": {"busy": float("nan")}, "b": {"busy": float("nan")}, "c": {"busy": 0.1}}, False),
+    ],
+)
 def test_a_policy_on_trial_goes_back_by_the_mean_of_the_fleet(figures: dict, goes_back: bool) -> None:
     fleet = on_trial({"busy": 0.5}, figures, 9_000.0)
     assert fleet.admits() == ([3, 3, 3] if goes_back else [2, 2, 2])
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -45,15 +45,28 @@
 
     def policy(self, text: str) -> None:
         told = parse(text, Own(PRODUCTS, TENANTS))
-        self.core.take_policy(told.levels, lambda table: Watch(table, 0.0), told.products, told.tenants,
-                              told.limits)
+        self.core.take_policy(
+            told.levels, lambda table: Watch(table, 0.0), told.products, told.tenants, told.limits
+        )
 
     def ask(self, product: int, mark: str = "", retry: bool = False) -> list[tuple]:
         self.now += 5.0
         self.rpc += 1
         self.core.at(1e12 + self.now, self.now)
-        self.core.arrive("peer", self.rpc, product, call=f"{self.rpc:016x}", recv=1e12 + self.now, ttl=9000.0,
-                         kb=20.0, tenant=0, key=0, retry=retry, dedupe=mark, body=b"ask")
+        self.core.arrive(
+            "peer",
+            self.rpc,
+            product,
+            call=f"{self.rpc:016x}",
+            recv=1e12 + self.now,
+            ttl=9000.0,
+            kb=20.0,
+            tenant=0,
+            key=0,
+            retry=retry,
+            dedupe=mark,
+            body=b"ask",
+        )
         return self.core.done()
 
 
@@ -130,8 +143,10 @@
 
 
 def test_a_server_without_a_fleet_imports_nothing_of_it() -> None:
-    code = ("import sys, otterrudder.cli.serve, otterrudder.net.serve; "
-            "print([m for m in sys.modules if 'fleet' in m or 'grpc' in m or 'durable' in m])")
+    code = (
+        "import sys, otterrudder.cli.serve, otterrudder.net.serve; "
+        "print([m for m in sys.modules if 'fleet' in m or 'grpc' in m or 'durable' in m])"
+    )
     told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert told.stdout.strip() == "[]"
 
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -62,8 +62,11 @@
 
 
 def test_who_is_away_is_left_out_and_stands_aside() -> None:
-    rounds = [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("cut", 0),), 4.5),
-              Round(3, "look", (Fault("store frozen"),), 1.5)]
+    rounds = [
+        Round(1, "look", (), 0.3),
+        Round(2, "pay", (Fault("cut", 0),), 4.5),
+        Round(3, "look", (Fault("store frozen"),), 1.5),
+    ]
     run = perform_one(EXPERIMENT, "leave-out", 1, rounds, 3)
     assert not run.broken, (run.broken, run.played.verdict.breaches, run.played.rounds)
     assert run.played.committed >= 2
@@ -72,6 +75,7 @@
 
 def test_servers_drain_one_after_another_to_another_rule_while_changes_go_on() -> None:
     """The operators' way from `leave-out` to `wait`: the file changed, a drain, a start."""
+
     async def play() -> None:
         with tempfile.TemporaryDirectory() as folder:
             rig = Rig(Path(folder), 3, absent="leave-out")
@@ -103,6 +107,7 @@
 
 def test_a_disk_that_hangs_holds_up_no_drain() -> None:
     """A write that never returns kept the process until it was killed: the way out waited for its thread."""
+
     async def play() -> None:
         with tempfile.TemporaryDirectory() as folder:
             rig = Rig(Path(folder), 2)
@@ -137,23 +142,33 @@
     assert run.played.odd_at_end == 2
 
 
-@pytest.mark.parametrize(("double", "variant", "rounds", "says"), [
-    ("sleeps through", "wait", VOTED, "wrong version"),
-    ("never aside", "wait", [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("cut later", 0),), 2.8)],
-     "wrong version"),
-    ("serves at once", "leave-out",
-     [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("kill", 0), Fault("slow link", 0)), 4.8)],
-     "wrong version"),
-    ("loses", "wait", CALM, "lost"),
-    ("drops at drain", "wait", DRAINED, "lost"),
-    ("never leaves", "wait", DRAINED, "drain"),
-    ("runs twice", "wait", CALM, "run twice"),
-    ("another result", "wait", CALM, "another result"),
-    ("answers twice", "wait", CALM, "answered twice"),
-    ("answers late", "wait", [Round(1, "look", (), 2.8), Round(2, "pay", (), 2.8)], "late"),
-    ("declines repeats", "wait", CALM, "repeat declined"),
-    ("unlisted", "wait", [Round(1, "look", (), 2.8), Round(2, "pay", (), 2.8)], "unlisted"),
-])
+@pytest.mark.parametrize(
+    ("double", "variant", "rounds", "says"),
+    [
+        ("sleeps through", "wait", VOTED, "wrong version"),
+        (
+            "never aside",
+            "wait",
+            [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("cut later", 0),), 2.8)],
+            "wrong version",
+        ),
+        (
+            "serves at once",
+            "leave-out",
+            [Round(1, "look", (), 0.3), Round(2, "pay", (Fault("kill", 0), Fault("slow link", 0)), 4.8)],
+            "wrong version",
+        ),
+        ("loses", "wait", CALM, "lost"),
+        ("drops at drain", "wait", DRAINED, "lost"),
+        ("never leaves", "wait", DRAINED, "drain"),
+        ("runs twice", "wait", CALM, "run twice"),
+        ("another result", "wait", CALM, "another result"),
+        ("answers twice", "wait", CALM, "answered twice"),
+        ("answers late", "wait", [Round(1, "look", (), 2.8), Round(2, "pay", (), 2.8)], "late"),
+        ("declines repeats", "wait", CALM, "repeat declined"),
+        ("unlisted", "wait", [Round(1, "look", (), 2.8), Round(2, "pay", (), 2.8)], "unlisted"),
+    ],
+)
 def test_the_books_find_what_is_put_in(double: str, variant: str, rounds: list[Round], says: str) -> None:
     run = perform_one(SLOWLY if rounds is VOTED else EXPERIMENT, variant, 1, rounds, 2, double=double)
     assert not run.played.missed, run.played.rounds  # what the fault needs has come about
@@ -193,6 +208,7 @@
 
 def test_a_rig_whose_terminal_goes_leaves_no_server_behind(tmp_path: Path) -> None:
     """Servers take a hang-up for a word to read their files again: they went on for good."""
+
     def servers() -> int:
         found = 0
         for environ in Path("/proc").glob("[0-9]*/environ"):
@@ -200,10 +216,26 @@
                 found += f"NODE_CONFIG={tmp_path}".encode() in environ.read_bytes()
         return found
 
-    line = [sys.executable, "-m", "otterrudder", "lab", "processes", "experiments/fleet-policy.toml",
-            "--quick", "--servers", "2", "--out", str(tmp_path / "out")]
-    rig = subprocess.Popen(line, cwd=ROOT, env=os.environ | {"TMPDIR": str(tmp_path)},
-                           stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    line = [
+        sys.executable,
+        "-m",
+        "otterrudder",
+        "lab",
+        "processes",
+        "experiments/fleet-policy.toml",
+        "--quick",
+        "--servers",
+        "2",
+        "--out",
+        str(tmp_path / "out"),
+    ]
+    rig = subprocess.Popen(
+        line,
+        cwd=ROOT,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     until = time.monotonic() + 20.0
     while servers() < 2 and time.monotonic() < until:
         time.sleep(0.05)
--- a/tests/fleet/test_fleet_search.py
+++ b/tests/fleet/test_fleet_search.py
@@ -18,8 +18,14 @@
     assert found.worlds == 60 * 60
 
 
-@pytest.mark.parametrize(("name", "stage"), [
-    ("wait", Stage.VOTED), ("wait, from its folder", Stage.COMMITTED), ("leave-out, no folder", Stage.VOTED)])
+@pytest.mark.parametrize(
+    ("name", "stage"),
+    [
+        ("wait", Stage.VOTED),
+        ("wait, from its folder", Stage.COMMITTED),
+        ("leave-out, no folder", Stage.VOTED),
+    ],
+)
 def test_no_order_of_events_to_a_depth_breaks_one(name: str, stage: Stage) -> None:
     found = search(SOUND[name], 4, 2, stage=stage)
     assert not found.broken and found.depth == 4 and found.worlds > 500
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -34,9 +34,20 @@
 
     def start(self) -> None:
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "otterrudder.lab.processes.etcd", str(self.port), "--state",
-             str(self.folder / f"store-{self.cluster}"), "--cluster", f"{self.cluster:x}"], cwd=ROOT,
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            [
+                sys.executable,
+                "-m",
+                "otterrudder.lab.processes.etcd",
+                str(self.port),
+                "--state",
+                str(self.folder / f"store-{self.cluster}"),
+                "--cluster",
+                f"{self.cluster:x}",
+            ],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         assert self.process.stdout
         self.port = int(self.process.stdout.readline())
 
@@ -89,7 +100,9 @@
         assert not (await client.commit([], [Put("f/x", b"", lapses)], TIMEOUT_MS)).held
         done = await client.commit([], [Delete("f/live/", True), Delete("f/b")], TIMEOUT_MS)
         assert sorted((await client.read(["f/head/", "f/live/", "f/b"], TIMEOUT_MS)).entries) == [
-            "f/head/a", "f/head/ab"]
+            "f/head/a",
+            "f/head/ab",
+        ]
         assert done.revision > left.revision and read.cluster == left.cluster != 0
         await client.close()
 
@@ -228,8 +241,9 @@
         other.stop()
 
 
-def test_a_folder_that_is_still_written_to_is_not_given_back(engine: Engine, monkeypatch: pytest.MonkeyPatch
-                                                            ) -> None:
+def test_a_folder_that_is_still_written_to_is_not_given_back(
+    engine: Engine, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The write of a life that ends could come after the first one of the next."""
     goes_on, write = threading.Event(), Folder.write
 
@@ -266,9 +280,11 @@
 
 
 @pytest.mark.parametrize("fails", [False, True])
-def test_a_policy_is_judged_off_the_loop_and_a_judgement_that_fails_is_a_no(engine: Engine, fails: bool
-                                                                          ) -> None:
+def test_a_policy_is_judged_off_the_loop_and_a_judgement_that_fails_is_a_no(
+    engine: Engine, fails: bool
+) -> None:
     """Judged in the loop, a policy of 27 KB held it up for 29 ms."""
+
     def judge(text: str) -> str:
         time.sleep(0.6)
         return str(1 / 0) if fails else ""
@@ -301,7 +317,7 @@
 
 
 def test_a_request_that_fails_in_a_library_is_no_answer_and_the_actor_lives(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A record of somebody else's under the fleet's keys, and errors that no client, and no decision, should
     raise. A watch's, and one in what is wanted, ended the server with all its txns."""
@@ -386,12 +402,16 @@
 
     def run(*words: str) -> tuple[int, str]:
         env = {"OTTERRUDDER_FLEET": str(tmp_path / "fleet.toml"), "PATH": "", "USER": "ann"}
-        told = subprocess.run([sys.executable, "-m", "otterrudder", "fleet", *words], capture_output=True,
-                              text=True, cwd=ROOT, env=env)
+        told = subprocess.run(
+            [sys.executable, "-m", "otterrudder", "fleet", *words],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            env=env,
+        )
         return told.returncode, told.stdout + told.stderr
 
-    assert run("status") == (
-            0, "f, on the store e7cd: no policy yet: each server goes by its own files\n")
+    assert run("status") == (0, "f, on the store e7cd: no policy yet: each server goes by its own files\n")
     assert run("policy", "back")[0] == 3
     code, text = run("policy", "apply", str(first))
     assert code == 3 and "nobody is of f yet on the store e7cd: is it the right one?" in text
@@ -409,7 +429,10 @@
     assert run("policy", "show", "--version", "9")[0] == 3
     ends = json.loads(run("policy", "history", "--json")[1])
     assert [(end["version"], end["author"], end["note"]) for end in ends] == [
-        (1, "ann", "one"), (2, "ann", ""), (3, "ann", "back to version 1")]
+        (1, "ann", "one"),
+        (2, "ann", ""),
+        (3, "ann", "back to version 1"),
+    ]
     assert run("gone", "n7") == (3, "otterrudder: n7 is not on the roster\n")
     engine.tell(down=True)
     code, text = run("status")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,15 +1,15 @@
 """Plays a scenario: a text file of our own notation against one server's decisions.
 
-    server cores=2 crowd=4          what the server is told at its start (names: SERVER)
-    product pay referenced sla=1000 expiry=3000 window=9000 value=3 calls
-    tenant north 0.5 1.2            its share, and how many txns/s of it are one server's part, if known
-    at 10 arrive a pay key=7        a call at 10 ms, after all due rings; a1..a9: nine txns; *: all running
-    at 50 finished a ok             also: needs a, called a full, left a, retire 5000; or nothing
-    at 55 stepdown pay 2000         a product (-: all) is left with so long to answer; stepup pay
-    at 60 reduce - look=decline     a level in force; also =share:0.5, =omit, held, away, stay=5000
-      sees run a                    a step since the last `at`, by its first words (<3: less); `sees 2 run`
-      lacks decline a               no such step
-    memory 100                      what the server may use now, in kB, by its own count, is no more than this
+server cores=2 crowd=4          what the server is told at its start (names: SERVER)
+product pay referenced sla=1000 expiry=3000 window=9000 value=3 calls
+tenant north 0.5 1.2            its share, and how many txns/s of it are one server's part, if known
+at 10 arrive a pay key=7        a call at 10 ms, after all due rings; a1..a9: nine txns; *: all running
+at 50 finished a ok             also: needs a, called a full, left a, retire 5000; or nothing
+at 55 stepdown pay 2000         a product (-: all) is left with so long to answer; stepup pay
+at 60 reduce - look=decline     a level in force; also =share:0.5, =omit, held, away, stay=5000
+  sees run a                    a step since the last `at`, by its first words (<3: less); `sees 2 run`
+  lacks decline a               no such step
+memory 100                      what the server may use now, in kB, by its own count, is no more than this
 """
 
 import base64
@@ -207,8 +207,9 @@
         return body
 
     def say(self, text: str, body: bytes | None = None) -> None:
-        self.sock.sendall(text.encode() + b"\r\n" if body is None
-                          else f"{text} {len(body)}\r\n".encode() + body + b"\r\n")
+        self.sock.sendall(
+            text.encode() + b"\r\n" if body is None else f"{text} {len(body)}\r\n".encode() + body + b"\r\n"
+        )
 
     def close(self) -> None:
         self.sock.close()
@@ -277,8 +278,16 @@
         return json.dumps(told).encode() + b"\n"
 
     def txn_message(self, call: str, product: str = "look", body: bytes = b"ask", **params: object) -> bytes:
-        fields = {"call": call, "recv": round(time.time() * 1000), "src": 4, "org": "north", "ttl": 15000,
-                  "heap": 20.0, "crit": 0.5, "blob": base64.b64encode(body).decode()}
+        fields = {
+            "call": call,
+            "recv": round(time.time() * 1000),
+            "src": 4,
+            "org": "north",
+            "ttl": 15000,
+            "heap": 20.0,
+            "crit": 0.5,
+            "blob": base64.b64encode(body).decode(),
+        }
         return self.message(product, **(fields | params))
 
     def ask(self, method: str, **params: object) -> int:
@@ -336,11 +345,17 @@
         with listener() as free:
             self.address = free.getsockname()
         where = "{0}:{1}".format
-        self.told = {"name": "n3", "listen": where(*self.address), "runtime": where(*self.runtimes_at),
-                "registry": where(*self.registry.getsockname()),
-                "records": where(*self.records.getsockname()),
-                "seed": "8c1f30d27a5be964", "stop_ms": 1500, "settings": SETTINGS,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}} | told
+        self.told = {
+            "name": "n3",
+            "listen": where(*self.address),
+            "runtime": where(*self.runtimes_at),
+            "registry": where(*self.registry.getsockname()),
+            "records": where(*self.records.getsockname()),
+            "seed": "8c1f30d27a5be964",
+            "stop_ms": 1500,
+            "settings": SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        } | told
         self.configuration, self.log = folder / "config.json", folder / "log.txt"
         self.configuration.write_text(json.dumps(self.told))
         self.descriptors, self.wires = descriptors, []
@@ -349,9 +364,12 @@
     def start(self) -> None:
         limit = self.descriptors
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", RUN], cwd=ROOT, env=os.environ | {"NODE_CONFIG": str(self.configuration)},
+            ["/bin/sh", "-c", RUN],
+            cwd=ROOT,
+            env=os.environ | {"NODE_CONFIG": str(self.configuration)},
             stderr=self.log.open("ab"),
-            preexec_fn=lambda: limit and resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)))
+            preexec_fn=lambda: limit and resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
+        )
 
     def __enter__(self) -> "Server":
         return self
@@ -380,8 +398,14 @@
         self.registry = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.registry.bind(("127.0.0.1", 0))
         self.registry.settimeout(WAIT_S)
-        self.told |= {name: "{}:{}".format(*sock.getsockname()) for name, sock in (
-            ("runtime", self.runtimes), ("records", self.records), ("registry", self.registry))}
+        self.told |= {
+            name: "{}:{}".format(*sock.getsockname())
+            for name, sock in (
+                ("runtime", self.runtimes),
+                ("records", self.records),
+                ("registry", self.registry),
+            )
+        }
         self.reload(json.dumps(self.told))
         return old
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -62,6 +62,11 @@
 def pytest_terminal_summary(terminalreporter: TerminalReporter, config: pytest.Config) -> None:
     for test, why in config.known_red.items():
         ends = config.red_ends.get(test)
-        how = ("not run" if not ends else "failed" if "failed" in ends
-               else f"PASSED: strike its line from {FILE}")
+        how = (
+            "not run"
+            if not ends
+            else "failed"
+            if "failed" in ends
+            else f"PASSED: strike its line from {FILE}"
+        )
         terminalreporter.write_line(f"known red: {test}: {how} ({why})")
--- a/tests/lab/test_models.py
+++ b/tests/lab/test_models.py
@@ -101,8 +101,12 @@
 
 
 def test_shapes_add_up_and_a_walk_is_the_same_for_its_seed() -> None:
-    parts = [Part(shape="constant", at=0.5), Part(shape="ramp", at=1.0, from_s=10, to_s=20),
-             Part(shape="step", at=1.0, from_s=20, to_s=30), Part(shape="replay", points=[(0, 0), (40, 4)])]
+    parts = [
+        Part(shape="constant", at=0.5),
+        Part(shape="ramp", at=1.0, from_s=10, to_s=20),
+        Part(shape="step", at=1.0, from_s=20, to_s=30),
+        Part(shape="replay", points=[(0, 0), (40, 4)]),
+    ]
     shape = demand(parts, Streams(1), 40.0)
     assert [round(shape(s), 3) for s in (0, 15, 25, 35)] == [0.5, 2.5, 4.0, 4.0]
     walk = [Part(shape="walk", amplitude=0.1, period_s=5), Part(shape="constant", at=1.0)]
@@ -142,25 +146,43 @@
 GOOD = (ROOT / "experiments/demo.toml").read_text()
 
 
-@pytest.mark.parametrize(("old", "new", "says"), [
-    ("seeds = [7]", "seeds = []", "seeds"),
-    ("seeds = [7]", 'seeds = "x"', "seeds"),
-    ("seeds = [7]", "seed = [7]", "seed"),
-    ('name = "levels"', 'nme = "levels"', "variant"),
-    ("sites/intake", "sites/none", "cannot read"),
-    ('name = "none"', 'name = "none"\nmodule = { HOLDWAIT = 1 }', "variant none: the module has no constant"),
-    ('"../deploy/levels.toml"', '"../deploy/balancer.toml"', "variant levels: balancer.toml"),
-    ('shape = "ramp"', 'shape = "slope"', "case[1].load"),
-    ("at = 0.7", 'at = "$low"', "the grid has no 'low'"),
-    ("length_s = 240", "length_s = -1", "case"),
-    ("length_s = 240", 'length_s = 240\nvariants = ["no"]', "case[1].variants: there is no 'no'"),
-    ("length_s = 240", 'length_s = 9\ntrouble = [{ kind = "dead", at_s = 1, servers = [9] }]', "trouble[1]"),
-    ("length_s = 240", "length_s = 240\nsite = { server = { coers = 2 } }", "server"),
-    ("[[chart]]", '[[claim]]\ntext = "t"\ncases = "no*"\nfigure = "value"\nvariant = "none"\nat_most = 1\n\n'
-     "[[chart]]", "claim[1].cases: 'no*' fits no case"),
-    ("[[chart]]", '[[claim]]\ntext = "t"\ncases = "*"\nfigure = "value"\nvariant = "none"\n\n[[chart]]',
-     "claim[1]: it states no bound"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("seeds = [7]", "seeds = []", "seeds"),
+        ("seeds = [7]", 'seeds = "x"', "seeds"),
+        ("seeds = [7]", "seed = [7]", "seed"),
+        ('name = "levels"', 'nme = "levels"', "variant"),
+        ("sites/intake", "sites/none", "cannot read"),
+        (
+            'name = "none"',
+            'name = "none"\nmodule = { HOLDWAIT = 1 }',
+            "variant none: the module has no constant",
+        ),
+        ('"../deploy/levels.toml"', '"../deploy/balancer.toml"', "variant levels: balancer.toml"),
+        ('shape = "ramp"', 'shape = "slope"', "case[1].load"),
+        ("at = 0.7", 'at = "$low"', "the grid has no 'low'"),
+        ("length_s = 240", "length_s = -1", "case"),
+        ("length_s = 240", 'length_s = 240\nvariants = ["no"]', "case[1].variants: there is no 'no'"),
+        (
+            "length_s = 240",
+            'length_s = 9\ntrouble = [{ kind = "dead", at_s = 1, servers = [9] }]',
+            "trouble[1]",
+        ),
+        ("length_s = 240", "length_s = 240\nsite = { server = { coers = 2 } }", "server"),
+        (
+            "[[chart]]",
+            '[[claim]]\ntext = "t"\ncases = "no*"\nfigure = "value"\nvariant = "none"\nat_most = 1\n\n'
+            "[[chart]]",
+            "claim[1].cases: 'no*' fits no case",
+        ),
+        (
+            "[[chart]]",
+            '[[claim]]\ntext = "t"\ncases = "*"\nfigure = "value"\nvariant = "none"\n\n[[chart]]',
+            "claim[1]: it states no bound",
+        ),
+    ],
+)
 def test_a_bad_experiment_is_named_by_its_key(tmp_path: Path, old: str, new: str, says: str) -> None:
     assert old in GOOD
     text = GOOD.replace(old, new, 1)
@@ -174,16 +196,23 @@
 
 
 def lab(*words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "otterrudder", "lab", *words], cwd=ROOT, text=True,
-                          capture_output=True, timeout=120)
+    return subprocess.run(
+        [sys.executable, "-m", "otterrudder", "lab", *words],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=120,
+    )
 
 
 def test_the_commands_leave_results_and_exit_by_what_they_found(tmp_path: Path) -> None:
     text = GOOD.replace("length_s = 240", "length_s = 30").replace("at = 0.7", "at = 1.5")
     for here in ("../deploy", "sites"):
         text = text.replace(f'"{here}', f'"{(ROOT / "experiments" / here).resolve()}')
-    claim = ('[[claim]]\ntext = "it is served"\ncases = "*"\nfigure = "value"\nvariant = "none"\n'
-             "at_least = {least}\n\n[[chart]]")
+    claim = (
+        '[[claim]]\ntext = "it is served"\ncases = "*"\nfigure = "value"\nvariant = "none"\n'
+        "at_least = {least}\n\n[[chart]]"
+    )
     file = tmp_path / "one.toml"
     for least, code in ((0.01, 0), (0.99, 1)):
         file.write_text(text.replace("[[chart]]", claim.format(least=least), 1))
@@ -205,7 +234,9 @@
 
 
 def test_serve_imports_nothing_of_the_lab() -> None:
-    code = ("import sys, otterrudder.cli.serve, otterrudder.net.serve, otterrudder.levels; "
-            "print([m for m in sys.modules if m.split('.')[0] in ('numpy', 'matplotlib') or '.lab' in m])")
+    code = (
+        "import sys, otterrudder.cli.serve, otterrudder.net.serve, otterrudder.levels; "
+        "print([m for m in sys.modules if m.split('.')[0] in ('numpy', 'matplotlib') or '.lab' in m])"
+    )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, timeout=60)
     assert done.stdout.strip() == "[]", done.stderr
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -24,10 +24,13 @@
 TABLE = read(ROOT / "deploy/levels.toml", SITE.products, SITE.tenants)
 HARD = [Part(shape="constant", at=1.0), Part(shape="step", at=0.5, from_s=10, to_s=30)]
 RELEASE = [Trouble(kind="release", at_s=8, for_s=1, gap_s=9)]
-ALL = [*RELEASE, Trouble(kind="dead", at_s=25, for_s=4, servers=[1]),
-       Trouble(kind="freeze", at_s=30, for_s=0.8, servers=[0]),
-       Trouble(kind="below", at_s=5, for_s=20, size=0.1),
-       Trouble(kind="slow", at_s=33, for_s=10, servers=[0])]
+ALL = [
+    *RELEASE,
+    Trouble(kind="dead", at_s=25, for_s=4, servers=[1]),
+    Trouble(kind="freeze", at_s=30, for_s=0.8, servers=[0]),
+    Trouble(kind="below", at_s=5, for_s=20, size=0.1),
+    Trouble(kind="slow", at_s=33, for_s=10, servers=[0]),
+]
 
 
 def day(troubles: list[Trouble], levels: object = TABLE, seed: int = 3, load=HARD, site=SITE):
--- a/tests/levels/test_ladder.py
+++ b/tests/levels/test_ladder.py
@@ -14,8 +14,16 @@
 
 
 def rung(n: int, stay: float = 2000.0, trial: float = 30_000.0) -> Rung:
-    return Rung(f"l{n}", (Bound("pressure", 0.2 + 0.2 * n),), 1000.0,
-                (Bound("pressure", 0.1 * n), Bound("demand", 0.8)), 3000.0, stay, trial, Relief(f"l{n}"))
+    return Rung(
+        f"l{n}",
+        (Bound("pressure", 0.2 + 0.2 * n),),
+        1000.0,
+        (Bound("pressure", 0.1 * n), Bound("demand", 0.8)),
+        3000.0,
+        stay,
+        trial,
+        Relief(f"l{n}"),
+    )
 
 
 def ladder(count: int = 3, **more: object) -> Ladder:
@@ -34,15 +42,25 @@
 
 
 CALM, LOUD = {"pressure": 0.0, "demand": 0.1}, {"pressure": 1.0, "demand": 2.0}
-SEEN = st.fixed_dictionaries({}, optional={
-    "pressure": st.floats(0, 1) | st.just(math.nan), "demand": st.floats(0, 3), "busy": st.floats(0, 1)})
+SEEN = st.fixed_dictionaries(
+    {},
+    optional={
+        "pressure": st.floats(0, 1) | st.just(math.nan),
+        "demand": st.floats(0, 3),
+        "busy": st.floats(0, 1),
+    },
+)
 
 
 @settings(max_examples=120, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from([40.0, 400.0, 4000.0, 20_000.0]), SEEN), max_size=25),
-       st.floats(0, 1), st.integers(0, 3))
+@given(
+    st.lists(st.tuples(st.sampled_from([40.0, 400.0, 4000.0, 20_000.0]), SEEN), max_size=25),
+    st.floats(0, 1),
+    st.integers(0, 3),
+)
 def test_any_facts_move_it_one_rung_at_a_time_within_its_stays_and_calm_brings_it_home(
-        facts: list, spread: float, start: int) -> None:
+    facts: list, spread: float, start: int
+) -> None:
     on = ladder(spread=spread, start=["full", "l1", "l2", "l3"][start])
     rungs = {rung.name: rung for rung in on.rungs}
     heights = {"full": 0, "l1": 1, "l2": 2, "l3": 3}
@@ -144,8 +162,17 @@
 
 
 def test_needs_all_wants_every_condition() -> None:
-    both = Rung("l1", (Bound("pressure", 0.5), Bound("busy", 0.9)), 1000.0, (Bound("pressure", 0.1),), 3000.0,
-                1000.0, 9000.0, Relief("l1"), needs_all=True)
+    both = Rung(
+        "l1",
+        (Bound("pressure", 0.5), Bound("busy", 0.9)),
+        1000.0,
+        (Bound("pressure", 0.1),),
+        3000.0,
+        1000.0,
+        9000.0,
+        Relief("l1"),
+        needs_all=True,
+    )
     on = Ladder((both,), Damping())
     assert not play(on, [(5000.0, {"pressure": 0.9})])
     assert not play(on, [(5000.0, {"pressure": 0.9, "busy": 0.5})], at=5000.0)
--- a/tests/levels/test_table.py
+++ b/tests/levels/test_table.py
@@ -12,9 +12,11 @@
 from otterrudder.levels import BadTable, Watch, parse, read
 from otterrudder.net.core import Core
 
-PRODUCTS = [Product("addr-lookup", Effect.INQUIRY, 1, 1200, 2900),
-            Product("form-check", Effect.INQUIRY, 2, 2700, 6500, calls=True, omit_value=0.5),
-            Product("form-submit", Effect.REFERENCED, 5, 2000, 4700, 14214, calls=True, omit_value=0.5)]
+PRODUCTS = [
+    Product("addr-lookup", Effect.INQUIRY, 1, 1200, 2900),
+    Product("form-check", Effect.INQUIRY, 2, 2700, 6500, calls=True, omit_value=0.5),
+    Product("form-submit", Effect.REFERENCED, 5, 2000, 4700, 14214, calls=True, omit_value=0.5),
+]
 TENANTS = [Tenant("north", 0.6), Tenant("south", 0.4)]
 LEVEL = """
 [[level]]
@@ -45,51 +47,66 @@
     cuts = SHARE + ', { do = "decline", products = ["addr-lookup"], rank_below = 0.3, tenants = ["south"] }'
     trims = parse(table(cuts), PRODUCTS, TENANTS).rungs[0].relief.trims[0]
     assert [(trim.cut, trim.rank, trim.tenants) for trim in trims] == [
-        (Cut.DECLINE, 0.3, frozenset({1})), (Cut.SHARE, float("inf"), None)]
+        (Cut.DECLINE, 0.3, frozenset({1})),
+        (Cut.SHARE, float("inf"), None),
+    ]
 
 
 GOOD = table(SHARE, NONE)
 RANKED = '{ do = "decline", products = ["addr-lookup"], rank_below = 0.5 }'
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("version = 1\nlevel = 3", "level: Expected `array`"),
-    ("version = 1", "missing required field `level`"),
-    ("version = 1\nlevel = []", "level: from 1 to 16 levels"),
-    ("version = [", "not TOML"),
-    (GOOD.replace("version = 1", "version = 2"), "version: this program reads 1, not 2"),
-    (GOOD.replace("version = 1", "version = 1\nmodes = 1"), "unknown field `modes`"),
-    (GOOD.replace("version = 1", 'version = 1\nmode = "off"'), "mode: Invalid enum value 'off'"),
-    (GOOD.replace("version = 1", 'version = 1\nstart = "l9"'), "start: no level is named 'l9'"),
-    (GOOD.replace("version = 1", "version = 1\ndamping = { times = 0.5 }"), "damping.times: 0.5 is not"),
-    (GOOD.replace("version = 1", "version = 1\ndamping = { twice = 2 }"), "damping: Object contains"),
-    (GOOD.replace("least_stay_s", "least_stay"), "level[1]: Object contains unknown field `least_stay`"),
-    (GOOD.replace("least_stay_s = 5", "least_stay_s = -5"), "level[1].least_stay_s: -5 is"),
-    (GOOD.replace("least_stay_s = 5", 'least_stay_s = "x"'), "level[1].least_stay_s: Expected `float`"),
-    (GOOD.replace("l2", "l1"), "level[2].name: 'l1' is taken"),
-    (GOOD.replace('"l1"', '"full"'), "level[1].name: 'full' is taken"),
-    (GOOD.replace("pressure = 0.2", "pressur = 0.2"), "level[1].entry.pressur: no such fact"),
-    (GOOD.replace("pressure = 0.2", "pressure = true"), "level[1].entry.pressure: a number is wanted"),
-    (GOOD.replace("pressure = 0.2", "pressure = 1.2"), "level[1].entry.pressure: 1.2 is not above"),
-    (GOOD.replace("pressure = 0.1", "pressure = 0.3"), "level[1].exit.pressure: 0.3 is not below"),
-    (GOOD.replace("pressure = 0.1", "stretch = 1.0"), "level[1].exit.stretch: 1 is the least"),
-    (GOOD.replace(", pressure = 0.1, demand = 0.9", ""), "level[1].exit: it names no fact: the l"),
-    (GOOD.replace("for_s = 4, ", ""), "level[1].exit.for_s: a number is wanted"),
-    (GOOD.replace("for_s = 4", "for_s = 1"), "level[1].exit.for_s: 1 is not longer than its entry's"),
-    (GOOD.replace("for_s = 1", 'for_s = 1, need = "most"'), "level[1].entry.need: 'most' is neither"),
-    (GOOD.replace("addr-lookup", "addr-look", 1), "level[1].cut[1].products: there is no 'addr-look'"),
-    (GOOD.replace("share = 0.5, ", ""), "level[1].cut[1].share: it goes with"),
-    (GOOD.replace('do = "share"', 'do = "some"'), "level[1].cut[1].do: Invalid enum value 'some'"),
-    (table('{ do = "omit", products = ["addr-lookup"] }'), "addr-lookup has no call that may be omitted"),
-    (table('{ do = "omit", products = ["form-submit"] }'), "form-submit has an effect"),
-    (table('{ do = "decline", products = ["addr-lookup"], tenants = ["west"] }'), "cut[1].tenants: there"),
-    (table(""), "level[1].cut: a level that cuts nothing"),
-    (table(NONE, SHARE), "level[2].cut: addr-lookup of north is cut less than by level[1]"),
-    (table(NONE, RANKED), "level[2].cut: addr-lookup of north is cut less"),
-    (GOOD.replace("pressure = 0.4", "pressure = 0.1"), "level[2].exit.pressure: 0.1 is not below its entry"),
-    (GOOD.replace("pressure = 0.4", "demand = 0.9").replace("0.9 }\ncut = [" + NONE, "0.8 }\ncut = [" + NONE),
-     "level[2].entry.demand: 0.9 is not above the exit of level[1], 0.9"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("version = 1\nlevel = 3", "level: Expected `array`"),
+        ("version = 1", "missing required field `level`"),
+        ("version = 1\nlevel = []", "level: from 1 to 16 levels"),
+        ("version = [", "not TOML"),
+        (GOOD.replace("version = 1", "version = 2"), "version: this program reads 1, not 2"),
+        (GOOD.replace("version = 1", "version = 1\nmodes = 1"), "unknown field `modes`"),
+        (GOOD.replace("version = 1", 'version = 1\nmode = "off"'), "mode: Invalid enum value 'off'"),
+        (GOOD.replace("version = 1", 'version = 1\nstart = "l9"'), "start: no level is named 'l9'"),
+        (GOOD.replace("version = 1", "version = 1\ndamping = { times = 0.5 }"), "damping.times: 0.5 is not"),
+        (GOOD.replace("version = 1", "version = 1\ndamping = { twice = 2 }"), "damping: Object contains"),
+        (GOOD.replace("least_stay_s", "least_stay"), "level[1]: Object contains unknown field `least_stay`"),
+        (GOOD.replace("least_stay_s = 5", "least_stay_s = -5"), "level[1].least_stay_s: -5 is"),
+        (GOOD.replace("least_stay_s = 5", 'least_stay_s = "x"'), "level[1].least_stay_s: Expected `float`"),
+        (GOOD.replace("l2", "l1"), "level[2].name: 'l1' is taken"),
+        (GOOD.replace('"l1"', '"full"'), "level[1].name: 'full' is taken"),
+        (GOOD.replace("pressure = 0.2", "pressur = 0.2"), "level[1].entry.pressur: no such fact"),
+        (GOOD.replace("pressure = 0.2", "pressure = true"), "level[1].entry.pressure: a number is wanted"),
+        (GOOD.replace("pressure = 0.2", "pressure = 1.2"), "level[1].entry.pressure: 1.2 is not above"),
+        (GOOD.replace("pressure = 0.1", "pressure = 0.3"), "level[1].exit.pressure: 0.3 is not below"),
+        (GOOD.replace("pressure = 0.1", "stretch = 1.0"), "level[1].exit.stretch: 1 is the least"),
+        (GOOD.replace(", pressure = 0.1, demand = 0.9", ""), "level[1].exit: it names no fact: the l"),
+        (GOOD.replace("for_s = 4, ", ""), "level[1].exit.for_s: a number is wanted"),
+        (GOOD.replace("for_s = 4", "for_s = 1"), "level[1].exit.for_s: 1 is not longer than its entry's"),
+        (GOOD.replace("for_s = 1", 'for_s = 1, need = "most"'), "level[1].entry.need: 'most' is neither"),
+        (GOOD.replace("addr-lookup", "addr-look", 1), "level[1].cut[1].products: there is no 'addr-look'"),
+        (GOOD.replace("share = 0.5, ", ""), "level[1].cut[1].share: it goes with"),
+        (GOOD.replace('do = "share"', 'do = "some"'), "level[1].cut[1].do: Invalid enum value 'some'"),
+        (table('{ do = "omit", products = ["addr-lookup"] }'), "addr-lookup has no call that may be omitted"),
+        (table('{ do = "omit", products = ["form-submit"] }'), "form-submit has an effect"),
+        (
+            table('{ do = "decline", products = ["addr-lookup"], tenants = ["west"] }'),
+            "cut[1].tenants: there",
+        ),
+        (table(""), "level[1].cut: a level that cuts nothing"),
+        (table(NONE, SHARE), "level[2].cut: addr-lookup of north is cut less than by level[1]"),
+        (table(NONE, RANKED), "level[2].cut: addr-lookup of north is cut less"),
+        (
+            GOOD.replace("pressure = 0.4", "pressure = 0.1"),
+            "level[2].exit.pressure: 0.1 is not below its entry",
+        ),
+        (
+            GOOD.replace("pressure = 0.4", "demand = 0.9").replace(
+                "0.9 }\ncut = [" + NONE, "0.8 }\ncut = [" + NONE
+            ),
+            "level[2].entry.demand: 0.9 is not above the exit of level[1], 0.9",
+        ),
+    ],
+)
 def test_a_bad_table_is_named_by_its_key(text: str, says: str) -> None:
     with pytest.raises(BadTable) as raised:
         parse(text, PRODUCTS, TENANTS)
@@ -110,7 +127,8 @@
 
     def ring(self, **gauges: float) -> None: ...
 
-    def done(self) -> list: return []
+    def done(self) -> list:
+        return []
 
     def retire(self, left_ms: float) -> None: ...
 
@@ -157,8 +175,13 @@
 
 
 def cli(*words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "otterrudder", "levels", *words], cwd=ROOT, text=True,
-                          capture_output=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "otterrudder", "levels", *words],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=60,
+    )
 
 
 def test_the_commands_say_what_a_table_does(tmp_path: Path) -> None:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -49,8 +49,11 @@
 
     def __init__(self, group: anyio.abc.TaskGroup, sockets_most: int = 256) -> None:
         self.group, self.runtime = group, Sent()
-        the_core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS, fresh=False),
-                             products_of(SETTINGS), gauge_names(SETTINGS))
+        the_core = core.Core(
+            lambda now, warm, up: boot(now, 1, 1, SETTINGS, fresh=False),
+            products_of(SETTINGS),
+            gauge_names(SETTINGS),
+        )
         self.helm = Helm(the_core)
         self.gateways = gateways.Gateways(self.helm, ("127.0.0.1", 0), sockets_most, {"north": 0, "south": 1})
         self.helm.addresses |= {core.RUNTIME: self.runtime, core.GATEWAYS: self.gateways}
@@ -116,6 +119,7 @@
 
 async def end(gateway: Gateway) -> bytes:
     """The rest up to an orderly end; a reset raises."""
+
     def read() -> bytes:
         data, gateway.data = gateway.data, b""
         while more := gateway.sock.recv(65536):
@@ -148,7 +152,8 @@
 
 @pytest.mark.parametrize("ends", [sweeps, makes_room])
 def test_a_txn_that_lies_unread_as_its_connection_is_to_end_is_served(
-        ends: Callable[[gateways.Peer, float], None]) -> None:
+    ends: Callable[[gateways.Peer, float], None],
+) -> None:
     async def play(rig: Inside) -> None:
         gateway, peer = await rig.connect()
         due = at_rest(peer)
@@ -161,7 +166,8 @@
 
 @pytest.mark.parametrize("ends", [sweeps, makes_room])
 def test_half_a_txn_that_lies_unread_keeps_its_connection(
-        ends: Callable[[gateways.Peer, float], None]) -> None:
+    ends: Callable[[gateways.Peer, float], None],
+) -> None:
     async def play(rig: Inside) -> None:
         gateway, peer = await rig.connect()
         due, data = at_rest(peer), gateway.txn_message(A)
@@ -421,8 +427,9 @@
 
 def test_a_runtime_that_comes_up_in_a_drain_finds_nobody() -> None:
     async def play(rig: Inside) -> None:
-        the_core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS),
-                             gauge_names(SETTINGS))
+        the_core = core.Core(
+            lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS), gauge_names(SETTINGS)
+        )
         rig.helm.core = rig.gateways.helm.core = the_core
         gateway, _ = await rig.connect()
         rig.helm.post(the_core.retire, 1500.0)
@@ -441,9 +448,11 @@
 
 def test_sigterm_between_ready_and_the_turn_that_hears_of_it_is_a_whole_drain() -> None:
     """It once closed at once, as nothing was up yet, while what came within the grace was still begun."""
+
     async def play(rig: Inside) -> None:
-        the_core = core.Core(lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS),
-                             gauge_names(SETTINGS))
+        the_core = core.Core(
+            lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS), gauge_names(SETTINGS)
+        )
         rig.helm.core = rig.gateways.helm.core = the_core
 
         async def terminated() -> AsyncIterator[signal.Signals]:
@@ -490,7 +499,8 @@
 
 
 def test_sighup_while_the_program_starts_neither_ends_it_nor_is_missed(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The first comes as the interpreter starts, the second, with new addresses, after the file was read and
     before anything listens for signals."""
     (tmp_path / "sitecustomize.py").write_text(
@@ -502,7 +512,8 @@
         "        done.append(1)\n"
         "        os.replace(os.environ['NODE_CONFIG'] + '.new', os.environ['NODE_CONFIG'])\n"
         "        os.kill(os.getpid(), signal.SIGHUP)\n"
-        "sys.addaudithook(hook)\n")
+        "sys.addaudithook(hook)\n"
+    )
     monkeypatch.setenv("PYTHONPATH", str(tmp_path))
     moved = listener()
     new = tmp_path / "config.json.new"
@@ -647,6 +658,7 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_whatever_the_service_does_each_call_ends_once_and_with_its_own_reply(seed: int) -> None:
     """Replies, copies, strangers', halves, closes, resets, moves and given-up calls in drawn orders."""
+
     async def play(rig: Inside) -> None:
         chance, services = random.Random(seed), [listener(), listener()]
         pool, heard = told(rig.group, services[0].getsockname())
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -34,11 +34,15 @@
     assert run(pytester, "", "-k", "red")[0] == 1
 
 
-@pytest.mark.parametrize(("listed", "why"), [
-    (RED + GREEN + HALF + "test_it.py::test_other | a | b\n", "4 tests, 3 at most"),
-    ("test_it.py::test_red | a cause\n", "KNOWN-RED.txt:1: wanted: test | cause | issue"),
-    ("test_it.py::test_gone | a | b\n", "test_gone is no test"), ("test_no.py::test | a | b\n", "is no test"),
-])
+@pytest.mark.parametrize(
+    ("listed", "why"),
+    [
+        (RED + GREEN + HALF + "test_it.py::test_other | a | b\n", "4 tests, 3 at most"),
+        ("test_it.py::test_red | a cause\n", "KNOWN-RED.txt:1: wanted: test | cause | issue"),
+        ("test_it.py::test_gone | a | b\n", "test_gone is no test"),
+        ("test_no.py::test | a | b\n", "is no test"),
+    ],
+)
 def test_a_list_that_is_no_good_fails_the_run(pytester: pytest.Pytester, listed: str, why: str) -> None:
     code, told = run(pytester, listed)
     assert code not in (0, 1) and why in told
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -44,8 +44,13 @@
 
 
 def migrated(*options: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "otterrudder", "migrate", *options], cwd=ROOT, text=True,
-                          capture_output=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "otterrudder", "migrate", *options],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=60,
+    )
 
 
 @pytest.fixture
@@ -70,15 +75,18 @@
     assert rudder.sessions.tenants[0].per_ms == 0.0  # no share is known, so nobody is beyond it
 
 
-@pytest.mark.parametrize(("place", "value", "named"), [
-    ("familyInfo.stopMode", "halt", "settings.familyInfo.stopMode"),
-    ("familyInfo.callsOut", -1, "settings.familyInfo.callsOut"),
-    ("clients.marksRetry", "no", "settings.clients.marksRetry"),
-    ("servers", 0, "settings.servers"),
-    ("overShareWorth", "little", "settings.overShareWorth"),
-    ("realms.0.allowancePerS", "34", "settings.realms[0].allowancePerS"),
-    ("classes.0.lateWorth", -0.5, "settings.classes[0].lateWorth"),
-])
+@pytest.mark.parametrize(
+    ("place", "value", "named"),
+    [
+        ("familyInfo.stopMode", "halt", "settings.familyInfo.stopMode"),
+        ("familyInfo.callsOut", -1, "settings.familyInfo.callsOut"),
+        ("clients.marksRetry", "no", "settings.clients.marksRetry"),
+        ("servers", 0, "settings.servers"),
+        ("overShareWorth", "little", "settings.overShareWorth"),
+        ("realms.0.allowancePerS", "34", "settings.realms[0].allowancePerS"),
+        ("classes.0.lateWorth", -0.5, "settings.classes[0].lateWorth"),
+    ],
+)
 def test_a_bad_setting_is_named_with_its_file(tmp_path: Path, place: str, value: object, named: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(CONFIGURATION | {"settings": settings_with(place, value)}))
