--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,9 +26,11 @@
 
 
 GATEWAY = b'{"jsonrpc":"2.0","id":7,"method":"look","params":{"call":"00000000000000aa"}}\n{"x"}\n\r\n[1]\n'
-RUNTIME = (b"ready hot 3600000.5\r\nend 1 9b1f03aa5c7e2d41 complete 12 8\r\nre\r\nsult\r\n"
-           b"info 2 all is well\r\nwants 3 9b1f03aa5c7e2d41 0\r\n\r\n"
-           b"end 4 9b1f03aa5c7e2d41 cancelled 3 0\r\n\r\nload t 0.5 3 0.1 9\r\n")
+RUNTIME = (
+    b"ready hot 3600000.5\r\nend 1 9b1f03aa5c7e2d41 complete 12 8\r\nre\r\nsult\r\n"
+    b"info 2 all is well\r\nwants 3 9b1f03aa5c7e2d41 0\r\n\r\n"
+    b"end 4 9b1f03aa5c7e2d41 cancelled 3 0\r\n\r\nload t 0.5 3 0.1 9\r\n"
+)
 RECORDS = b"9b1f03aa5c7e2d41 DONE 5\r\nDONE \r\n9b1f03aa5c7e2d41 WAIT\r\n"
 READERS = {
     GATEWAY: lambda b: [m if isinstance(m, tuple) else m.code for m in jsonrpc.messages(b)],
@@ -64,9 +66,17 @@
     assert fed([RECORDS], READERS[RECORDS])[0] == (["9b1f03aa5c7e2d41", "DONE", "5"], b"DONE ")
 
 
-@pytest.mark.parametrize("data", [
-    b"end 1 a complete 1 3\r\nabcdef", b"end 1 a complete 1 99999999\r\n", b"end 1 a complete 1 -4\r\n",
-    b"\xff\r\n", b"x" * 600, b"x" * 600 + b"\r\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"end 1 a complete 1 3\r\nabcdef",
+        b"end 1 a complete 1 99999999\r\n",
+        b"end 1 a complete 1 -4\r\n",
+        b"\xff\r\n",
+        b"x" * 600,
+        b"x" * 600 + b"\r\n",
+    ],
+)
 def test_lines_that_can_not_be_followed_break_the_link(data: bytes) -> None:
     with pytest.raises(Broken):
         fed([data], READERS[RUNTIME])
@@ -74,10 +84,19 @@
 
 def test_answers_are_json_with_their_bodies_unchanged() -> None:
     body = bytes(range(256))
-    told = [json.loads(b"".join(parts)) for parts in (
-        jsonrpc.settled(1, body, 0.25), jsonrpc.settled(2, b"", None), jsonrpc.declined(3, True, 12.1, 3.0),
-        jsonrpc.declined(4, False, 0.0, None), jsonrpc.declined(5, False, 0.0, 0.0),
-        jsonrpc.voided(None, jsonrpc.PARSE, 'a "why"', None), jsonrpc.health(6, True, 1.5), jsonrpc.NO_MORE)]
+    told = [
+        json.loads(b"".join(parts))
+        for parts in (
+            jsonrpc.settled(1, body, 0.25),
+            jsonrpc.settled(2, b"", None),
+            jsonrpc.declined(3, True, 12.1, 3.0),
+            jsonrpc.declined(4, False, 0.0, None),
+            jsonrpc.declined(5, False, 0.0, 0.0),
+            jsonrpc.voided(None, jsonrpc.PARSE, 'a "why"', None),
+            jsonrpc.health(6, True, 1.5),
+            jsonrpc.NO_MORE,
+        )
+    ]
     assert base64.b64decode(told[0]["result"]["blob"]) == body and told[0]["result"]["load"] == 0.25
     assert told[1]["result"] == {"blob": ""}
     assert [t["error"].get("data") for t in told[2:5]] == [
@@ -90,8 +109,11 @@
     """A core with what it sent, by address; answers are counted by their request."""
 
     def __init__(self, settings: dict = SETTINGS, **told: object) -> None:
-        self.core = core.Core(lambda now, warm, up: boot(now, 1, 1, settings, **told),
-                              products_of(settings), gauge_names(settings))
+        self.core = core.Core(
+            lambda now, warm, up: boot(now, 1, 1, settings, **told),
+            products_of(settings),
+            gauge_names(settings),
+        )
         self.now, self.answers, self.sent = 1000.0, {}, []
         self.step(self.core.begin, True, 1.0)
         self.step(self.core.linked)
@@ -106,11 +128,31 @@
         self.sent += out
         return out
 
-    def arrive(self, rpc: int, product: int = 0, mark: str = "", age: float = 0.0, ttl: float | None = 9000.0,
-               ms: float = 0.0) -> list[tuple]:
-        return self.step(self.core.arrive, "peer", rpc, product, ms=ms, call=f"{rpc:016x}", ttl=ttl,
-                         kb=20.0, recv=self.now + ms + 1e12 - age, tenant=0, key=0, retry=False, dedupe=mark,
-                         body=b"b")
+    def arrive(
+        self,
+        rpc: int,
+        product: int = 0,
+        mark: str = "",
+        age: float = 0.0,
+        ttl: float | None = 9000.0,
+        ms: float = 0.0,
+    ) -> list[tuple]:
+        return self.step(
+            self.core.arrive,
+            "peer",
+            rpc,
+            product,
+            ms=ms,
+            call=f"{rpc:016x}",
+            ttl=ttl,
+            kb=20.0,
+            recv=self.now + ms + 1e12 - age,
+            tenant=0,
+            key=0,
+            retry=False,
+            dedupe=mark,
+            body=b"b",
+        )
 
     def words(self, word: str) -> list[tuple]:
         return [m[2:] for m in self.sent if m[1] == word]
@@ -119,8 +161,20 @@
 def test_two_tries_in_one_batch_are_linked() -> None:
     bench = Bench()
     for rpc in (1, 2):
-        bench.core.arrive("peer", rpc, 1, call=f"{rpc:016x}", ttl=9000.0, kb=20.0, recv=bench.now + 1e12,
-                          tenant=0, key=0, retry=False, dedupe="m", body=b"b")
+        bench.core.arrive(
+            "peer",
+            rpc,
+            1,
+            call=f"{rpc:016x}",
+            ttl=9000.0,
+            kb=20.0,
+            recv=bench.now + 1e12,
+            tenant=0,
+            key=0,
+            retry=False,
+            dedupe="m",
+            body=b"b",
+        )
     bench.step(lambda: None)
     assert len(bench.words("start")) == 1
     bench.step(bench.core.ended, f"{1:016x}", Outcome.OK, b"r")
@@ -145,8 +199,20 @@
 def test_a_txn_taken_back_in_its_batch_leaves_no_slot_taken(product: int) -> None:
     # Hundreds of them once filled the module's count of what is in hand for good.
     bench = Bench()
-    bench.core.arrive("peer", 1, product, call="c", ttl=9000.0, kb=20.0, recv=bench.now + 1e12, tenant=0,
-                      key=0, retry=False, dedupe="m", body=b"b")
+    bench.core.arrive(
+        "peer",
+        1,
+        product,
+        call="c",
+        ttl=9000.0,
+        kb=20.0,
+        recv=bench.now + 1e12,
+        tenant=0,
+        key=0,
+        retry=False,
+        dedupe="m",
+        body=b"b",
+    )
     bench.step(bench.core.left, "c")
     slots = bench.core.rudder.slots
     assert (slots.in_hand, slots.running, bench.core.rudder.memory.txns_kb) == (0, 0, 0.0)
@@ -214,8 +280,10 @@
     bench.step(bench.core.failed, f"{1:016x}")
     bench.step(bench.core.ended, f"{2:016x}", Outcome.OK, b"r")
     bench.step(bench.core.ended, f"{1:016x}", Outcome.OK, b"late")
-    assert bench.answers == {1: [("voided", "given up", bench.core.load)],
-                             2: [("settled", b"r", bench.core.load)]}
+    assert bench.answers == {
+        1: [("voided", "given up", bench.core.load)],
+        2: [("settled", b"r", bench.core.load)],
+    }
     assert not bench.core.txns and bench.core.rudder.slots.in_hand == 0
 
 
@@ -225,8 +293,14 @@
     chance, bench = random.Random(seed), Bench(refs_most=40)
     the_core, running, at_calls, out_below, gone, effects = bench.core, {}, set(), set(), set(), {}
     for n in range(1, 900):
-        out = bench.arrive(n, chance.randrange(2), f"m{chance.randrange(60)}", ttl=chance.choice([300, 3000]),
-                           age=chance.choice([0.0, 0.0, 250.0]), ms=chance.expovariate(0.05))
+        out = bench.arrive(
+            n,
+            chance.randrange(2),
+            f"m{chance.randrange(60)}",
+            ttl=chance.choice([300, 3000]),
+            age=chance.choice([0.0, 0.0, 250.0]),
+            ms=chance.expovariate(0.05),
+        )
         while out:
             news = []
             for _, word, *rest in out:
@@ -280,8 +354,14 @@
     assert all(len(bench.answers.get(n, [])) == 1 or n in gone for n in range(1, 900))
     assert max(map(len, bench.answers.values())) == 1
     rudder = the_core.rudder
-    left = (the_core.txns, the_core.calls, the_core.references, the_core.lapses, rudder.txns,
-            rudder.repeats.refs)
+    left = (
+        the_core.txns,
+        the_core.calls,
+        the_core.references,
+        the_core.lapses,
+        rudder.txns,
+        rudder.repeats.refs,
+    )
     assert not any(left), left
     assert (rudder.slots.running, rudder.slots.in_hand, rudder.sessions.held) == (0, 0, 0)
     assert abs(rudder.memory.txns_kb) < 1e-6 and rudder.calls.out == 0
@@ -290,10 +370,14 @@
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize(("window", "expiry"), [(1000.0, 3000.0), (2000.0, 6000.0), (9000.0, 3000.0)])
 def test_a_window_shorter_than_a_run_a_deadline_or_a_wait_lets_nothing_run_twice(
-        seed: int, window: float, expiry: float) -> None:
+    seed: int, window: float, expiry: float
+) -> None:
     """Books of their own: who was started, and when its try was written; runs last up to twice the window."""
-    pay = SETTINGS["classes"][1] | {"windowUs": window * 1e3, "hardLimitUs": expiry * 1e3,
-                                    "promiseUs": expiry * 0.7e3}
+    pay = SETTINGS["classes"][1] | {
+        "windowUs": window * 1e3,
+        "hardLimitUs": expiry * 1e3,
+        "promiseUs": expiry * 0.7e3,
+    }
     bench = Bench(SETTINGS | {"classes": [SETTINGS["classes"][0], pay]}, refs_most=30)
     chance, marks, written, ran, running = random.Random(seed), {}, {}, {}, {}
     for n in range(1, 1500):
--- a/tests/test_otterrudder.py
+++ b/tests/test_otterrudder.py
@@ -63,9 +63,14 @@
 def test_an_instance_boots_and_starts_a_txn_by_the_deploy_files_own_words() -> None:
     sim = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["sim"]
     looks = {"effect": "safe", "hardLimitUs": 2900000, "promiseUs": 1200000, "worth": 1}
-    env = json.dumps({"classes": [looks],
-                      "familyInfo": {"cores": 2, "memoryKb": 9000.0, "runFactor": 4.0},
-                      "rules": {"fallMultiple": 4.0, "fallUs": 2000000}, "tickUs": 4000}).encode()
+    env = json.dumps(
+        {
+            "classes": [looks],
+            "familyInfo": {"cores": 2, "memoryKb": 9000.0, "runFactor": 4.0},
+            "rules": {"fallMultiple": 4.0, "fallUs": 2000000},
+            "tickUs": 4000,
+        }
+    ).encode()
     boot = struct.pack(">HHQI", 6, 3, 99, len(env)) + env
     txn = struct.pack(">HHQIQfQIfHIHIH", 1, 3, 0x2964F0E6F2B19, 0, 0, 24.5, 0, 0, 0.6, 0, 0, 0, 17, 0)
     body = struct.pack(">QI", 8412250, 2) + boot + txn
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -282,9 +282,19 @@
     assert gateway.result() == b"done"
 
 
-@pytest.mark.parametrize("junk", [
-    "what is this", f"end x {A} complete 1 0\r\n", f"end 1 {A} complete 1 99999999",
-    "wants 1", f"end 7 {A} complete 1 0\r\n", "\xff", "x" * 5000], ids=range(7))
+@pytest.mark.parametrize(
+    "junk",
+    [
+        "what is this",
+        f"end x {A} complete 1 0\r\n",
+        f"end 1 {A} complete 1 99999999",
+        "wants 1",
+        f"end 7 {A} complete 1 0\r\n",
+        "\xff",
+        "x" * 5000,
+    ],
+    ids=range(7),
+)
 def test_a_runtime_that_speaks_nonsense_loses_its_link_only(server: Server, junk: str) -> None:
     runtime, gateway = server.up()
     gateway.txn(A)
@@ -547,26 +557,49 @@
     if text is not None:
         path.write_text(text)
     for command in (RUN, RUN + " check"):
-        done = subprocess.run(["/bin/sh", "-c", command], cwd=ROOT, capture_output=True, timeout=60,
-                              env=os.environ | {"NODE_CONFIG": str(path)})
+        done = subprocess.run(
+            ["/bin/sh", "-c", command],
+            cwd=ROOT,
+            capture_output=True,
+            timeout=60,
+            env=os.environ | {"NODE_CONFIG": str(path)},
+        )
         assert done.returncode not in (0, None) and done.stderr.count(b"\n") == 1, done.stderr
 
 
 MISTYPED = [
-    ("stop_ms", "x"), ("seed", "zz"), ("listen", 7), ("limits.sockets", None), ("settings.classes", {}),
-    ("settings.classes.0.windowUs", "a"), ("settings.classes.0.effect", 3), ("settings.classes.0.name", []),
-    ("settings.realms.1.name", 4), ("settings.familyInfo.cores", "six"), ("settings.familyInfo.gauges", 7),
-    ("settings.familyInfo.memoryKb", []), ("settings.familyInfo.classCalls", True),
-    ("settings.rules.drainGraceUs", []), ("settings.rules.coldUs", -1), ("settings.tickUs", {}),
-    ("settings.limits.maxRetryAfterUs", "q"), ("settings.me", "one"), ("runtime", "nowhere"),
+    ("stop_ms", "x"),
+    ("seed", "zz"),
+    ("listen", 7),
+    ("limits.sockets", None),
+    ("settings.classes", {}),
+    ("settings.classes.0.windowUs", "a"),
+    ("settings.classes.0.effect", 3),
+    ("settings.classes.0.name", []),
+    ("settings.realms.1.name", 4),
+    ("settings.familyInfo.cores", "six"),
+    ("settings.familyInfo.gauges", 7),
+    ("settings.familyInfo.memoryKb", []),
+    ("settings.familyInfo.classCalls", True),
+    ("settings.rules.drainGraceUs", []),
+    ("settings.rules.coldUs", -1),
+    ("settings.tickUs", {}),
+    ("settings.limits.maxRetryAfterUs", "q"),
+    ("settings.me", "one"),
+    ("runtime", "nowhere"),
 ]
 
 
 @pytest.mark.parametrize(("field", "value"), MISTYPED, ids=[field for field, _ in MISTYPED])
 def test_a_mistyped_field_is_named_and_nothing_listens(tmp_path: Path, field: str, value: object) -> None:
     told = {name: "127.0.0.1:1" for name in ("listen", "runtime", "registry", "records")}
-    told |= {"name": "n3", "seed": "8c1f30d27a5be964", "stop_ms": 1500, "settings": SETTINGS,
-             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}}
+    told |= {
+        "name": "n3",
+        "seed": "8c1f30d27a5be964",
+        "stop_ms": 1500,
+        "settings": SETTINGS,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+    }
     told = json.loads(json.dumps(told))
     *way, last = field.split(".")
     at = told
@@ -575,25 +608,40 @@
     at[last] = value
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told))
-    done = subprocess.run(["/bin/sh", "-c", RUN], cwd=ROOT, capture_output=True, timeout=60,
-                          env=os.environ | {"NODE_CONFIG": str(path)})
+    done = subprocess.run(
+        ["/bin/sh", "-c", RUN],
+        cwd=ROOT,
+        capture_output=True,
+        timeout=60,
+        env=os.environ | {"NODE_CONFIG": str(path)},
+    )
     text, named = done.stderr.decode(), re.sub(r"\.(\d+)", r"[\1]", field)
     assert done.returncode == 2 and text.count("\n") == 1 and "listening" not in text, text
     assert str(path) in text and named in text, text
 
 
 def test_check_and_version_say_what_is_good(server: Server) -> None:
-    for word, told in (("check", b"n3: the configuration is good"), ("version", b"otterrudder "),
-                       ("--help", b"NODE_CONFIG")):
-        done = subprocess.run(["/bin/sh", "-c", f"{RUN} {word}"], cwd=ROOT, capture_output=True, timeout=60,
-                              env=os.environ | {"NODE_CONFIG": str(server.configuration)})
+    for word, told in (
+        ("check", b"n3: the configuration is good"),
+        ("version", b"otterrudder "),
+        ("--help", b"NODE_CONFIG"),
+    ):
+        done = subprocess.run(
+            ["/bin/sh", "-c", f"{RUN} {word}"],
+            cwd=ROOT,
+            capture_output=True,
+            timeout=60,
+            env=os.environ | {"NODE_CONFIG": str(server.configuration)},
+        )
         assert done.returncode == 0 and told in done.stdout
 
 
 def test_levels_are_read_at_the_start_and_on_sighup(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    table = ('version = 1\nstart = "{start}"\n[[level]]\nname = "{start}"\nleast_stay_s = 60\n'
-             'entry = {{ for_s = 1, pressure = 0.9 }}\nexit = {{ for_s = 9, pressure = 0.1 }}\n'
-             'cut = [{{ do = "decline", products = ["{product}"] }}]\n')
+    table = (
+        'version = 1\nstart = "{start}"\n[[level]]\nname = "{start}"\nleast_stay_s = 60\n'
+        "entry = {{ for_s = 1, pressure = 0.9 }}\nexit = {{ for_s = 9, pressure = 0.1 }}\n"
+        'cut = [{{ do = "decline", products = ["{product}"] }}]\n'
+    )
     file = tmp_path / "levels.toml"
     file.write_text(table.format(start="no-look", product="look"))
     monkeypatch.setenv("OTTERRUDDER_LEVELS", str(file))
@@ -635,8 +683,13 @@
         runtime.expect("start", B)
         runtime.ends(B, b"b")
         assert gateway.result() == b"b"
-        done = subprocess.run(["/bin/sh", "-c", f"{RUN} check"], cwd=ROOT, capture_output=True, timeout=60,
-                              env=os.environ | {"NODE_CONFIG": str(server.configuration)})
+        done = subprocess.run(
+            ["/bin/sh", "-c", f"{RUN} check"],
+            cwd=ROOT,
+            capture_output=True,
+            timeout=60,
+            env=os.environ | {"NODE_CONFIG": str(server.configuration)},
+        )
         assert done.returncode == 0 and b"stopMode" in done.stdout and b"classSkipWorth" in done.stdout
 
 
--- a/tests/vrrp/test_failover.py
+++ b/tests/vrrp/test_failover.py
@@ -82,8 +82,12 @@
 @pytest.fixture
 def pair(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[tuple[Server, Speaker]]:
     keys = tmp_path / "keys.toml"
-    subprocess.run([sys.executable, "-m", "otterrudder", "vrrp", "keygen", str(keys)], cwd=ROOT, check=True,
-                   capture_output=True)
+    subprocess.run(
+        [sys.executable, "-m", "otterrudder", "vrrp", "keygen", str(keys)],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+    )
     speaker = Speaker(keys)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
         free.bind(("127.0.0.1", 0))
@@ -225,8 +229,9 @@
             return words, runtime.body(int(words[-1]))
 
 
-def test_what_is_not_sealed_changes_nothing_and_keys_change_by_sighup(pair: tuple[Server, Speaker],
-                                                                      tmp_path: Path) -> None:
+def test_what_is_not_sealed_changes_nothing_and_keys_change_by_sighup(
+    pair: tuple[Server, Speaker], tmp_path: Path
+) -> None:
     server, speaker = pair
     runtime, _ = server.up()
     opens(server, runtime, 1)
@@ -235,8 +240,12 @@
         speaker.sock.sendto(data, ("127.0.0.1", speaker.to))
     keys = tmp_path / "keys.toml"
     for words in (["--add"], ["--sign", "2"]):
-        subprocess.run([sys.executable, "-m", "otterrudder", "vrrp", "keygen", str(keys), *words], cwd=ROOT,
-                       check=True, capture_output=True)
+        subprocess.run(
+            [sys.executable, "-m", "otterrudder", "vrrp", "keygen", str(keys), *words],
+            cwd=ROOT,
+            check=True,
+            capture_output=True,
+        )
         before = server.log.read_text().count("vrrp keys taken")
         server.process.send_signal(signal.SIGHUP)
         while server.log.read_text().count("vrrp keys taken") == before:
--- a/tests/vrrp/test_pure.py
+++ b/tests/vrrp/test_pure.py
@@ -21,10 +21,22 @@
 A, B, GROUP = ip_address("192.0.2.1"), ip_address("192.0.2.2"), ip_address("224.0.0.18")
 V4 = st.ip_addresses(v=4)
 V6 = st.ip_addresses(v=6)
-ADVERTS = st.one_of(*(st.tuples(
-    st.builds(Advert, st.integers(1, 255), st.integers(0, 255),
-              st.integers(1, 4095).map(lambda cs: cs * 10.0), st.lists(v, min_size=1, max_size=9).map(tuple)),
-    v, v) for v in (V4, V6)))
+ADVERTS = st.one_of(
+    *(
+        st.tuples(
+            st.builds(
+                Advert,
+                st.integers(1, 255),
+                st.integers(0, 255),
+                st.integers(1, 4095).map(lambda cs: cs * 10.0),
+                st.lists(v, min_size=1, max_size=9).map(tuple),
+            ),
+            v,
+            v,
+        )
+        for v in (V4, V6)
+    )
+)
 
 
 @given(ADVERTS)
@@ -40,8 +52,13 @@
     checksum = packet.checksum(packet.pseudo_header(B, GROUP, len(head)) + head)
     whole = head[:6] + checksum.to_bytes(2) + head[8:]
     assert packet.encode(Advert(51, 200, 1000.0, (A,)), B, GROUP) == whole
-    flaws = {Flaw.SHORT: whole[:7], Flaw.VERSION: b"\x21" + whole[1:], Flaw.TYPE: b"\x32" + whole[1:],
-             Flaw.LENGTH: whole + b"\0", Flaw.CHECKSUM: whole[:2] + b"\xc9" + whole[3:]}
+    flaws = {
+        Flaw.SHORT: whole[:7],
+        Flaw.VERSION: b"\x21" + whole[1:],
+        Flaw.TYPE: b"\x32" + whole[1:],
+        Flaw.LENGTH: whole + b"\0",
+        Flaw.CHECKSUM: whole[:2] + b"\xc9" + whole[3:],
+    }
     for flaw, data in flaws.items():
         with pytest.raises(BadPacket) as raised:
             packet.decode(data, B, GROUP)
@@ -49,8 +66,11 @@
     with pytest.raises(BadPacket) as raised:
         packet.decode(whole, B, GROUP, 254)
     assert raised.value.flaw is Flaw.HOPS
-    for flaw, (vrid, addresses, interval) in {Flaw.VRID: (50, {A}, 1000), Flaw.ADDRESSES: (51, {B}, 1000),
-                                              Flaw.INTERVAL: (51, {A}, 900)}.items():
+    for flaw, (vrid, addresses, interval) in {
+        Flaw.VRID: (50, {A}, 1000),
+        Flaw.ADDRESSES: (51, {B}, 1000),
+        Flaw.INTERVAL: (51, {A}, 900),
+    }.items():
         with pytest.raises(BadPacket) as raised:
             packet.accept(packet.decode(whole, B, GROUP), vrid, frozenset(addresses), interval, False)
         assert raised.value.flaw is flaw
@@ -103,8 +123,10 @@
 
 
 def test_keys_change_in_service_and_lapse() -> None:
-    old, both, new = (Keys({n: KEYS.by_number[n] for n in numbers}, signs)
-                      for numbers, signs in (((1,), 1), ((1, 2), 1), ((2,), 2)))
+    old, both, new = (
+        Keys({n: KEYS.by_number[n] for n in numbers}, signs)
+        for numbers, signs in (((1,), 1), ((1, 2), 1), ((2,), 2))
+    )
     a, b = Seal(old, 1), Seal(old, 1)
     signing = Keys(both.by_number, 2)
     for mine, theirs in ((both, old), (both, both), (signing, both), (new, signing), (new, new)):
@@ -204,34 +226,37 @@
 
 PRODUCTS = [Product("look", Effect.INQUIRY, 1, 1, 1), Product("pay", Effect.ONCE, 1, 1, 1)]
 GOOD = (ROOT / "deploy/vrrp.toml").read_text()
-SECOND = GOOD[GOOD.index("[[group]]"):].replace('"intake"', '"pay"').replace("vrid = 51", "vrid = 52")
-
-
-@pytest.mark.parametrize(("old", "new", "says"), [
-    ("version = 1", "version = 2", "version: this program reads 1"),
-    ("vrid = 51", "vrid = 0", "group[1].vrid: 0 is not"),
-    ("vrid = 51", "vird = 51", "unknown field `vird`"),
-    ("priority = 150", "priority = 255", "group[1].priority: 255 is for the owner"),
-    ("priority = 150", "priority = 300", "group[1].priority: 300"),
-    ("interval_ms = 1000 ", "interval_ms = 1005 ", "no whole number of centiseconds"),
-    ("interval_ms = 1000 ", "interval_ms = 50000 ", "group[1].interval_ms: 50000 is not from 10"),
-    ('virtual = ["192.0.2.1"]', "virtual = []", "group[1].virtual"),
-    ('virtual = ["192.0.2.1"]', 'virtual = ["x"]', "group[1].virtual: 'x' is no IP address"),
-    ('virtual = ["192.0.2.1"]', 'virtual = ["::1"]', "IPv4 and IPv6 in one group"),
-    ('address = "192.0.2.12"', 'address = "192.0.2.11"', "group[1].peer: an address stands twice"),
-    ('udp = "127.0.0.2:5112"', 'udp = "here:5112"', "peer[1].udp: 'here' is no IP address"),
-    ('listen = "127.0.0.1:5112"', 'listen = "127.0.0.1"', "listen: '127.0.0.1' is no address and port"),
-    ('fact = "late"', 'fact = "tired"', "track[2].fact: no such fact"),
-    ('fact = "late"', 'fact = "runtime"', "group[1].track: a fact stands twice"),
-    ("lowers = 100", "lowers = 0", "track[1].lowers: 0"),
-    ("first_ms = 1000 ", "first_ms = -1 ", "hold_down.first_ms: -1"),
-    ('# products = ["form-submit"]', 'products = ["lok"]', "group[1].products: there is no 'lok'"),
-    ("forget_ms = 30000 ", "forget_ms = 0 ", "hold_down.forget_ms: 0 is not from 1"),
-    ("[hold_down]", "group = []\n[hold_down]", "group"),
-    ('keys = "vrrp-keys.toml"', 'keys = "none.toml"', "cannot read"),
-    (GOOD, GOOD + SECOND, "group[2]: serves what group[1] serves"),
-    (GOOD, GOOD + SECOND.replace("vrid = 52", "vrid = 51"), "group[2].vrid: 51 is group[1]'s"),
-])
+SECOND = GOOD[GOOD.index("[[group]]") :].replace('"intake"', '"pay"').replace("vrid = 51", "vrid = 52")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("version = 1", "version = 2", "version: this program reads 1"),
+        ("vrid = 51", "vrid = 0", "group[1].vrid: 0 is not"),
+        ("vrid = 51", "vird = 51", "unknown field `vird`"),
+        ("priority = 150", "priority = 255", "group[1].priority: 255 is for the owner"),
+        ("priority = 150", "priority = 300", "group[1].priority: 300"),
+        ("interval_ms = 1000 ", "interval_ms = 1005 ", "no whole number of centiseconds"),
+        ("interval_ms = 1000 ", "interval_ms = 50000 ", "group[1].interval_ms: 50000 is not from 10"),
+        ('virtual = ["192.0.2.1"]', "virtual = []", "group[1].virtual"),
+        ('virtual = ["192.0.2.1"]', 'virtual = ["x"]', "group[1].virtual: 'x' is no IP address"),
+        ('virtual = ["192.0.2.1"]', 'virtual = ["::1"]', "IPv4 and IPv6 in one group"),
+        ('address = "192.0.2.12"', 'address = "192.0.2.11"', "group[1].peer: an address stands twice"),
+        ('udp = "127.0.0.2:5112"', 'udp = "here:5112"', "peer[1].udp: 'here' is no IP address"),
+        ('listen = "127.0.0.1:5112"', 'listen = "127.0.0.1"', "listen: '127.0.0.1' is no address and port"),
+        ('fact = "late"', 'fact = "tired"', "track[2].fact: no such fact"),
+        ('fact = "late"', 'fact = "runtime"', "group[1].track: a fact stands twice"),
+        ("lowers = 100", "lowers = 0", "track[1].lowers: 0"),
+        ("first_ms = 1000 ", "first_ms = -1 ", "hold_down.first_ms: -1"),
+        ('# products = ["form-submit"]', 'products = ["lok"]', "group[1].products: there is no 'lok'"),
+        ("forget_ms = 30000 ", "forget_ms = 0 ", "hold_down.forget_ms: 0 is not from 1"),
+        ("[hold_down]", "group = []\n[hold_down]", "group"),
+        ('keys = "vrrp-keys.toml"', 'keys = "none.toml"', "cannot read"),
+        (GOOD, GOOD + SECOND, "group[2]: serves what group[1] serves"),
+        (GOOD, GOOD + SECOND.replace("vrid = 52", "vrid = 51"), "group[2].vrid: 51 is group[1]'s"),
+    ],
+)
 def test_a_bad_file_of_groups_is_named_by_its_key(tmp_path: Path, old: str, new: str, says: str) -> None:
     keys, file = tmp_path / "vrrp-keys.toml", tmp_path / "vrrp.toml"
     keys.write_text(f'signs = 1\n[[key]]\nnumber = 1\nsecret = "{SECRET.hex()}"\n')
--- a/tests/vrrp/test_search.py
+++ b/tests/vrrp/test_search.py
@@ -10,8 +10,7 @@
 from otterrudder.vrrp.machine import Action, Machine, Timer
 
 
-@pytest.mark.parametrize(("priorities", "depth"), [
-    ((200, 100), 12), ((100, 100), 11), ((200, 150, 100), 6)])
+@pytest.mark.parametrize(("priorities", "depth"), [((200, 100), 12), ((100, 100), 11), ((200, 150, 100), 6)])
 def test_no_order_of_events_breaks_a_promise(priorities: tuple[int, ...], depth: int) -> None:
     found = search(priorities, depth)
     assert found.broken is None and found.depth == depth
@@ -52,12 +51,17 @@
         return [self._arm(now + self.down_interval)]
 
 
-@pytest.mark.parametrize(("fault", "priorities", "says"), [
-    (Deaf, (200, 100), "in peace the masters are [0, 1]"),
-    (Tied, (100, 100), "in peace the masters are [0, 1]"),
-    (Shy, (200, 100), "and one of priority 200 should be")])
-def test_a_fault_in_the_machine_is_found(fault: type[Machine], priorities: tuple[int, ...],
-                                         says: str) -> None:
+@pytest.mark.parametrize(
+    ("fault", "priorities", "says"),
+    [
+        (Deaf, (200, 100), "in peace the masters are [0, 1]"),
+        (Tied, (100, 100), "in peace the masters are [0, 1]"),
+        (Shy, (200, 100), "and one of priority 200 should be"),
+    ],
+)
+def test_a_fault_in_the_machine_is_found(
+    fault: type[Machine], priorities: tuple[int, ...], says: str
+) -> None:
     def make(n: int, priority: int) -> Machine:
         twin = machine_of(n, priority)
         return fault(twin.address, twin.priority, twin.base_interval)
@@ -73,10 +77,14 @@
     assert told == [Timer(math.inf, machine.number)]  # what the search calls waiting for nothing
 
 
-@pytest.mark.parametrize(("move", "leads", "says"), [
-    ((Door.OPEN, Event.BACKUP), Door.OPEN, "the open doors are"),
-    ((Door.HELD, Event.DUE), Door.HELD, "in peace"),
-    ((Door.DRAINING, Event.DUE), Door.OPEN, "the open doors are")])
+@pytest.mark.parametrize(
+    ("move", "leads", "says"),
+    [
+        ((Door.OPEN, Event.BACKUP), Door.OPEN, "the open doors are"),
+        ((Door.HELD, Event.DUE), Door.HELD, "in peace"),
+        ((Door.DRAINING, Event.DUE), Door.OPEN, "the open doors are"),
+    ],
+)
 def test_a_fault_in_the_gate_is_found(monkeypatch, move, leads, says) -> None:
     monkeypatch.setitem(gate.MOVES, move, leads)
     found = search((200, 100), 9, worlds_most=60_000)
