--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -32,11 +32,11 @@
     withdraw,
 )
 from otterrudder.fleet.configuration import BadFleet, Fleet, read_fleet
+from otterrudder.fleet.effects import Commit
 from otterrudder.fleet.points import reached
 from otterrudder.fleet.policy import BadPolicy, Own, own_of, parse
 from otterrudder.fleet.records import BadRecord, Change, Keys, Settled, View
 from otterrudder.fleet.store import Done, StoreAway
-from otterrudder.fleet.wants import Commit
 from otterrudder.levels.table import FACTS
 from otterrudder.net import control
 from otterrudder.net.configuration import BadConfiguration, read_configuration
--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -42,11 +42,11 @@
     sys.exit(0 if searched(walks, seed, depth, workers, click.echo) else 1)
 
 
-@lab.command("fleet-hours")
+@lab.command("fleet-simulation")
 @click.option("--servers", type=click.IntRange(2, 1000), default=200, show_default=True)
 @click.option("--plans", type=click.IntRange(1), default=100, show_default=True, help="Of faults, by rule.")
 @click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
-def fleet_hours(servers: int, plans: int, workers: int | None) -> None:
+def fleet_simulation(servers: int, plans: int, workers: int | None) -> None:
     """Play changes of policy in fleets of SERVERS, in simulated time, through drawn plans of faults."""
     from otterrudder.lab.fleet.report import played
 
--- a/otterrudder/fleet/__init__.py
+++ b/otterrudder/fleet/__init__.py
@@ -4,8 +4,9 @@
 of policy from its proposal to its end; all pure but the port. Off where no file of a fleet is named."""
 
 from otterrudder.fleet.change import Refused, Settler, fate, propose, settle
-from otterrudder.fleet.member import Member, Policy, Record, Rules, Standing
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import Keys, View, digest_of
+from otterrudder.fleet.state import Policy, Record, Rules, Standing
 from otterrudder.fleet.store import Store, StoreAway
 
 __all__ = [
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -21,11 +21,12 @@
 from otterrudder.durable import BadState, Folder, in_thread
 from otterrudder.fleet.change import Settler
 from otterrudder.fleet.configuration import Fleet
-from otterrudder.fleet.member import Member, Policy, Record, Standing
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.points import reached
 from otterrudder.fleet.records import Keys, Live
+from otterrudder.fleet.state import Policy, Record, Standing
 from otterrudder.fleet.store import Store, StoreAway
-from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save, Want
 from otterrudder.net import clock
 from otterrudder.net.log import log
 
@@ -129,12 +130,12 @@
                 while True:
                     self.wake = anyio.Event()
                     now = clock.monotonic()
-                    for decide in (self.member.wants, self._settler_wants):
+                    for decide in (self.member.effects, self._settler_effects):
                         try:
-                            for want in decide(now):
-                                group.start_soon(self._carry_out, want, now)
+                            for effect in decide(now):
+                                group.start_soon(self._carry_out, effect, now)
                         except Exception:  # the fleet's part is not the server's: it is decided anew
-                            log.exception("the fleet's part failed", of="wants")
+                            log.exception("the fleet's part failed", of="effects")
                             await anyio.sleep(FAILED_MS / 1000)
                     due = min(self.member.due(), self.settler.due())
                     with anyio.move_on_after(min(max(due - clock.monotonic(), 1.0), NAP_MS) / 1000):
@@ -161,60 +162,60 @@
             head=member.head,
             pledged=member.pledge.change if member.pledge else "",
             registered=bool(member.registered),
-            duty=member.on_duty,
+            leader=member.is_leader,
             absent=member.rules.absent,
             lease_left_ms=round(max(member.lease_until - now, 0.0), 1),
             worst_answer_ms=round(worst, 1),
             counts=self.counts,
         )
 
-    def _settler_wants(self, now: float) -> list[Want]:
+    def _settler_effects(self, now: float) -> list[Effect]:
         seen = self.member.seen
         if seen and seen.trial:  # nobody asks for them else
             self.member.figures = tuple(self.facts().items())
-        settle = self.settler.wants_of(now, self.member)
+        settle = self.settler.effects_of(now, self.member)
         return [settle] if settle else []
 
-    async def _carry_out(self, want: Want, sent: float) -> None:
+    async def _carry_out(self, effect: Effect, sent: float) -> None:
         """A failure in one of them, a record that is none of ours say, is not the server's."""
         try:
-            await self._play(want, sent)
+            await self._play(effect, sent)
         except Exception:
-            log.exception("the fleet's part failed", of=type(want).__name__.lower())
+            log.exception("the fleet's part failed", of=type(effect).__name__.lower())
             await anyio.sleep(FAILED_MS / 1000)
         self.wake.set()
 
-    async def _play(self, want: Want, sent: float) -> None:
+    async def _play(self, effect: Effect, sent: float) -> None:
         """One want to its outcome; what follows from a settler's reading is carried out as well."""
-        name = want.what if isinstance(want, Commit) else type(want).__name__.lower()
+        name = effect.what if isinstance(effect, Commit) else type(effect).__name__.lower()
         reached(f"before {name}")
-        outcome = await self._outcome(want)
+        outcome = await self._outcome(effect)
         reached(f"after {name}")
         now = clock.monotonic()
         self.worst_ms = max(self.worst_ms, now - sent)
-        if want.lane is Lane.SETTLE:
-            if isinstance(want, Commit):
+        if effect.lane is Lane.SETTLE:
+            if isinstance(effect, Commit):
                 self.member.hint()
-            more = self.settler.told(now, want, outcome)
+            more = self.settler.completed(now, effect, outcome)
             if more:
                 log.info("settling a change", change=self.settler.change, how=more.what)
                 await self._play(more, now)
             return
-        self.member.told(now, want, sent, outcome)
+        self.member.completed(now, effect, sent, outcome)
         if self.member.doubt and now >= self.leave_at:
             self.leave_at = now + DOUBT_MS
             log.warning("the store is not believed", why=self.member.doubt)
             await self.store.leave()
 
-    async def _outcome(self, want: Want) -> Outcome:
+    async def _outcome(self, effect: Effect) -> Outcome:
         self.counts["asked"] += 1
         try:
-            if isinstance(want, Save):
+            if isinstance(effect, Save):
                 self.is_writing = True
-                return await in_thread(functools.partial(self._save, want))
-            if isinstance(want, Judge):
-                return await anyio.to_thread.run_sync(self._judge, want.text)
-            outcome = await self._ask(want)
+                return await in_thread(functools.partial(self._save, effect))
+            if isinstance(effect, Judge):
+                return await anyio.to_thread.run_sync(self._judge, effect.text)
+            outcome = await self._ask(effect)
         except Exception as why:  # whatever a library raises is no answer, and its lane must be free again
             self.counts["unanswered"] += 1
             if not isinstance(why, StoreAway):
@@ -229,14 +230,14 @@
             self.away_since = 0.0
         return outcome
 
-    async def _ask(self, want: Request) -> Outcome:
-        if isinstance(want, Read):
-            return await self.store.read(want.names, self.timeout)
-        if isinstance(want, Lease):
-            return await self.store.lease(want.span_ms, self.timeout)
-        if isinstance(want, Renew):
-            return await self.store.renew(want.lease, self.timeout)
-        return await self.store.commit(want.compares, want.writes, self.timeout)
+    async def _ask(self, effect: Request) -> Outcome:
+        if isinstance(effect, Read):
+            return await self.store.read(effect.names, self.timeout)
+        if isinstance(effect, Lease):
+            return await self.store.lease(effect.span_ms, self.timeout)
+        if isinstance(effect, Renew):
+            return await self.store.renew(effect.lease, self.timeout)
+        return await self.store.commit(effect.compares, effect.writes, self.timeout)
 
     def _judge(self, text: str) -> str:
         """In a thread: a policy of hundreds of names would hold up the loop for tens of ms."""
@@ -246,11 +247,11 @@
             log.exception("a policy could not be judged")
             return f"{self.member.name}: {type(why).__name__}: {why}"
 
-    def _save(self, want: Save) -> bool:
+    def _save(self, effect: Save) -> bool:
         """In a thread: it blocks until the disk has it."""
         try:
             assert self.folder
-            self.folder.write(STATE, msgspec.json.encode(want.record))
+            self.folder.write(STATE, msgspec.json.encode(effect.record))
         except OSError as why:
             log.error("the fleet's folder can't be written", why=str(why))
             return False
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from otterrudder.fleet.effects import Commit, Effect, Lane, Outcome, Read
 from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import (
     NOTE_MOST,
@@ -30,9 +31,8 @@
     encode,
 )
 from otterrudder.fleet.store import Compare, Delete, Done, Put, Snapshot, Write
-from otterrudder.fleet.wants import Commit, Lane, Outcome, Read, Want
 
-DUTY_SPREAD_MS = 1500.0  # ms over which members come forward to settle a change: one does, the others see it
+LEADER_SPREAD_MS = 1500.0  # ms over which members come forward to settle a change: one does
 COUNT_MS = 250.0  # ms between counts of the votes by whoever settles
 COUNT_MOST_MS = 2000.0  # ms between them once a change has been open for long
 STRIKES = 3  # counts in a row at which a figure on trial has to be too high: one may be a moment's
@@ -245,12 +245,13 @@
     """Sees to it that an open change ends, whoever proposed it. Members take turns by a key that hangs on
     their lease: it saves the others the counting, and no promise rests on it.
 
-    `wants` is asked with what the member has last seen; a proposer's own program counts without the duty."""
+    `effects` is asked with what the member has last seen; a proposer's own program counts without
+    the leadership."""
 
-    __slots__ = ("_at", "_busy", "_seen_since", "_strikes", "change", "keys", "name", "needs_duty")
+    __slots__ = ("_at", "_busy", "_seen_since", "_strikes", "change", "keys", "name", "needs_leadership")
 
-    def __init__(self, keys: Keys, name: str, needs_duty: bool = True) -> None:
-        self.keys, self.name, self.needs_duty = keys, name, needs_duty
+    def __init__(self, keys: Keys, name: str, needs_leadership: bool = True) -> None:
+        self.keys, self.name, self.needs_leadership = keys, name, needs_leadership
         self.change = ""
         self._seen_since = self._at = 0.0
         self._busy = False
@@ -259,41 +260,41 @@
     def due(self) -> float:
         return self._at if self.change and not self._busy else float("inf")
 
-    def wants(
-        self, now: float, opened: str, has_duty: bool, anybody_has: bool, lease: int, registered: int
+    def effects(
+        self, now: float, opened: str, is_leader: bool, has_leader: bool, lease: int, registered: int
     ) -> Read | Commit | None:
-        """`opened`: the open change's id, or the trial's that is on; "": neither; `has_duty`: it is this
-        member's; `anybody_has`: somebody has it; `lease` and `registered`: what the duty hangs on, and the
+        """`opened`: the open change's id, or the trial's that is on; "": neither; `is_leader`: it is this
+        member's; `has_leader`: somebody is; `lease` and `registered`: what the leadership hangs on, and the
         life it is taken for."""
         if opened != self.change:
             self.change, self._seen_since = opened, now
-            first = self._chance() * DUTY_SPREAD_MS if self.needs_duty else 0.0
+            first = self._chance() * LEADER_SPREAD_MS if self.needs_leadership else 0.0
             self._at = now + first
         if not opened or self._busy or now < self._at:
             return None
-        if self.needs_duty and not has_duty:
-            self._at = now + DUTY_SPREAD_MS * (0.5 + self._chance())
-            if anybody_has or not (lease and registered):
+        if self.needs_leadership and not is_leader:
+            self._at = now + LEADER_SPREAD_MS * (0.5 + self._chance())
+            if has_leader or not (lease and registered):
                 return None
             self._busy = True
             compares = (
-                Compare(self.keys.duty, "created", 0),
+                Compare(self.keys.leader, "created", 0),
                 Compare(self.keys.live(self.name), "created", registered),
             )
-            return Commit("duty", compares, (Put(self.keys.duty, self.name.encode(), lease),), Lane.SETTLE)
+            return Commit("lead", compares, (Put(self.keys.leader, self.name.encode(), lease),), Lane.SETTLE)
         self._busy = True
         return Read(whole(self.keys), Lane.SETTLE)
 
-    def wants_of(self, now: float, member: Member) -> Read | Commit | None:
+    def effects_of(self, now: float, member: Member) -> Read | Commit | None:
         """By what the member has last seen; nothing is settled on an engine that it doubts."""
         seen = member.seen
         opened = ""
         if seen and not member.doubt:
             opened = seen.open.id if seen.open else trial_id(seen.trial) if seen.trial else ""
-        has_duty = bool(seen and seen.has_duty)
-        return self.wants(now, opened, member.on_duty, has_duty, member.lease, member.registered)
+        has_leader = bool(seen and seen.has_leader)
+        return self.effects(now, opened, member.is_leader, has_leader, member.lease, member.registered)
 
-    def told(self, now: float, want: Want, outcome: Outcome) -> Commit | None:
+    def completed(self, now: float, effect: Effect, outcome: Outcome) -> Commit | None:
         """What is to be done upon that, if anything: its outcome is owed as well."""
         self._busy = False
         age = now - self._seen_since
@@ -312,4 +313,4 @@
         return commit
 
     def _chance(self) -> float:
-        return zlib.crc32(f"{self.name}/{self.change}/duty".encode()) / 2**32
+        return zlib.crc32(f"{self.name}/{self.change}/leader".encode()) / 2**32
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from otterrudder.files import convert, load_toml
-from otterrudder.fleet.member import POLL_SHARE, Rules
+from otterrudder.fleet.member import POLL_SHARE
 from otterrudder.fleet.records import NAME_MOST, Absent
+from otterrudder.fleet.state import Rules
 from otterrudder.net.configuration import BadConfiguration, address
 
 VERSION = 1  # of the form
--- a/otterrudder/fleet/wants.py
+++ b/otterrudder/fleet/effects.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    what: str  # "register", "vote", "tell", "duty", "propose", "commit", "abort", "gone": for logs and lab
+    what: str  # "register", "vote", "tell", "lead", "propose", "commit", "abort", "gone": for logs and lab
     compares: tuple[Compare, ...]
     writes: tuple[Write, ...]
     lane: Lane = Lane.STORE
@@ -63,6 +63,6 @@
 
 
 Request = Read | Commit | Lease | Renew  # to the store
-Want = Request | Save | Judge
+Effect = Request | Save | Judge
 # Of a read; a commit; a lease or renewal; a save; a judgement; no answer.
 Outcome = Snapshot | Done | Leased | bool | str | None
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -1,5 +1,5 @@
-"""One member of the fleet: what it knows, whether it may admit, what it wants done. Pure: events with the
-time in them go in, wants come out, and lab, model search and server run this very code.
+"""One member of the fleet: what it knows, whether it may admit, what is to be done. Pure: events with the
+time in them go in, effects come out, and lab, model search and server run this very code.
 
 The rules it keeps, and why they suffice (docs/design/fleet.md has the argument whole):
 
@@ -14,18 +14,17 @@
   says so, until it has found in its own folder that it has pledged nothing).
 
 Whoever asks `standing(now)` at the moment of admission is told by the clock of that moment, so a process that
-was frozen finds out before it admits anything. Wants are level-triggered: after each outcome, lost ones too,
-it reads again and decides anew from what it sees; nothing is ever guessed from a missing answer."""
+was frozen finds out before it admits anything. Effects are level-triggered: after each outcome, lost ones
+too, it reads again and decides anew from what it sees; nothing is ever guessed from a missing answer."""
 
 import math
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
 
-from otterrudder.fleet.records import Absent, BadRecord, Keys, Live, Roster, Trial, View, Vote, encode
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Lease, Outcome, Read, Renew, Save
+from otterrudder.fleet.records import BadRecord, Keys, Live, Roster, View, Vote, encode
+from otterrudder.fleet.state import Open, Pledge, Policy, Record, Rules, Seen, Standing
 from otterrudder.fleet.store import Compare, Done, Leased, Put, Snapshot
-from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Save, Want
 
 # of its span for which a lease is believed: two clocks may run apart by a tenth
 LEASE_BELIEVED = 0.9
@@ -39,94 +38,6 @@
 FIGURES_MS = 3000.0  # ms between figures that a member tells while a policy is on trial
 
 
-class Standing(Enum):
-    """Whether a member admits, and if not, why. Only the first two admit."""
-
-    SERVING = "serving"
-    PLEDGED = "serving, and has voted for the open change"
-    STARTING = "has not read the store in this life"
-    TAKEN = "the name is another process's"
-    FOREIGN = "the name is registered to another folder"
-    JOINING = "is not registered yet, or has not read since"
-    BEHIND = "a newer policy is in force and not here yet"
-    UNFIT = "the policy in force can't be taken here"
-    UNHEARD = "has voted, and has not heard for so long whether it was committed"
-    LAPSED = "its lease has lapsed, so a change may have gone on without it"
-
-    @property
-    def admits(self) -> bool:
-        return self in (Standing.SERVING, Standing.PLEDGED)
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """What the fleet's file says, in ms."""
-
-    absent: Absent = "wait"
-    bound_ms: float = 2000.0
-    lease_ms: float = 6000.0
-    starts_from_folder: bool = False  # only under `wait`
-
-
-@dataclass(frozen=True, slots=True)
-class Policy:
-    """One that is or was in force. Version 0: none was ever committed, and each server goes by its own
-    files."""
-
-    version: int = 0
-    change: str = ""
-    digest: str = ""
-    text: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Pledge:
-    """A yes that may have reached the store."""
-
-    change: str
-    created: int  # the revision that made the change
-
-
-@dataclass(frozen=True, slots=True)
-class Record:
-    """What the folder keeps. `joined`: the store has had this folder's name on the roster; `waited`: changes
-    wait for it there, as far as any process of this folder can have asked for."""
-
-    name: str
-    folder: str
-    known: Policy = Policy()
-    pledge: Pledge | None = None
-    joined: bool = False
-    cluster: int = 0
-    revision: int = 0
-    waited: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Open:
-    """The open change, as last seen."""
-
-    id: str
-    version: int
-    digest: str
-    created: int
-
-
-@dataclass(frozen=True, slots=True)
-class Seen:
-    """What the last believed read showed of what concerns this member."""
-
-    revision: int
-    open: Open | None
-    voted: bool | None  # its own vote; None: none is there
-    roster: Roster | None
-    roster_modified: int
-    live: Live | None
-    live_created: int
-    has_duty: bool  # somebody has it
-    trial: Trial | None  # of the policy in force
-
-
 class Member:
     __slots__ = (
         "_busy",
@@ -163,7 +74,7 @@
         "lease_until",
         "live",
         "name",
-        "on_duty",
+        "is_leader",
         "pledge",
         "registered",
         "revision",
@@ -211,7 +122,7 @@
         self.seen: Seen | None = None
         self.doubt = ""  # why the store is not believed
         self.disk_trouble = ""
-        self.on_duty = False
+        self.is_leader = False
         self._saved = record
         self._busy: frozenset[Lane] = frozenset()
         self._floor = 0  # the revision that was known when the store's request under way was begun
@@ -250,10 +161,10 @@
         return self.known.version if self.standing(now).admits else None
 
     def due(self) -> float:
-        """When `wants` may next say something by itself; -inf: now."""
+        """When `effects` may next say something by itself; -inf: now."""
         times = [self._retry_at if self._stale else self._next_read()] if Lane.STORE not in self._busy else []
         times += [self._renew_at] if Lane.LEASE not in self._busy and self._may_lease() else []
-        times += [-math.inf] if self._judge_want() else []
+        times += [-math.inf] if self._judge_effect() else []
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
         if Lane.STORE not in self._busy and self.registered:
             times.append(max(self._tell_at, self._retry_at))
@@ -264,33 +175,34 @@
         """More on its standing, for operators."""
         return self._unfit or self.doubt or self.disk_trouble
 
-    # What it wants.
+    # What it asks for.
 
     def hint(self) -> None:
         """Something changed in the store, or a watch was begun: it is read."""
         self._stale = True
 
-    def wants(self, now: float) -> list[Want]:
-        """What is to be begun now; each of them owes `told` one outcome. A vote wants a judgement, a save."""
-        found = [self._store_want(now), self._judge_want(), self._disk_want(now), self._lease_want(now)]
-        begun = [want for want in found if want]
-        self._busy |= {want.lane for want in begun}
-        if any(want.lane is Lane.STORE for want in begun):
+    def effects(self, now: float) -> list[Effect]:
+        """What is to be begun now; each owes `completed` one outcome. A vote needs a judgement, a save."""
+        store, disk = self._store_effect(now), self._disk_effect(now)
+        found = [store, self._judge_effect(), disk, self._lease_effect(now)]
+        begun = [effect for effect in found if effect]
+        self._busy |= {effect.lane for effect in begun}
+        if any(effect.lane is Lane.STORE for effect in begun):
             self._floor = self.revision
         return begun
 
-    def told(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
-        """How a want ended; `sent`: when it was begun."""
-        self._busy -= {want.lane}
-        is_void = self._is_void and want.lane is Lane.STORE
+    def completed(self, now: float, effect: Effect, sent: float, outcome: Outcome) -> None:
+        """How an effect ended; `sent`: when it was begun."""
+        self._busy -= {effect.lane}
+        is_void = self._is_void and effect.lane is Lane.STORE
         self._is_void = self._is_void and not is_void
         if isinstance(outcome, Done | Leased) and not self._is_believed(outcome):
             outcome, self._stale = None, True  # no word of an engine that is not believed counts
-        if isinstance(want, Save):
-            self._told_save(now, want, outcome)
-        elif isinstance(want, Judge):
-            self._told_judge(want, outcome)
-        elif want.lane is Lane.LEASE:
+        if isinstance(effect, Save):
+            self._told_save(now, effect, outcome)
+        elif isinstance(effect, Judge):
+            self._told_judge(effect, outcome)
+        elif effect.lane is Lane.LEASE:
             self._told_lease(now, sent, outcome)
         elif is_void:
             self._stale = True
@@ -304,7 +216,7 @@
             if isinstance(outcome, Done) and not outcome.held:
                 self._fail(now)
 
-    def _store_want(self, now: float) -> Want | None:
+    def _store_effect(self, now: float) -> Effect | None:
         if Lane.STORE in self._busy or now < self._retry_at:
             return None
         if self._stale or now >= self._next_read():
@@ -437,11 +349,11 @@
             self.epoch, live.program, live.zone, version, self.known.digest, state, live.products, figures
         )
 
-    def _judge_want(self) -> Want | None:
+    def _judge_effect(self) -> Effect | None:
         text = dict(self._texts).get(self._to_judge)
         return None if text is None or Lane.JUDGE in self._busy else Judge(self._to_judge, text)
 
-    def _lease_want(self, now: float) -> Want | None:
+    def _lease_effect(self, now: float) -> Effect | None:
         if Lane.LEASE in self._busy or now < self._renew_at or not self._may_lease():
             return None
         return Renew(self.lease) if self.lease else Lease(self.rules.lease_ms)
@@ -449,7 +361,7 @@
     def _may_lease(self) -> bool:
         return self.lease > 0 or self.seen is not None and not self._is_others(self.seen)
 
-    def _disk_want(self, now: float) -> Want | None:
+    def _disk_effect(self, now: float) -> Effect | None:
         if Lane.DISK in self._busy or now < self._disk_at or not self._must_save():
             return None
         return Save(self._record())
@@ -477,23 +389,23 @@
         now, saved = (self.known, self.pledge, self.joined, self.waited), self._saved
         return not saved or (saved.known, saved.pledge, saved.joined, saved.waited) != now
 
-    # How a want ended.
+    # How an effect ended.
 
-    def _told_save(self, now: float, want: Save, outcome: Outcome) -> None:
+    def _told_save(self, now: float, effect: Save, outcome: Outcome) -> None:
         if outcome:
-            assert isinstance(want.record, Record)
-            self._saved, self.disk_trouble = want.record, ""
+            assert isinstance(effect.record, Record)
+            self._saved, self.disk_trouble = effect.record, ""
         else:
             self.disk_trouble = "it could not be written"
             self._disk_at = now + RETRY_MOST_MS
             if self.pledge and not self.vote_sent:
                 self.pledge = None  # nothing was sent: it is a no
 
-    def _told_judge(self, want: Judge, outcome: Outcome) -> None:
-        if self._to_judge == want.digest:
+    def _told_judge(self, effect: Judge, outcome: Outcome) -> None:
+        if self._to_judge == effect.digest:
             self._to_judge = ""
         if isinstance(outcome, str):
-            self._judged = (want.digest, outcome)
+            self._judged = (effect.digest, outcome)
             self._stale = self._stale or self.head > self.known.version
 
     def _told_lease(self, now: float, sent: float, outcome: Outcome) -> None:
@@ -509,7 +421,7 @@
         self._renew_at = sent + self.rules.lease_ms * RENEW_SHARE if self.lease else now
 
     def _lose_registration(self) -> None:
-        self.registered, self.on_duty, self._stale = 0, False, True
+        self.registered, self.is_leader, self._stale = 0, False, True
         # A read that was sent before, and comes late, would show the registration as it was.
         self._is_void = Lane.STORE in self._busy
         if self.rules.absent == "leave-out":
@@ -569,7 +481,7 @@
         self._take_pledge(sent, seen)
         if self.registered and seen.revision >= self.registered:
             self.sure = True
-        self.on_duty = self.registered > 0 and view.duty == self.name
+        self.is_leader = self.registered > 0 and view.leader == self.name
         is_news = self._to_tell(now) != self._told or seen.trial is not None
         if self.registered and is_news and self._tell_at == math.inf:
             self._tell_at = now + self._chance("tell") * TELL_SPREAD_MS
@@ -589,7 +501,7 @@
             snapshot.modified(keys.roster(self.name)),
             view.live(self.name),
             snapshot.created(keys.live(self.name)),
-            bool(view.duty),
+            bool(view.leader),
             view.trial,
         )
 
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -4,7 +4,7 @@
     FLEET/head/change         the change that is open; absent: none is
     FLEET/head/settled        how the last changes ended
     FLEET/head/trial          what the policy in force is on trial for; absent: it is for good
-    FLEET/head/duty           the member that settles a change nobody else does; hangs on its lease
+    FLEET/head/leader           the member that settles a change nobody else does; hangs on its lease
     FLEET/text/DIGEST         a policy's text, named by what it says
     FLEET/roster/NAME         who is of the fleet, whether up or not; a change needs its vote
     FLEET/live/NAME           the life that has the name now; hangs on its lease
@@ -123,7 +123,7 @@
 
     __slots__ = (
         "change",
-        "duty",
+        "leader",
         "fleet",
         "head",
         "joined",
@@ -140,7 +140,7 @@
         self.rosters, self.lives, self.votes = (f"{fleet}/{what}/" for what in ("roster", "live", "vote"))
         self.head = head = f"{fleet}/head/"
         self.policy, self.change, self.settled = f"{head}policy", f"{head}change", f"{head}settled"
-        self.duty, self.trial = f"{head}duty", f"{head}trial"
+        self.leader, self.trial = f"{head}leader", f"{head}trial"
 
     def text(self, digest: str) -> str:
         return f"{self.fleet}/text/{digest}"
@@ -209,9 +209,9 @@
             raise BadRecord(f"{self.keys.settled}: {why}") from None
 
     @property
-    def duty(self) -> str:
+    def leader(self) -> str:
         """Whose it is; "": nobody's."""
-        entry = self.snapshot.entries.get(self.keys.duty)
+        entry = self.snapshot.entries.get(self.keys.leader)
         return entry.value.decode("utf-8", "replace") if entry else ""
 
     def roster(self, name: str) -> Roster | None:
--- a/otterrudder/lab/fleet/faults.py
+++ b/otterrudder/lab/fleet/faults.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, replace
 
 from otterrudder.fleet.change import count, settle
-from otterrudder.fleet.member import Member, Open, Pledge, Policy, Seen, Standing
+from otterrudder.fleet.effects import Commit, Effect, Lane, Outcome, Save
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import View
+from otterrudder.fleet.state import Open, Pledge, Policy, Seen, Standing
 from otterrudder.fleet.store import Done, Leased, Snapshot
-from otterrudder.fleet.wants import Commit, Lane, Outcome, Save, Want
-from otterrudder.lab.fleet.world import RULES, Stage, Variant
+from otterrudder.lab.fleet.model import RULES, Stage, Variant
 
 FOLDER = replace(RULES, starts_from_folder=True)
 LEAVE = replace(RULES, absent="leave-out")
@@ -29,9 +30,9 @@
         self._saved, self.has_disk, self.disk_trouble = saved, has_disk, trouble
         return commit
 
-    def _told_save(self, now: float, want: Save, outcome: Outcome) -> None:
+    def _told_save(self, now: float, effect: Save, outcome: Outcome) -> None:
         pledge = self.pledge
-        super()._told_save(now, want, outcome)
+        super()._told_save(now, effect, outcome)
         self.pledge = pledge
 
 
@@ -56,17 +57,17 @@
     def standing(self, now: float) -> Standing:
         return super().standing(min(now, self.__dict__.get("ticked", now)))
 
-    def told(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
-        if want.lane is Lane.STORE and outcome is not None:
+    def completed(self, now: float, effect: Effect, sent: float, outcome: Outcome) -> None:
+        if effect.lane is Lane.STORE and outcome is not None:
             self.__dict__["ticked"] = now
-        super().told(now, want, sent, outcome)
+        super().completed(now, effect, sent, outcome)
 
 
 class FreshByAnswer(_Loose):
     """Counts the bound from when an answer came, not from when its question was sent."""
 
-    def told(self, now: float, want: Want, sent: float, outcome: Outcome) -> None:
-        super().told(now, want, now, outcome)
+    def completed(self, now: float, effect: Effect, sent: float, outcome: Outcome) -> None:
+        super().completed(now, effect, now, outcome)
 
 
 class NeverAside(_Loose):
--- a/otterrudder/lab/fleet/world.py
+++ b/otterrudder/lab/fleet/model.py
@@ -9,10 +9,11 @@
 from enum import Enum
 
 from otterrudder.fleet.change import Refused, propose, settle, strike, whole
-from otterrudder.fleet.member import Member, Record, Rules, Standing
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lease, Outcome, Renew, Save
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import Keys, PolicyHead, View, decode
+from otterrudder.fleet.state import Record, Rules, Standing
 from otterrudder.fleet.store import Put
-from otterrudder.fleet.wants import Commit, Judge, Lease, Outcome, Renew, Save, Want
 from otterrudder.lab.keyspace import KeySpace
 
 KEYS = Keys("f")
@@ -50,7 +51,7 @@
 
     host: int
     life: int
-    want: Want
+    effect: Effect
     sent: float
     is_answer: bool = False
     outcome: Outcome = None
@@ -108,7 +109,7 @@
             )
             for h in self.hosts
         ]
-        flight = [Flight(f.host, f.life, f.want, f.sent, f.is_answer, f.outcome) for f in self.flight]
+        flight = [Flight(f.host, f.life, f.effect, f.sent, f.is_answer, f.outcome) for f in self.flight]
         trail = (*self.trail, event) if event else self.trail
         return World(
             self.variant,
@@ -161,31 +162,31 @@
         what is told for operators' eyes; their losses are those of a host that is cut off, dies or has a
         full disk."""
         for n, host in enumerate(self.hosts):
-            while host.runs and host.member and (wants := host.member.wants(self.now)):
-                for want in wants:
-                    flight = Flight(n, host.life, want, self.now)
-                    if not _is_plain(want):
+            while host.runs and host.member and (effects := host.member.effects(self.now)):
+                for effect in effects:
+                    flight = Flight(n, host.life, effect, self.now)
+                    if not _is_plain(effect):
                         self.flight.append(flight)
                         continue
                     is_lost = (
                         host.is_full
-                        if isinstance(want, Save)
-                        else host.is_cut and not isinstance(want, Judge)
+                        if isinstance(effect, Save)
+                        else host.is_cut and not isinstance(effect, Judge)
                     )
                     flight.outcome = None if is_lost else self.arrive(flight)
                     self.answer(flight)
 
     def arrive(self, flight: Flight) -> Outcome:
         """A request reaches the store or the disk, whether or not its sender still lives."""
-        want, host = flight.want, self.hosts[flight.host]
-        if isinstance(want, Save):
-            assert isinstance(want.record, Record)
+        effect, host = flight.effect, self.hosts[flight.host]
+        if isinstance(effect, Save):
+            assert isinstance(effect.record, Record)
             if flight.life == host.life:
-                host.disk = want.record
+                host.disk = effect.record
             return True
-        if isinstance(want, Judge):
-            return self.judge(flight.host, want.text)
-        return self.write(want) if isinstance(want, Commit) else self.store.answer(self.now, want)
+        if isinstance(effect, Judge):
+            return self.judge(flight.host, effect.text)
+        return self.write(effect) if isinstance(effect, Commit) else self.store.answer(self.now, effect)
 
     def write(self, commit: Commit) -> Outcome:
         """A commit at the store, entered in the books, and a hint to all who can hear."""
@@ -220,7 +221,7 @@
         """An answer reaches the life that asked, if it lives and is not frozen."""
         host = self.hosts[flight.host]
         if host.member and host.life == flight.life:
-            host.member.told(self.now, flight.want, flight.sent, flight.outcome)
+            host.member.completed(self.now, flight.effect, flight.sent, flight.outcome)
 
     def pass_time(self, span: float = STEP_MS) -> None:
         self.now += span
@@ -351,7 +352,7 @@
         )
         flight = tuple(
             sorted(
-                repr((f.host, f.life, f.want, _ago(f.sent, self.now), f.is_answer, f.outcome))
+                repr((f.host, f.life, f.effect, _ago(f.sent, self.now), f.is_answer, f.outcome))
                 for f in self.flight
             )
         )
@@ -465,7 +466,7 @@
     """A request or an answer is served at once, or one of its ways to be lost."""
     flight = world.flight[at]
     host = world.hosts[flight.host]
-    label = f"{flight.host}.{flight.life} {_named(flight.want)}"
+    label = f"{flight.host}.{flight.life} {_named(flight.effect)}"
     is_dead = not host.member or host.life != flight.life
     if host.is_frozen and not is_dead and flight.is_answer:
         return  # nobody takes it now
@@ -488,7 +489,7 @@
     yield served
     if world.spent >= faults_most or flight.is_answer or is_dead:
         return
-    if isinstance(flight.want, Commit):
+    if isinstance(flight.effect, Commit):
         unanswered = world.copy(f"{label}: took effect, answer lost", 1)
         taken = unanswered.flight.pop(at)
         unanswered.arrive(taken)
@@ -584,12 +585,14 @@
     yield gone
 
 
-def _is_plain(want: Want) -> bool:
-    return isinstance(want, Save | Lease | Renew | Judge) or isinstance(want, Commit) and want.what == "tell"
+def _is_plain(effect: Effect) -> bool:
+    if isinstance(effect, Commit):
+        return effect.what == "tell"
+    return isinstance(effect, Save | Lease | Renew | Judge)
 
 
-def _named(want: Want) -> str:
-    return want.what if isinstance(want, Commit) else type(want).__name__.lower()
+def _named(effect: Effect) -> str:
+    return effect.what if isinstance(effect, Commit) else type(effect).__name__.lower()
 
 
 class Apart(Exception):
@@ -613,9 +616,9 @@
         return world
     world.proposed = 1
     world.write(propose(world.view(), "A", "policy A", "A", "", 0.0, DEADLINE_MS))
-    world._deliver_all(lambda flight: _named(flight.want) != "vote")
+    world._deliver_all(lambda flight: _named(flight.effect) != "vote")
     if stage is not Stage.OPEN:
-        votes = [flight for flight in world.flight if _named(flight.want) == "vote"]
+        votes = [flight for flight in world.flight if _named(flight.effect) == "vote"]
         first = votes[0].host
         world._deliver_all(lambda flight: stage is not Stage.HALF or flight.host == first)
     if stage is Stage.COMMITTED and (commit := settle(world.view(), False)):
--- a/otterrudder/lab/fleet/report.py
+++ b/otterrudder/lab/fleet/report.py
@@ -6,9 +6,9 @@
 from dataclasses import replace
 
 from otterrudder.lab.fleet.faults import FAULTS, SOUND
-from otterrudder.lab.fleet.hours import Result, play
+from otterrudder.lab.fleet.model import Stage
 from otterrudder.lab.fleet.search import Found, hunt, search, walk
-from otterrudder.lab.fleet.world import Stage
+from otterrudder.lab.fleet.simulation import Result, play
 
 LENGTH = 60  # events of a drawn walk
 FAULTS_MOST = 6  # faults in it
--- a/otterrudder/lab/fleet/search.py
+++ b/otterrudder/lab/fleet/search.py
@@ -11,7 +11,7 @@
 
 from otterrudder.fleet.member import Member
 from otterrudder.lab.fleet.faults import Hunt
-from otterrudder.lab.fleet.world import Apart, Stage, Variant, World, following, staged
+from otterrudder.lab.fleet.model import Apart, Stage, Variant, World, following, staged
 
 # What events are told apart by, in the words of their labels; the first that fits counts.
 KINDS = (
--- a/otterrudder/lab/fleet/hours.py
+++ b/otterrudder/lab/fleet/simulation.py
@@ -14,10 +14,11 @@
 from dataclasses import dataclass, field, replace
 
 from otterrudder.fleet.change import Settler, propose
-from otterrudder.fleet.member import Member, Record, Rules
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import Keys, Live, PolicyHead, View, decode
+from otterrudder.fleet.state import Record, Rules
 from otterrudder.fleet.store import Done, Put, Snapshot
-from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save, Want
 from otterrudder.lab.keyspace import KeySpace
 
 KEYS = Keys("f")
@@ -88,7 +89,7 @@
     reads_calm_per_s: float
 
 
-class Hours:
+class Simulation:
     def __init__(self, servers: int, seed: int, rules: Rules, faults: int) -> None:
         self.chance = random.Random(f"hours/{seed}/{servers}")
         self.rules, self.faults = rules, faults
@@ -102,7 +103,7 @@
         self.counts: Counter[str] = Counter()
         self.calm_reads = 0
         self.old_ms, self.breaches, self.looks, self.asides = 0.0, 0, 0, 0
-        self.proposer = Settler(KEYS, "proposer", needs_duty=False)
+        self.proposer = Settler(KEYS, "proposer", needs_leadership=False)
         self.proposer_lives = True
 
     def at(self, when: float, act: Callable[[], None]) -> None:
@@ -193,68 +194,68 @@
             host.held.append(lambda: self._turn(host, life))
             return
         member = host.member
-        wants, settle = member.wants(self.now), host.settler.wants_of(self.now, member)
-        for want in [*wants, settle] if settle else wants:
-            self._send(host, life, want)
+        effects, settle = member.effects(self.now), host.settler.effects_of(self.now, member)
+        for effect in [*effects, settle] if settle else effects:
+            self._send(host, life, effect)
         due = max(min(member.due(), host.settler.due()), self.now + 1.0)
         if due < host.woken or host.woken <= self.now:
             host.woken = due
             if due < END_MS:
                 self.at(due, lambda: self._turn(host, life))
 
-    def _send(self, host: Host, life: int, want: Want) -> None:
+    def _send(self, host: Host, life: int, effect: Effect) -> None:
         sent = self.now
-        if isinstance(want, Judge):
-            self.at(sent + self.between(JUDGE_MS), lambda: self._told(host, life, want, sent, ""))
+        if isinstance(effect, Judge):
+            self.at(sent + self.between(JUDGE_MS), lambda: self._told(host, life, effect, sent, ""))
             return
-        if isinstance(want, Save):
+        if isinstance(effect, Save):
 
             def saved() -> None:
-                host.disk = want.record if host.life == life else host.disk  # type: ignore[assignment]
-                self._told(host, life, want, sent, True)
+                host.disk = effect.record if host.life == life else host.disk  # type: ignore[assignment]
+                self._told(host, life, effect, sent, True)
 
             self.at(sent + self.between(SAVE_MS), saved)
             return
         timeout = self.rules.bound_ms / 4
         there = self.between(LATENCY_MS) / 2
         if self.now < host.cut_until or self.now + there < self.store_away_until:
-            self.at(sent + timeout, lambda: self._told(host, life, want, sent, None))
+            self.at(sent + timeout, lambda: self._told(host, life, effect, sent, None))
             return
 
         def arrive() -> None:
-            outcome = self._serve(want)
+            outcome = self._serve(effect)
             lost = self.now < host.cut_until or self.now < self.store_away_until
             when = sent + timeout if lost else self.now + there
-            self.at(when, lambda: self._told(host, life, want, sent, None if lost else outcome))
+            self.at(when, lambda: self._told(host, life, effect, sent, None if lost else outcome))
 
         self.at(sent + there, arrive)
 
-    def _told(self, host: Host, life: int, want: Want, sent: float, outcome: Outcome) -> None:
+    def _told(self, host: Host, life: int, effect: Effect, sent: float, outcome: Outcome) -> None:
         if host.life != life or not host.member or not host.settler:
             return
         if self.now < host.frozen_until:
-            host.held.append(lambda: self._told(host, life, want, sent, outcome))
+            host.held.append(lambda: self._told(host, life, effect, sent, outcome))
             return
-        if want.lane is Lane.SETTLE:
-            if isinstance(want, Commit):
+        if effect.lane is Lane.SETTLE:
+            if isinstance(effect, Commit):
                 host.member.hint()
-            more = host.settler.told(self.now, want, outcome)
+            more = host.settler.completed(self.now, effect, outcome)
             if more:
                 self._send(host, life, more)
         else:
-            host.member.told(self.now, want, sent, outcome)
+            host.member.completed(self.now, effect, sent, outcome)
             if host.member.known.version == self.version and host.switched == math.inf:
                 host.switched = self.now
         self._turn(host, life)
 
     # The store.
 
-    def _serve(self, want: Request) -> Outcome:
-        self.counts[COUNTED[type(want)]] += 1
-        outcome = self.store.answer(self.now, want)
+    def _serve(self, effect: Request) -> Outcome:
+        self.counts[COUNTED[type(effect)]] += 1
+        outcome = self.store.answer(self.now, effect)
         is_held = isinstance(outcome, Done) and outcome.held
-        if is_held and isinstance(want, Commit) and any(w.key.startswith(KEYS.head) for w in want.writes):
-            self._note(want)
+        if is_held and isinstance(effect, Commit) and any(w.key.startswith(KEYS.head) for w in effect.writes):
+            self._note(effect)
             for host in self.hosts:
                 if host.member and self.now >= host.cut_until:
                     self.counts["hints"] += 1
@@ -292,11 +293,11 @@
             view = View(KEYS, self.store.read([KEYS.change]))
             if not view.change:
                 return
-            want = self.proposer.wants(self.now, view.change.id, False, False, 0, 0)
-            if want:
-                commit = self.proposer.told(self.now, want, self._serve(want))
+            effect = self.proposer.effects(self.now, view.change.id, False, False, 0, 0)
+            if effect:
+                commit = self.proposer.completed(self.now, effect, self._serve(effect))
                 if commit:
-                    self.proposer.told(self.now, commit, self._serve(commit))
+                    self.proposer.completed(self.now, commit, self._serve(commit))
         self.at(self.now + 100.0, self._settle)
 
     # The books.
@@ -348,4 +349,4 @@
 ) -> Result:
     """One plan."""
     rules = replace(Rules(), absent=absent, bound_ms=bound_ms, lease_ms=lease_ms)  # type: ignore[arg-type]
-    return Hours(servers, seed, rules, faults).play()
+    return Simulation(servers, seed, rules, faults).play()
--- a/otterrudder/lab/keyspace.py
+++ b/otterrudder/lab/keyspace.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
+from otterrudder.fleet.effects import Commit, Lease, Read, Request
 from otterrudder.fleet.store import Compare, Delete, Done, Entry, Leased, Put, Snapshot, Write
-from otterrudder.fleet.wants import Commit, Lease, Read, Request
 
 HISTORY_MOST = 4096  # events kept for watches; past that the oldest are compacted away
 
@@ -103,16 +103,16 @@
         self.leases[lease] = (span_ms, now + span_ms)
         return Leased(lease, self.revision, self.cluster)
 
-    def answer(self, now: float, want: Request) -> Snapshot | Done | Leased:
+    def answer(self, now: float, effect: Request) -> Snapshot | Done | Leased:
         """What a member asks of the store, at that time."""
         self.lapse(now)
-        if isinstance(want, Read):
-            return self.read(want.names)
-        if isinstance(want, Commit):
-            return self.commit(want.compares, want.writes)
-        if isinstance(want, Lease):
-            return self.grant(now, want.span_ms)
-        return self.renew(now, want.lease)
+        if isinstance(effect, Read):
+            return self.read(effect.names)
+        if isinstance(effect, Commit):
+            return self.commit(effect.compares, effect.writes)
+        if isinstance(effect, Lease):
+            return self.grant(now, effect.span_ms)
+        return self.renew(now, effect.lease)
 
     def compact(self, revision: int) -> None:
         """Events up to this revision can no longer be watched."""
--- a/otterrudder/lab/processes/double.py
+++ b/otterrudder/lab/processes/double.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 
 from otterrudder.fleet import agent
-from otterrudder.fleet.member import Member, Standing
+from otterrudder.fleet.member import Member
+from otterrudder.fleet.state import Standing
 from otterrudder.interface import Outcome
 from otterrudder.lab.fleet.faults import AnyPolicy, NeverAside, SleepsThrough
 from otterrudder.net import core, registry
--- a/otterrudder/lab/processes/experiment.py
+++ b/otterrudder/lab/processes/experiment.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from otterrudder.files import convert, load_toml
-from otterrudder.lab.processes.books import InForce
+from otterrudder.lab.processes.ledger import InForce
 from otterrudder.lab.processes.plan import Played, Round, conclude, draw, play
 from otterrudder.lab.processes.rig import Rig
 from otterrudder.lab.site import BadInput
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -15,7 +15,7 @@
 import anyio
 
 from otterrudder.fleet.records import Keys
-from otterrudder.lab.processes.books import Verdict, judge
+from otterrudder.lab.processes.ledger import Verdict, judge
 from otterrudder.lab.processes.link import Harm
 from otterrudder.lab.processes.rig import FLEET, STOP_MS, Place, Rig, policy_text
 from otterrudder.lab.processes.standins import PRODUCTS
@@ -30,8 +30,8 @@
 BACK_S = 0.8  # s that a process which comes back has before what else is harmed heals: it starts in less
 HOLD_S = (0.4, 2.8)  # s that the faults of a round last
 
-POINTS = ("before save", "after save", "before vote", "after vote", "before duty", "after duty")
-DUTY = ("before duty", "after duty")
+POINTS = ("before save", "after save", "before vote", "after vote", "before lead", "after lead")
+DUTY = ("before lead", "after lead")
 COMMIT = ("before commit", "after commit")
 PROPOSER_POINTS = ("before propose", "after propose", *COMMIT)
 # Harms to links: which one, and what is done to it.
@@ -261,20 +261,20 @@
 
 
 async def _prepare(rig: Rig, fault: Fault) -> None:
-    """What has to be so before the round: points are armed, and nobody has the duty who could keep others
-    from coming forward for it."""
+    """What has to be so before the round: points are armed, and nobody leads who could keep others
+    from coming forward."""
     if not rig.with_fleet:
         return
     if fault.kind in PROPOSER_FAULTS:  # at "after commit" once it has come to its own commit
         rig.arm(rig.proposer_halts, "before commit" if fault.point == "after commit" else fault.point)
     elif fault.kind in POINT_FAULTS:
         if fault.point in DUTY:
-            await rig.tell_store(strike=Keys(FLEET).duty)
+            await rig.tell_store(strike=Keys(FLEET).leader)
         rig.arm(_halts(rig, fault), fault.point)
 
 
 def _halts(rig: Rig, fault: Fault) -> Path:
-    """Where its point is armed: who comes forward for the duty is not known before, so for all."""
+    """Where its point is armed: who comes forward for the leadership is not known before, so for all."""
     return rig.halts if fault.point in DUTY else rig.places[fault.server].halts
 
 
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -25,8 +25,8 @@
 from otterrudder.fleet.points import NAMED
 from otterrudder.fleet.records import Keys, View, digest_of
 from otterrudder.fleet.store import StoreAway
-from otterrudder.lab.processes.books import DRAIN_MS, Drain, InForce, Listed
 from otterrudder.lab.processes.etcd import CLUSTER
+from otterrudder.lab.processes.ledger import DRAIN_MS, Drain, InForce, Listed
 from otterrudder.lab.processes.link import Datagrams, Harm, Link, free_port
 from otterrudder.lab.processes.standins import LONG_RUN_MS, SETTINGS, Gateway, Listing, Runtime, Wire
 from otterrudder.net.clock import monotonic as clock
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -17,12 +17,13 @@
     withdraw,
 )
 from otterrudder.fleet.configuration import BadFleet, read_fleet
-from otterrudder.fleet.member import Member, Record, Rules, Standing
+from otterrudder.fleet.effects import Commit, Judge, Read, Renew, Save
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.policy import BadPolicy, Own, parse
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
-from otterrudder.fleet.wants import Commit, Judge, Read, Renew, Save
+from otterrudder.fleet.state import Record, Rules, Standing
 from otterrudder.interface import Effect, Limits, Product, Tenant
-from otterrudder.lab.fleet.hours import play
+from otterrudder.lab.fleet.simulation import play
 from otterrudder.lab.keyspace import KeySpace
 
 ROOT = Path(__file__).parents[2]
@@ -147,24 +148,24 @@
         self.space.lapse(self.now)
         for _ in range(30):
             for name, member in self.members.items():
-                for want in member.wants(self.now):
-                    if isinstance(want, Save):
-                        assert isinstance(want.record, Record)
-                        self.disks[name] = want.record
+                for effect in member.effects(self.now):
+                    if isinstance(effect, Save):
+                        assert isinstance(effect.record, Record)
+                        self.disks[name] = effect.record
                         outcome: object = True
-                    elif isinstance(want, Judge):
-                        outcome = self.judges[name](want.text)
+                    elif isinstance(effect, Judge):
+                        outcome = self.judges[name](effect.text)
                     elif name in cut:
                         outcome = None
-                    elif isinstance(want, Read):
-                        outcome = self.space.read(want.names)
-                    elif isinstance(want, Commit):
-                        outcome = self.space.commit(want.compares, want.writes)
-                    elif hasattr(want, "span_ms"):
-                        outcome = self.space.grant(self.now, want.span_ms)
+                    elif isinstance(effect, Read):
+                        outcome = self.space.read(effect.names)
+                    elif isinstance(effect, Commit):
+                        outcome = self.space.commit(effect.compares, effect.writes)
+                    elif hasattr(effect, "span_ms"):
+                        outcome = self.space.grant(self.now, effect.span_ms)
                     else:
-                        outcome = self.space.renew(self.now, want.lease)
-                    member.told(self.now, want, self.now, outcome)  # type: ignore[arg-type]
+                        outcome = self.space.renew(self.now, effect.lease)
+                    member.completed(self.now, effect, self.now, outcome)  # type: ignore[arg-type]
 
     def later(self, ms: float, *cut: str) -> None:
         ends = self.now + ms
@@ -292,16 +293,16 @@
     late = Read(())
     member.hint()
     sent = fleet.now
-    wants = member.wants(fleet.now)
-    assert [type(want) for want in wants] == [Read, Renew]
-    late, renewal = wants
+    effects = member.effects(fleet.now)
+    assert [type(effect) for effect in effects] == [Read, Renew]
+    late, renewal = effects
     shown = fleet.space.read(late.names)  # type: ignore[union-attr]
     fleet.space.lapse(fleet.now)
     assert shown.entries[KEYS.live("a")]
-    member.told(fleet.now, renewal, sent, fleet.space.renew(fleet.now, renewal.lease))  # type: ignore
-    lease = member.wants(fleet.now)[0]
-    member.told(fleet.now, lease, fleet.now, fleet.space.grant(fleet.now, 6000.0))
-    member.told(fleet.now, late, sent, shown)
+    member.completed(fleet.now, renewal, sent, fleet.space.renew(fleet.now, renewal.lease))  # type: ignore
+    lease = member.effects(fleet.now)[0]
+    member.completed(fleet.now, lease, fleet.now, fleet.space.grant(fleet.now, 6000.0))
+    member.completed(fleet.now, late, sent, shown)
     assert member.admits(fleet.now) is None
     fleet.turn()
     assert fleet.admits() == [0, 0]
@@ -327,9 +328,9 @@
     fleet.turn()
     member = fleet.members["a"]
     fleet.now += 2000.0
-    (renewal,) = (want for want in member.wants(fleet.now) if isinstance(want, Renew))
+    (renewal,) = (effect for effect in member.effects(fleet.now) if isinstance(effect, Renew))
     told = fleet.space.renew(fleet.now, renewal.lease)
-    member.told(fleet.now, renewal, fleet.now, told._replace(revision=1))
+    member.completed(fleet.now, renewal, fleet.now, told._replace(revision=1))
     assert not member.doubt and member.lease_until == fleet.now + 5400.0
 
 
@@ -348,15 +349,15 @@
             cluster=store_id,
         )
         for _ in range(6):
-            for want in member.wants(0.0):
+            for effect in member.effects(0.0):
                 outcome = (
-                    space.read(want.names)
-                    if isinstance(want, Read)
-                    else space.commit(want.compares, want.writes)
-                    if isinstance(want, Commit)
+                    space.read(effect.names)
+                    if isinstance(effect, Read)
+                    else space.commit(effect.compares, effect.writes)
+                    if isinstance(effect, Commit)
                     else space.grant(0.0, 6000.0)
                 )
-                member.told(0.0, want, 0.0, outcome)
+                member.completed(0.0, effect, 0.0, outcome)
         assert member.admits(0.0) == admits
         space = KeySpace(cluster=7)
 
@@ -426,15 +427,15 @@
     member = fleet.members["a"]
     fleet.open("one", "first")
     for _ in range(20):
-        for want in member.wants(fleet.now):
-            outcome: object = False if isinstance(want, Save) else None
-            if isinstance(want, Judge):
+        for effect in member.effects(fleet.now):
+            outcome: object = False if isinstance(effect, Save) else None
+            if isinstance(effect, Judge):
                 outcome = ""
-            elif isinstance(want, Read):
-                outcome = fleet.space.read(want.names)
-            elif isinstance(want, Commit):
-                outcome = fleet.space.commit(want.compares, want.writes)
-            member.told(fleet.now, want, fleet.now, outcome)  # type: ignore[arg-type]
+            elif isinstance(effect, Read):
+                outcome = fleet.space.read(effect.names)
+            elif isinstance(effect, Commit):
+                outcome = fleet.space.commit(effect.compares, effect.writes)
+            member.completed(fleet.now, effect, fleet.now, outcome)  # type: ignore[arg-type]
     vote = fleet.view.vote("a")
     assert vote and not vote.yes and "could not be written" in vote.why
     assert member.pledge is None and member.admits(fleet.now) == 0
@@ -482,18 +483,18 @@
     assert fleet.do(propose(fleet.view, "two", "second", "me", "why", 0.0, 5000.0, 10_000.0, conditions))
     fleet.turn()
     assert fleet.do(settle(fleet.view, False))
-    settler, ends = Settler(KEYS, "any", needs_duty=False), fleet.now + ms
+    settler, ends = Settler(KEYS, "any", needs_leadership=False), fleet.now + ms
     while fleet.now < ends:
         for name, told in figures.items():
             fleet.members[name].figures = tuple(told.items())
         fleet.later(100.0)
         view = fleet.view
         opened = view.change.id if view.change else trial_id(view.trial) if view.trial else ""
-        want = settler.wants(fleet.now, opened, False, False, 0, 0)
-        if isinstance(want, Read):
-            commit = settler.told(fleet.now, want, fleet.space.read(want.names))
+        effect = settler.effects(fleet.now, opened, False, False, 0, 0)
+        if isinstance(effect, Read):
+            commit = settler.completed(fleet.now, effect, fleet.space.read(effect.names))
             if commit:
-                settler.told(fleet.now, commit, fleet.space.commit(commit.compares, commit.writes))
+                settler.completed(fleet.now, commit, fleet.space.commit(commit.compares, commit.writes))
                 for member in fleet.members.values():
                     member.hint()
     fleet.turn()
@@ -538,12 +539,12 @@
     asked = None
     while asked is None:
         now += 50.0
-        asked = settler.wants(now, "one", False, False, member.lease, member.registered)
-    assert isinstance(asked, Commit) and asked.what == "duty" and fleet.do(asked)
-    assert settler.told(now, asked, fleet.space.commit((), ())) is None
-    read = settler.wants(now, "one", True, True, member.lease, member.registered)
+        asked = settler.effects(now, "one", False, False, member.lease, member.registered)
+    assert isinstance(asked, Commit) and asked.what == "lead" and fleet.do(asked)
+    assert settler.completed(now, asked, fleet.space.commit((), ())) is None
+    read = settler.effects(now, "one", True, True, member.lease, member.registered)
     assert isinstance(read, Read)
-    commit = settler.told(now, read, fleet.space.read(read.names))
+    commit = settler.completed(now, read, fleet.space.read(read.names))
     assert commit and commit.what == "commit" and fleet.do(commit)
 
 
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -14,8 +14,8 @@
 import msgspec
 import pytest
 
-from otterrudder.lab.processes.books import Verdict, judge
 from otterrudder.lab.processes.experiment import perform_one, read, shrink
+from otterrudder.lab.processes.ledger import Verdict, judge
 from otterrudder.lab.processes.plan import DECK, Fault, Played, Round, conclude, draw
 from otterrudder.lab.processes.rig import ROOT, Rig
 
@@ -52,7 +52,7 @@
         Round(4, "pay", (Fault("network gone", 1), Fault("list loses", 0)), 1.5),
         Round(5, "look", (Fault("empty store answers"), Fault("runtime one way back", 2)), 1.2),
         Round(6, "pay", (Fault("store killed at proposal", -1, "after propose"),), 1.0),
-        Round(7, "look", (Fault("kill at point", 0, "before duty"),), 0.8),
+        Round(7, "look", (Fault("kill at point", 0, "before lead"),), 0.8),
         Round(8, "pay", (Fault("proposer killed", -1, "after commit"),), 0.8),
     ]
     run = perform_one(EXPERIMENT, "wait", 1, rounds, 3)
--- a/tests/fleet/test_fleet_search.py
+++ b/tests/fleet/test_fleet_search.py
@@ -7,8 +7,8 @@
 
 from otterrudder.fleet.member import Member
 from otterrudder.lab.fleet.faults import FAULTS, SOUND
+from otterrudder.lab.fleet.model import Stage
 from otterrudder.lab.fleet.search import hunt, search, walk
-from otterrudder.lab.fleet.world import Stage
 
 
 @pytest.mark.parametrize("name", SOUND)
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -17,8 +17,9 @@
 from otterrudder.fleet.change import Settler, propose
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import Fleet, read_fleet
-from otterrudder.fleet.member import Member, Rules
+from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import Keys, Live, View
+from otterrudder.fleet.state import Rules
 from otterrudder.fleet.store import Changed, Compare, Delete, Done, Leased, Put, Snapshot, StoreAway
 from otterrudder.lab.keyspace import KeySpace
 from otterrudder.lab.processes.rig import ROOT
@@ -363,14 +364,14 @@
     fleet = Fleet("f", (("127.0.0.1", 1),), Rules(absent="leave-out"), None, "", None, None, None)
     orders = Orders(lambda text: None, lambda is_aside: None)
     agent = Agent(fleet, Odd(), "a", Live(""), lambda text: "", orders, None, None)
-    wants = agent.settler.wants_of
+    effects = agent.settler.effects_of
 
     def fails_first(now: float, member: Member) -> object:
         if member.seen:
-            fails_once("wants")
-        return wants(now, member)
+            fails_once("effects")
+        return effects(now, member)
 
-    monkeypatch.setattr(Settler, "wants_of", lambda self, now, member: fails_first(now, member))
+    monkeypatch.setattr(Settler, "effects_of", lambda self, now, member: fails_first(now, member))
 
     async def play() -> None:
         async with anyio.create_task_group() as group:
@@ -391,7 +392,7 @@
 
     anyio.run(play)
     assert not space.leases  # given back on the way out
-    assert failed == {"watch", "wants", "close"}
+    assert failed == {"watch", "effects", "close"}
 
 
 def test_the_commands_from_an_empty_store_to_a_way_back(engine: Engine, tmp_path: Path) -> None:
