--- /dev/null
+++ b/otterrudder/fleet/cell/messages.py
@@ -0,0 +1,162 @@
+"""Messages between a server and a relay, and between the relays of one cell; their binary form (msgpack).
+
+A server opens one stream to a relay and sends `Register` first, then `Renew`. The relay answers each of the
+two with `Grant` or `Refuse`, and sends `InForce` and `AskVerdict` on its own. Streams keep order and lose
+nothing while they live. Each message is an array: fields that a later version appends are ignored by an
+earlier one."""
+
+from enum import Enum
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+NAME_MOST = 128  # characters of a name, an epoch or a kind
+DETAIL_MOST = 500  # characters of an explanation
+
+
+class BadMessage(Exception):
+    """Bytes that are no message of this protocol, or a message with a field out of its bounds."""
+
+
+class RefusalReason(Enum):
+    """Why a relay grants no lease."""
+
+    NOT_LEADER = "not-leader"  # another relay leads the cell, or none does
+    NO_AUTHORITY = "no-authority"  # it leads, and can't promise anything at the moment
+    FULL = "full"  # it has as many sessions as it may have
+    UNANSWERED = "unanswered"  # this kind of server was asked about an open change and has not answered
+    WRONG_FLEET = "wrong-fleet"  # the relay is of another fleet
+    PROTOCOL = "protocol"  # the message or its version is not known
+    LEAVING = "leaving"  # the relay is shutting down
+
+
+class _Message(msgspec.Struct, frozen=True, tag=True, array_like=True, omit_defaults=False):
+    pass
+
+
+class Register(_Message, frozen=True):
+    """The first message of a server: who it is, and what it goes by."""
+
+    sequence: int
+    fleet: str
+    name: str
+    epoch: str  # new with each process
+    kind: str  # digest of its configuration and program version
+    zone: str = ""
+    version: int = 0  # of the policy it goes by
+    protocol: int = PROTOCOL_VERSION
+
+
+class Renew(_Message, frozen=True):
+    """Asks for the lease's span again."""
+
+    sequence: int
+    version: int
+    standing: str = ""  # for operators
+
+
+class Verdict(_Message, frozen=True):
+    """The answer to AskVerdict: what is wrong with the text for this kind of server, "" if nothing."""
+
+    digest: str
+    trouble: str = ""
+
+
+class Grant(_Message, frozen=True):
+    """A lease: until `span_ms` from the sending of the request, no version but `version` binds the server,
+    as far
+    as it has not been told of a newer one."""
+
+    sequence: int  # of the request that it answers
+    version: int
+    change: str  # that brought the version
+    span_ms: float
+
+
+class InForce(_Message, frozen=True):
+    """A policy that is in force."""
+
+    version: int
+    change: str
+    digest: str
+    text: str
+
+
+class AskVerdict(_Message, frozen=True):
+    """Asks one server of a kind about the text of an open change."""
+
+    digest: str
+    text: str
+
+
+class Refuse(_Message, frozen=True):
+    """No lease, and why; the server tries another relay."""
+
+    sequence: int
+    reason: RefusalReason
+    detail: str = ""
+
+
+class AskConsent(_Message, frozen=True):
+    """From the leading relay of a cell to another one of the cell, while the store does not answer."""
+
+    sequence: int
+    fleet: str
+    cell: str
+    sender: str
+    candidates: tuple[str, ...]  # all relays of the cell, sorted
+
+
+class Consent(_Message, frozen=True):
+    """The sender neither grants leases nor votes for the cell for `span_ms` from now; 0: it does not
+    consent."""
+
+    sequence: int
+    sender: str
+    span_ms: float
+    why: str = ""  # of a refusal
+
+
+ServerMessage = Register | Renew | Verdict
+RelayMessage = Grant | InForce | AskVerdict | Refuse
+PeerMessage = AskConsent | Consent
+
+_ENCODER = msgspec.msgpack.Encoder()
+_FROM_SERVER = msgspec.msgpack.Decoder(ServerMessage)
+_FROM_RELAY = msgspec.msgpack.Decoder(RelayMessage)
+_FROM_PEER = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode(message: ServerMessage | RelayMessage | PeerMessage) -> bytes:
+    return _ENCODER.encode(message)
+
+
+def decode_from_server(data: bytes) -> ServerMessage:
+    """Raises BadMessage."""
+    try:
+        message: ServerMessage = _FROM_SERVER.decode(data)
+    except msgspec.MsgspecError as why:
+        raise BadMessage(str(why)) from None
+    if isinstance(message, Register):
+        for field in ("fleet", "name", "epoch", "kind", "zone"):
+            if len(getattr(message, field)) > NAME_MOST:
+                raise BadMessage(f"{field}: more than {NAME_MOST} characters")
+    return message
+
+
+def decode_from_relay(data: bytes) -> RelayMessage:
+    """Raises BadMessage."""
+    try:
+        message: RelayMessage = _FROM_RELAY.decode(data)
+    except msgspec.MsgspecError as why:
+        raise BadMessage(str(why)) from None
+    return message
+
+
+def decode_from_peer(data: bytes) -> PeerMessage:
+    """Raises BadMessage."""
+    try:
+        message: PeerMessage = _FROM_PEER.decode(data)
+    except msgspec.MsgspecError as why:
+        raise BadMessage(str(why)) from None
+    return message
--- /dev/null
+++ b/otterrudder/fleet/cell/relay.py
@@ -0,0 +1,423 @@
+"""A relay: it leads a cell under a lease of the store, votes on changes for it, and grants its servers
+leases. Pure.
+
+The cell is a member of the fleet (`fleet/member.py`) whose process is a relay. Several relays of a cell
+share the member's name; the one whose registration stands in the store leads. What the relay adds:
+
+- A grant never outlives the relay's own authority (`Member.authority_until`), and never lasts longer than
+  the bound. So whatever was granted before a vote has ended by the bound after any commit that the vote
+  allows, and nothing has to be remembered of grants: a relay that dies, freezes or is cut off leaves leases
+  behind that end by themselves.
+- A vote says what the servers say: one of each kind is asked about the text. A server whose lease has
+  lapsed is not asked, and a kind that does not answer gets no leases and is not waited for once those that
+  it had have ended.
+- Who takes a cell over does not vote for the span of a lease: until then servers of the former leader may
+  not have found it, and their kinds would not be asked.
+- While the store is away, the leader goes on with the consent of all other relays of its cell
+  (`consent.py`)."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from otterrudder.fleet.cell.consent import Consents, PeerRequest, Promise
+from otterrudder.fleet.cell.kinds import Candidate, Poll, Verdicts
+from otterrudder.fleet.cell.messages import (
+    PROTOCOL_VERSION,
+    AskConsent,
+    AskVerdict,
+    Consent,
+    Grant,
+    InForce,
+    RefusalReason,
+    Refuse,
+    Register,
+    RelayMessage,
+    Renew,
+    ServerMessage,
+    Verdict,
+)
+from otterrudder.fleet.cell.participant import LEASE_SPAN_MS
+from otterrudder.fleet.change import Settler
+from otterrudder.fleet.effects import Effect, Judge, Lane, Outcome
+from otterrudder.fleet.member import Member
+from otterrudder.fleet.records import Keys, Live, digest_of
+from otterrudder.fleet.state import Policy, Record, Rules
+
+SESSIONS_MOST = 2000  # servers of a relay, unless its file says otherwise: a zone has some 300
+GRANT_LEAST_MS = 200.0  # ms; a shorter lease would be over before its answer is used
+RESEND_MS = 2000.0  # ms after which a text is sent again to a server that does not go by it
+SWEEP_MS = 1000.0  # ms between looks for sessions whose server is gone
+SILENT_SPANS = 2.0  # spans without a word after which a session is ended
+TAKEOVER_MS = 1500.0  # ms without a vote after taking a cell over: a server is on its next relay by then
+STORE_HEARD_SHARE = 0.35  # of the store's lease: an answer within it counts as hearing the store
+CONSENT_BELOW_SHARE = 0.6  # of the store's lease left, below which the other relays are asked for consent
+
+
+@dataclass(frozen=True, slots=True)
+class SendToServer:
+    connection: int
+    message: RelayMessage
+
+
+@dataclass(frozen=True, slots=True)
+class EndSession:
+    """The stream is to be ended, after what was sent on it."""
+
+    connection: int
+
+
+RelayEffect = Effect | SendToServer | EndSession | PeerRequest
+
+
+@dataclass(slots=True)
+class Session:
+    """A server's stream, from its Register on."""
+
+    connection: int
+    name: str
+    epoch: str
+    kind: str
+    zone: str
+    version: int
+    heard_at: float
+    standing: str = ""
+    granted_until: float = -math.inf  # by the relay's clock
+    sent_version: int = 0  # of the text that was last sent
+    sent_at: float = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class CellIdentity:
+    """Which relay of which cell this is. `candidates`: the addresses of all relays of the cell, this one
+    among them, under which the others know them."""
+
+    fleet: str
+    cell: str
+    address: str
+    candidates: tuple[str, ...]
+
+    @property
+    def holder(self) -> str:
+        """What the roster knows the cell's relays by: a relay with another list is another holder, and is not
+        believed, for it would not ask all of them for consent."""
+        return f"relays {digest_of(' '.join(sorted(self.candidates)))[:16]}"
+
+
+@dataclass(frozen=True, slots=True)
+class RelayLimits:
+    span_ms: float = LEASE_SPAN_MS  # of a server's lease
+    sessions_most: int = SESSIONS_MOST
+
+
+class Relay:
+    __slots__ = (
+        "_effects",
+        "_is_leaving",
+        "_led",
+        "_pushed",
+        "_sweep_at",
+        "consents",
+        "identity",
+        "limits",
+        "member",
+        "poll",
+        "poll_sent",
+        "poll_task",
+        "promise",
+        "refused",
+        "sessions",
+        "settler",
+        "verdicts",
+    )
+
+    def __init__(
+        self,
+        now: float,
+        identity: CellIdentity,
+        epoch: str,
+        rules: Rules,
+        limits: RelayLimits = RelayLimits(),  # noqa: B008 (frozen)
+        *,
+        record: Record | None = None,
+        has_disk: bool = False,
+        live: Live | None = None,
+        cluster: int = 0,
+        folder: str = "",
+    ) -> None:
+        """`rules.is_shared` where the cell has more than one relay; `record`, `has_disk`, `cluster`: as for
+        a Member. `folder`: the holder's name for a cell of one relay, as its folder has it."""
+        if limits.span_ms > rules.bound_ms:
+            raise ValueError(f"a lease of {limits.span_ms:g} ms outlasts the bound of {rules.bound_ms:g} ms")
+        keys = Keys(identity.fleet)
+        holder = identity.holder if rules.is_shared else folder or identity.holder
+        self.identity, self.limits = identity, limits
+        self.member = Member(
+            now,
+            keys,
+            identity.cell,
+            epoch,
+            holder,
+            rules,
+            lambda text: "",
+            record=record,
+            has_disk=has_disk,
+            live=live,
+            cluster=cluster,
+        )
+        self.settler = Settler(keys, identity.cell, keeps_leadership=True)
+        self.sessions: dict[int, Session] = {}
+        self.verdicts = Verdicts()
+        self.poll: Poll | None = None
+        self.poll_task: Judge | None = None
+        self.poll_sent = now
+        named = (identity.fleet, identity.cell, identity.address, identity.candidates)
+        self.consents = Consents(now, *named)
+        self.promise = Promise(now, *named)
+        self.member.abstains_until = self.promise.until
+        self.refused: dict[RefusalReason, int] = dict.fromkeys(RefusalReason, 0)
+        self._led = False
+        self._pushed: Policy = Policy()
+        self._is_leaving = False
+        self._sweep_at = now + SWEEP_MS
+        self._effects: list[RelayEffect] = []
+
+    # What it says.
+
+    def leads(self) -> bool:
+        """Whether this relay is registered for its cell, as far as it knows."""
+        return self.member.registered > 0
+
+    def authority_until(self, now: float) -> float:
+        """Until when leases may be granted that were asked for now; -inf: none may."""
+        if now < self.promise.until or self._is_leaving:
+            return -math.inf
+        return self.member.authority_until(now)
+
+    def watched(self) -> tuple[str, ...]:
+        """The prefixes of the store whose writes are hints for this relay now."""
+        keys = self.member.keys
+        return (keys.head, keys.votes, keys.queue) if self.member.is_leader else (keys.head,)
+
+    def due(self) -> float:
+        """When `effects` may next say something by itself; -inf: now."""
+        if self._effects:
+            return -math.inf
+        times = [self.member.due(), self.settler.due(), self._sweep_at]
+        if self.poll:
+            times.append(self.poll.due())
+        if self._may_need_consent():
+            times.append(max(self.consents.due(), self._consent_from()))
+        return min(times)
+
+    # What happens to it.
+
+    def hint(self, now: float, prefix: str) -> None:
+        """Something under a watched prefix was written, or its watch was begun."""
+        if prefix == self.member.keys.head:
+            self.member.hint()
+        self.settler.hint(now)
+
+    def closed(self, connection: int) -> None:
+        """The server's stream ended. Its lease goes on to its end."""
+        self.sessions.pop(connection, None)
+
+    def received(self, now: float, connection: int, message: ServerMessage) -> None:
+        if isinstance(message, Register):
+            self._register(now, connection, message)
+            return
+        session = self.sessions.get(connection)
+        if session is None:
+            sequence = message.sequence if isinstance(message, Renew) else 0
+            self._refuse(connection, sequence, RefusalReason.PROTOCOL, "a Register comes first")
+            return
+        session.heard_at = now
+        if isinstance(message, Renew):
+            session.version, session.standing = message.version, message.standing
+            self._answer(now, session, message.sequence)
+        else:
+            self._take_verdict(now, session, message)
+
+    def peer_asked(self, now: float, request: AskConsent) -> Consent:
+        """The answer to another relay of the cell."""
+        silence = now - self.member.answered_at
+        is_heard = silence < self.member.rules.lease_ms * STORE_HEARD_SHARE
+        consent = self.promise.answer(now, request, self.leads(), is_heard)
+        self.member.abstains_until = max(self.member.abstains_until, self.promise.until)
+        return consent
+
+    def peer_answered(self, consent: Consent) -> None:
+        self.consents.received(consent)
+        self.member.consent_until = self.consents.until()
+
+    def completed(self, now: float, effect: Effect, sent: float, outcome: Outcome) -> None:
+        """How an effect of the store or the disk ended; `sent`: when it was begun."""
+        if effect.lane is Lane.SETTLE:
+            self.member.hint()
+            if following := self.settler.completed(now, effect, outcome):
+                self._effects.append(following)
+        else:
+            self.member.completed(now, effect, sent, outcome)
+        self._after_store(now)
+
+    def leave(self, now: float) -> None:
+        """The relay shuts down: its servers are sent to the others. Its lease is for the caller to give
+        back."""
+        self._is_leaving = True
+        for connection in list(self.sessions):
+            self._refuse(connection, 0, RefusalReason.LEAVING)
+
+    # What it asks for.
+
+    def effects(self, now: float) -> list[RelayEffect]:
+        """What is to be begun now. `completed` is owed for those of the store and the disk."""
+        self._take_store_effects(now)
+        self._go_on_polling(now)
+        if self._may_need_consent() and now >= self._consent_from():
+            self._effects += self.consents.requests(now)
+        if now >= self._sweep_at:
+            self._sweep(now)
+        begun, self._effects = self._effects, []
+        return begun
+
+    def _take_store_effects(self, now: float) -> None:
+        for effect in self.member.effects(now):
+            if isinstance(effect, Judge):
+                self._begin_judging(now, effect)
+            else:
+                self._effects.append(effect)
+        settle = self.settler.effects_of(now, self.member)
+        if settle:
+            self._effects.append(settle)
+
+    # Sessions and leases.
+
+    def _register(self, now: float, connection: int, message: Register) -> None:
+        if message.protocol != PROTOCOL_VERSION:
+            self._refuse(connection, message.sequence, RefusalReason.PROTOCOL, f"wants {PROTOCOL_VERSION}")
+        elif message.fleet != self.identity.fleet:
+            self._refuse(connection, message.sequence, RefusalReason.WRONG_FLEET, self.identity.fleet)
+        elif len(self.sessions) >= self.limits.sessions_most and connection not in self.sessions:
+            detail = f"{self.identity.address} has its {self.limits.sessions_most} sessions"
+            self._refuse(connection, message.sequence, RefusalReason.FULL, detail)
+        elif not self.leads():
+            self._refuse(connection, message.sequence, RefusalReason.NOT_LEADER)
+        else:
+            session = Session(
+                connection, message.name, message.epoch, message.kind, message.zone, message.version, now
+            )
+            self.sessions[connection] = session
+            self._answer(now, session, message.sequence)
+
+    def _answer(self, now: float, session: Session, sequence: int) -> None:
+        """A lease, or why there is none."""
+        span = min(self.limits.span_ms, self.authority_until(now) - now)
+        if span < GRANT_LEAST_MS:
+            reason = RefusalReason.LEAVING if self._is_leaving else RefusalReason.NO_AUTHORITY
+            self._refuse(session.connection, sequence, reason, self._why_no_authority(now))
+            return
+        if self.poll and self.poll.is_overdue(now, session.kind):
+            detail = "this kind of server was asked about a change and has not answered"
+            self._refuse(session.connection, sequence, RefusalReason.UNANSWERED, detail)
+            return
+        known = self.member.known
+        self._push(now, session)
+        session.granted_until = now + span
+        self._send(session.connection, Grant(sequence, known.version, known.change, span))
+
+    def _why_no_authority(self, now: float) -> str:
+        if now < self.promise.until:
+            return "it has consented to another relay of its cell"
+        return self.member.why or self.member.standing(now).value
+
+    def _push(self, now: float, session: Session) -> None:
+        """The text in force, to a server that does not go by it."""
+        known = self.member.known
+        if session.version >= known.version:
+            return
+        if session.sent_version == known.version and now - session.sent_at < RESEND_MS:
+            return
+        session.sent_version, session.sent_at = known.version, now
+        self._send(session.connection, InForce(known.version, known.change, known.digest, known.text))
+
+    def _refuse(self, connection: int, sequence: int, reason: RefusalReason, detail: str = "") -> None:
+        self.refused[reason] += 1
+        self._send(connection, Refuse(sequence, reason, detail))
+        if reason is not RefusalReason.UNANSWERED:
+            self.sessions.pop(connection, None)
+            self._effects.append(EndSession(connection))
+
+    def _send(self, connection: int, message: RelayMessage) -> None:
+        self._effects.append(SendToServer(connection, message))
+
+    def _sweep(self, now: float) -> None:
+        """Sessions of servers that say nothing any more are ended."""
+        self._sweep_at = now + SWEEP_MS
+        oldest = now - SILENT_SPANS * self.limits.span_ms
+        for connection in [c for c, session in self.sessions.items() if session.heard_at < oldest]:
+            del self.sessions[connection]
+            self._effects.append(EndSession(connection))
+
+    # What the servers say of a change.
+
+    def _begin_judging(self, now: float, task: Judge) -> None:
+        self.poll, self.poll_task, self.poll_sent = Poll(task.digest, self.verdicts), task, now
+        self._go_on_polling(now)
+
+    def _go_on_polling(self, now: float) -> None:
+        if not self.poll or not self.poll_task:
+            return
+        if not self._is_open(self.poll.digest):
+            # What is in force is not for this relay's servers to refuse; of anything else nothing is known.
+            is_in_force = self.member.head > self.member.known.version
+            self._end_poll(now, "" if is_in_force else None)
+            return
+        candidates = list(self._candidates(now))
+        for connection in self.poll.ask(now, candidates):
+            self._send(connection, AskVerdict(self.poll.digest, self.poll_task.text))
+        decided = self.poll.decided(candidates)
+        if decided is not None:
+            self._end_poll(now, decided)
+
+    def _is_open(self, digest: str) -> bool:
+        seen = self.member.seen
+        return bool(seen and seen.open and seen.open.digest == digest)
+
+    def _candidates(self, now: float) -> Iterator[Candidate]:
+        for session in self.sessions.values():
+            if session.granted_until > now:
+                yield Candidate(session.connection, session.kind, session.name)
+
+    def _take_verdict(self, now: float, session: Session, verdict: Verdict) -> None:
+        if self.poll and verdict.digest == self.poll.digest:
+            self.poll.answered(session.kind, session.name, verdict.trouble)
+            self._go_on_polling(now)
+        else:
+            self.verdicts.put(session.kind, verdict.digest, verdict.trouble)
+
+    def _end_poll(self, now: float, verdict: str | None) -> None:
+        task, sent = self.poll_task, self.poll_sent
+        self.poll = self.poll_task = None
+        assert task
+        self.member.completed(now, task, sent, verdict)
+        self._take_store_effects(now)
+
+    # What the store's word leads to.
+
+    def _after_store(self, now: float) -> None:
+        leads = self.leads()
+        if leads and not self._led:
+            self.member.abstains_until = max(self.member.abstains_until, now + TAKEOVER_MS)
+        self._led = leads
+        if self.member.known is not self._pushed:
+            self._pushed = self.member.known
+            for session in self.sessions.values():
+                self._push(now, session)
+
+    def _may_need_consent(self) -> bool:
+        rules = self.member.rules
+        return rules.is_shared and rules.absent == "wait" and self.leads()
+
+    def _consent_from(self) -> float:
+        """When the store's lease has so little left that the other relays are asked."""
+        return self.member.lease_until - self.member.rules.lease_ms * CONSENT_BELOW_SHARE
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -12,11 +12,13 @@
 import math
 import zlib
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
 from otterrudder.fleet.effects import Commit, Effect, Lane, Outcome, Read
 from otterrudder.fleet.member import Member
+from otterrudder.fleet.queue import InForce, open_first
 from otterrudder.fleet.records import (
     NOTE_MOST,
     SETTLED_MOST,
@@ -34,11 +36,16 @@
 
 LEADER_SPREAD_MS = 1500.0  # ms over which members come forward to settle a change: one does
 COUNT_MS = 250.0  # ms between counts of the votes by whoever settles
+QUEUE_POLL_MS = 2000.0  # ms between looks for a change that waits, where no hint came
+LATENCY_MOST_MS = 100.0  # ms to the store's answer, from which on a settler comes forward as late as any
 COUNT_MOST_MS = 2000.0  # ms between them once a change has been open for long
 STRIKES = 3  # counts in a row at which a figure on trial has to be too high: one may be a moment's
 REASONS_MOST = 8  # noes that are kept with an end: one has a file and a key to look at, not a thousand
 
 
+_Begun = TypeVar("_Begun", Read, Commit)
+
+
 class Refused(Exception):
     """What was asked for can't be done now, in one line."""
 
@@ -55,7 +62,7 @@
 
 def whole(keys: Keys) -> tuple[str, ...]:
     """What a settler and an operator read."""
-    return (keys.head, keys.joined, keys.rosters, keys.lives, keys.votes)
+    return (keys.head, keys.joined, keys.rosters, keys.lives, keys.votes, keys.queue)
 
 
 def count(view: View) -> Count:
@@ -102,6 +109,8 @@
 
 def _open(view: View, change: Change, more: tuple[Write, ...] = ()) -> Commit:
     keys = view.keys
+    if waiting := len(view.queue):
+        raise Refused(f"{waiting} changes wait in the queue, and come first")
     if opened := view.change:
         raise Refused(
             f"a change to version {opened.version} is open: {opened.author or 'unnamed'}, "
@@ -218,7 +227,7 @@
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
     kept = ends[-SETTLED_MOST:]
-    needed = {in_force, *(one.digest for one in kept)}
+    needed = {in_force, *(one.digest for one in kept), *(entry.digest for entry in view.queue)}
     needed |= {trial.back for trial in (change.trial, view.trial) if trial}
     writes: list[Write] = [
         Put(keys.settled, msgspec.json.encode(kept)),
@@ -242,23 +251,54 @@
 
 
 class Settler:
-    """Sees to it that an open change ends, whoever proposed it. Members take turns by a key that hangs on
-    their lease: it saves the others the counting, and no promise rests on it.
-
-    `effects` is asked with what the member has last seen; a proposer's own program counts without
-    the leadership."""
-
-    __slots__ = ("_at", "_busy", "_seen_since", "_strikes", "change", "keys", "name", "needs_leadership")
+    """Sees to it that an open change ends, whoever proposed it, and that the next in the queue is opened.
+    Members take turns by a key that hangs on their lease: it saves the others the counting, and no promise
+    rests on it.
+
+    `effects` is asked with what the member has last seen; a proposer's own program counts without the
+    leadership. `keeps_leadership`: it leads and looks after the queue also while nothing is open, as relays
+    do; who hears the store soonest comes forward first, for each change costs the leader several answers of
+    the store."""
+
+    __slots__ = (
+        "_at",
+        "_busy",
+        "_ended",
+        "_is_hinted",
+        "_seen_since",
+        "_sent",
+        "_strikes",
+        "change",
+        "keeps_leadership",
+        "keys",
+        "latency_ms",
+        "name",
+        "needs_leadership",
+    )
 
-    def __init__(self, keys: Keys, name: str, needs_leadership: bool = True) -> None:
+    def __init__(
+        self, keys: Keys, name: str, needs_leadership: bool = True, keeps_leadership: bool = False
+    ) -> None:
         self.keys, self.name, self.needs_leadership = keys, name, needs_leadership
+        self.keeps_leadership = keeps_leadership
         self.change = ""
+        self.latency_ms = LATENCY_MOST_MS  # to the store's answer, as far as seen
         self._seen_since = self._at = 0.0
         self._busy = False
+        self._is_hinted = False
+        self._sent = 0.0
+        self._ended: View | None = None  # of the change whose end is being committed
         self._strikes = 0  # counts in a row at which a figure on trial was too high
 
     def due(self) -> float:
-        return self._at if self.change and not self._busy else float("inf")
+        if self._busy or not self.change and not self.keeps_leadership:
+            return float("inf")
+        return self._at
+
+    def hint(self, now: float) -> None:
+        """Votes or the queue have changed: they are read now."""
+        self._is_hinted = True
+        self._at = min(self._at, now)
 
     def effects(
         self, now: float, opened: str, is_leader: bool, has_leader: bool, lease: int, registered: int
@@ -268,22 +308,17 @@
         life it is taken for."""
         if opened != self.change:
             self.change, self._seen_since = opened, now
-            first = self._chance() * LEADER_SPREAD_MS if self.needs_leadership else 0.0
-            self._at = now + first
-        if not opened or self._busy or now < self._at:
+            if not (is_leader and self.keeps_leadership):
+                self._at = now + (self._delay() if self.needs_leadership else 0.0)
+        if self._busy or now < self._at or not opened and not self.keeps_leadership:
             return None
         if self.needs_leadership and not is_leader:
             self._at = now + LEADER_SPREAD_MS * (0.5 + self._chance())
             if has_leader or not (lease and registered):
                 return None
-            self._busy = True
-            compares = (
-                Compare(self.keys.leader, "created", 0),
-                Compare(self.keys.live(self.name), "created", registered),
-            )
-            return Commit("lead", compares, (Put(self.keys.leader, self.name.encode(), lease),), Lane.SETTLE)
-        self._busy = True
-        return Read(whole(self.keys), Lane.SETTLE)
+            return self._begin(now, self._lead(lease, registered))
+        self._is_hinted = False
+        return self._begin(now, Read(whole(self.keys), Lane.SETTLE))
 
     def effects_of(self, now: float, member: Member) -> Read | Commit | None:
         """By what the member has last seen; nothing is settled on an engine that it doubts."""
@@ -291,26 +326,74 @@
         opened = ""
         if seen and not member.doubt:
             opened = seen.open.id if seen.open else trial_id(seen.trial) if seen.trial else ""
+        elif self.keeps_leadership:
+            self._at = max(self._at, now + COUNT_MS)
+            return None
         has_leader = bool(seen and seen.has_leader)
         return self.effects(now, opened, member.is_leader, has_leader, member.lease, member.registered)
 
     def completed(self, now: float, effect: Effect, outcome: Outcome) -> Commit | None:
         """What is to be done upon that, if anything: its outcome is owed as well."""
         self._busy = False
+        if outcome is not None:
+            self.latency_ms = now - self._sent
         age = now - self._seen_since
-        self._at = now + min(max(COUNT_MS, age / 8), COUNT_MOST_MS)
+        self._at = now + self._pause(age)
+        ended, self._ended = self._ended, None
         if isinstance(outcome, Done):
             self._at = now
+            if outcome.held and ended and isinstance(effect, Commit):
+                return self._follow(now, ended, effect, outcome)
         if not isinstance(outcome, Snapshot):
             return None
-        view = View(self.keys, outcome)
+        return self._begin_commit(now, View(self.keys, outcome), age)
+
+    def _pause(self, age: float) -> float:
+        if self._is_hinted:
+            return 0.0
+        if not self.change:
+            return QUEUE_POLL_MS
+        return min(max(COUNT_MS, age / 8), COUNT_MOST_MS)
+
+    def _begin_commit(self, now: float, view: View, age: float) -> Commit | None:
         change, trial, commit = view.change, view.trial, None
         if change and change.id == self.change:
             commit = settle(view, age >= change.deadline_ms)
+            self._ended = view if commit else None
+        elif change:
+            self.change, self._seen_since = change.id, now
+            self._at = now
+        elif commit := open_first(view):
+            pass
         elif trial and trial_id(trial) == self.change:
             commit, self._strikes = try_out(view, age, self._strikes)
-        self._busy = commit is not None
-        return commit
+        return self._begin(now, commit) if commit else None
+
+    def _follow(self, now: float, ended: View, effect: Commit, done: Done) -> Commit | None:
+        """The next in the queue is opened at once, by what was read before the end was committed."""
+        in_force = InForce.of(ended)
+        if effect.what == "commit" and ended.change:
+            in_force = InForce(ended.change.version, ended.change.digest, done.revision)
+        commit = open_first(ended, in_force)
+        return self._begin(now, commit) if commit else None
+
+    def _begin(self, now: float, effect: _Begun) -> _Begun:
+        self._busy, self._sent = True, now
+        return effect
+
+    def _lead(self, lease: int, registered: int) -> Commit:
+        compares = (
+            Compare(self.keys.leader, "created", 0),
+            Compare(self.keys.live(self.name), "created", registered),
+        )
+        return Commit("lead", compares, (Put(self.keys.leader, self.name.encode(), lease),), Lane.SETTLE)
+
+    def _delay(self) -> float:
+        """ms until it comes forward: less where the store is near."""
+        if not self.keeps_leadership:
+            return self._chance() * LEADER_SPREAD_MS
+        nearness = min(self.latency_ms / LATENCY_MOST_MS, 1.0)
+        return nearness * LEADER_SPREAD_MS * (0.5 + self._chance() / 2)
 
     def _chance(self) -> float:
         return zlib.crc32(f"{self.name}/{self.change}/leader".encode()) / 2**32
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -44,6 +44,7 @@
         "_disk_at",
         "_failed",
         "_floor",
+        "_is_abstaining",
         "_is_void",
         "_judged",
         "_need_text",
@@ -57,7 +58,10 @@
         "_to_judge",
         "_told",
         "_unfit",
+        "abstains_until",
+        "answered_at",
         "cluster",
+        "consent_until",
         "disk_trouble",
         "doubt",
         "epoch",
@@ -119,6 +123,9 @@
         self.sure = self._may_believe_folder()
         self.registered = 0  # the revision that made the live key; 0: there is none of ours
         self.lease, self.lease_until = 0, -math.inf
+        self.consent_until = -math.inf  # what the other processes that share the name have consented to
+        self.abstains_until = -math.inf  # it does not vote before
+        self.answered_at = -math.inf  # when the store last answered anything
         self.seen: Seen | None = None
         self.doubt = ""  # why the store is not believed
         self.disk_trouble = ""
@@ -127,6 +134,7 @@
         self._busy: frozenset[Lane] = frozenset()
         self._floor = 0  # the revision that was known when the store's request under way was begun
         self._is_void = False  # the read under way began before the registration was lost: it proves nothing
+        self._is_abstaining = False  # it would vote, if it did not abstain
         self._stale = True
         self._need_text = ""
         self._texts: tuple[tuple[str, str], ...] = ()  # digest and text of what may come into force
@@ -152,7 +160,7 @@
             return Standing.UNFIT
         if self.pledge and self.vote_sent and now >= self.fresh_at + self.rules.bound_ms:
             return Standing.UNHEARD
-        if self.rules.absent == "leave-out" and now >= self.lease_until:
+        if self.rules.hangs_on_lease and now >= self._lease_end():
             return Standing.LAPSED
         return Standing.PLEDGED if self.pledge else Standing.SERVING
 
@@ -160,6 +168,23 @@
         """The version it admits under; None: it stands aside."""
         return self.known.version if self.standing(now).admits else None
 
+    def authority_until(self, now: float) -> float:
+        """Until when it goes on admitting, or granting leases, if it hears nothing more; -inf: it does not
+        admit."""
+        if not self.standing(now).admits:
+            return -math.inf
+        until = self._lease_end() if self.rules.hangs_on_lease else math.inf
+        if self.pledge and self.vote_sent:
+            until = min(until, self.fresh_at + self.rules.bound_ms)
+        return until
+
+    def _lease_end(self) -> float:
+        """Of the store's lease, or of what the other relays of the cell have consented to: under `wait`
+        alone, for a change that leaves a member out asks nobody's consent."""
+        if self.rules.absent == "wait":
+            return max(self.lease_until, self.consent_until)
+        return self.lease_until
+
     def due(self) -> float:
         """When `effects` may next say something by itself; -inf: now."""
         times = [self._retry_at if self._stale else self._next_read()] if Lane.STORE not in self._busy else []
@@ -168,6 +193,8 @@
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
         if Lane.STORE not in self._busy and self.registered:
             times.append(max(self._tell_at, self._retry_at))
+            if self._is_abstaining:
+                times.append(max(self.abstains_until, self._retry_at))
         return min(times, default=math.inf)
 
     @property
@@ -196,6 +223,8 @@
         self._busy -= {effect.lane}
         is_void = self._is_void and effect.lane is Lane.STORE
         self._is_void = self._is_void and not is_void
+        if isinstance(outcome, Snapshot | Done | Leased):
+            self.answered_at = now
         if isinstance(outcome, Done | Leased) and not self._is_believed(outcome):
             outcome, self._stale = None, True  # no word of an engine that is not believed counts
         if isinstance(effect, Save):
@@ -297,6 +326,9 @@
         trouble = "" if pledged else self._trouble_with(change)
         if trouble is None:  # its text is not here yet, or not judged
             return None
+        self._is_abstaining = now < self.abstains_until
+        if self._is_abstaining:
+            return None
         if not trouble and not pledged:
             self.pledge, self.vote_sent = Pledge(change.id, change.created), False
         if not trouble and self._is_dirty():
@@ -424,7 +456,7 @@
         self.registered, self.is_leader, self._stale = 0, False, True
         # A read that was sent before, and comes late, would show the registration as it was.
         self._is_void = Lane.STORE in self._busy
-        if self.rules.absent == "leave-out":
+        if self.rules.hangs_on_lease:
             self.sure, self.lease_until = False, -math.inf
 
     def _told_read(self, now: float, sent: float, snapshot: Snapshot) -> None:
--- /dev/null
+++ b/otterrudder/fleet/queue.py
@@ -0,0 +1,122 @@
+"""Changes that wait for their turn: one is open at a time, the others stand in a queue in the store. Pure.
+
+An entry's place is by the revision that made its key, so the store orders them and two proposers never
+conflict. Whoever settles opens the first once nothing is open, in a commit that compares the entry, the
+absence of an open change and the policy in force; so of any number of settlers one opens it, once. An entry
+that was made from a policy that is no longer in force ends when its turn comes, and says so: a whole text
+made from an older one would undo what came between."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from otterrudder.fleet.effects import Commit, Lane
+from otterrudder.fleet.records import (
+    NOTE_MOST,
+    QUEUE_MOST,
+    SETTLED_MOST,
+    TEXT_MOST,
+    Change,
+    Queued,
+    Settled,
+    Trial,
+    View,
+    digest_of,
+    encode,
+)
+from otterrudder.fleet.store import Compare, Delete, Put
+
+
+class QueueRefused(Exception):
+    """What was asked for can't be queued, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """The policy in force, as far as opening a change depends on it."""
+
+    version: int
+    digest: str
+    modified: int  # the revision that wrote its key; 0: there is none
+
+    @staticmethod
+    def of(view: View) -> "InForce":
+        head = view.policy
+        modified = view.snapshot.modified(view.keys.policy)
+        return InForce(head.version if head else 0, head.digest if head else "", modified)
+
+
+def enqueue(view: View, entry: Queued, text: str) -> Commit:
+    """Puts a change at the end of the queue; `entry.digest` is set by the text. `entry.id`: never used
+    before."""
+    size = len(text.encode())
+    if size > TEXT_MOST:
+        raise QueueRefused(f"a policy may have {TEXT_MOST} bytes, not {size}")
+    if len(view.queue) >= QUEUE_MOST:
+        raise QueueRefused(f"{QUEUE_MOST} changes wait already: no more are taken until some have ended")
+    if entry.conditions and not view.policy:
+        raise QueueRefused("a trial needs an earlier policy to go back to, and none was ever in force")
+    digest = digest_of(text)
+    entry = msgspec.structs.replace(
+        entry, digest=digest, author=entry.author[:NOTE_MOST], note=entry.note[:NOTE_MOST]
+    )
+    key = view.keys.queued(entry.id)
+    writes = (Put(key, encode(entry)), Put(view.keys.text(digest), text.encode()))
+    return Commit("queue", (Compare(key, "created", 0),), writes, Lane.SETTLE)
+
+
+def place(view: View, ident: str) -> int | None:
+    """How many changes come before it, an open one among them; 0: it is open; None: it neither waits nor is
+    open."""
+    if view.change and view.change.id == ident:
+        return 0
+    for number, entry in enumerate(view.queue, 1):
+        if entry.id == ident:
+            return number if view.change else number - 1
+    return None
+
+
+def open_first(view: View, in_force: InForce | None = None) -> Commit | None:
+    """Opens the first that waits, or ends it where it can't be opened; None: none waits, or one is open.
+
+    `in_force`: as it is after a commit that followed the view; else as the view has it, with nothing open."""
+    if not view.queue or in_force is None and view.change:
+        return None
+    in_force = in_force or InForce.of(view)
+    entry, keys = view.queue[0], view.keys
+    key = keys.queued(entry.id)
+    compares = (
+        Compare(keys.change, "created", 0),
+        Compare(keys.policy, "modified", in_force.modified),
+        Compare(key, "modified", view.snapshot.modified(key)),
+    )
+    if entry.base and entry.base != in_force.digest:
+        return _drop(view, entry, compares)
+    trial = None
+    version = in_force.version + 1
+    if entry.conditions:
+        trial = Trial(entry.id, version, in_force.digest, entry.trial_ms, entry.conditions)
+    change = Change(
+        entry.id, version, entry.digest, entry.author, entry.note, entry.at, entry.deadline_ms, trial
+    )
+    return Commit("open", compares, (Put(keys.change, encode(change)), Delete(key)), Lane.SETTLE)
+
+
+def leave_queue(view: View, ident: str) -> Commit:
+    """Takes a waiting change out, on its proposer's word."""
+    for entry in view.queue:
+        if entry.id == ident:
+            key = view.keys.queued(ident)
+            compares = (Compare(key, "modified", view.snapshot.modified(key)),)
+            return Commit("unqueue", compares, (Delete(key),), Lane.SETTLE)
+    raise QueueRefused("it does not wait")
+
+
+def _drop(view: View, entry: Queued, compares: tuple[Compare, ...]) -> Commit:
+    keys = view.keys
+    why = f"it was made from policy {entry.base[:12]}, which is not in force at its turn"
+    end = Settled(entry.id, 0, entry.digest, False, why, entry.author, entry.note)
+    ends = [*view.settled, end][-SETTLED_MOST:]
+    compares = (*compares, Compare(keys.settled, "modified", view.snapshot.modified(keys.settled)))
+    writes = (Put(keys.settled, msgspec.json.encode(ends)), Delete(keys.queued(entry.id)))
+    return Commit("drop", compares, writes, Lane.SETTLE)
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -9,6 +9,7 @@
     FLEET/roster/NAME         who is of the fleet, whether up or not; a change needs its vote
     FLEET/live/NAME           the life that has the name now; hangs on its lease
     FLEET/joined              who registered last; watched by nobody
+    FLEET/queue/ID            a change that waits for its turn; the store's revisions give the order
     FLEET/vote/NAME           what it says of the open change; never changed, gone with the change
 
 The revision that created `head/change` names a change beyond doubt: a vote compares it, so a vote that was
@@ -24,6 +25,7 @@
 
 TEXT_MOST = 256 * 1024  # bytes of a policy: an eighth of what the engine takes in a request
 SETTLED_MOST = 32  # ends of changes that are kept; their texts go with them, so `back` reaches so far
+QUEUE_MOST = 4096  # changes that wait: a release of 2,000 twice over, in 1 MB
 NAME_MOST = 128  # characters of a server's name
 NOTE_MOST = 500  # characters of a note or a reason
 
@@ -65,6 +67,20 @@
     trial: Trial | None = None
 
 
+class Queued(_Record, frozen=True):
+    """A change that waits. `base`: the digest of the policy that it was made from; "": of any."""
+
+    id: str
+    digest: str = ""
+    author: str = ""
+    note: str = ""
+    at: float = 0.0
+    deadline_ms: float = 30_000.0  # from when it is opened
+    base: str = ""
+    trial_ms: float = 0.0
+    conditions: tuple[tuple[str, float], ...] = ()
+
+
 class Settled(_Record, frozen=True):
     id: str
     version: int  # that it has, or would have had
@@ -129,6 +145,7 @@
         "joined",
         "lives",
         "policy",
+        "queue",
         "rosters",
         "settled",
         "trial",
@@ -137,6 +154,7 @@
 
     def __init__(self, fleet: str) -> None:
         self.fleet, self.joined = fleet, f"{fleet}/joined"
+        self.queue = f"{fleet}/queue/"
         self.rosters, self.lives, self.votes = (f"{fleet}/{what}/" for what in ("roster", "live", "vote"))
         self.head = head = f"{fleet}/head/"
         self.policy, self.change, self.settled = f"{head}policy", f"{head}change", f"{head}settled"
@@ -145,6 +163,9 @@
     def text(self, digest: str) -> str:
         return f"{self.fleet}/text/{digest}"
 
+    def queued(self, ident: str) -> str:
+        return f"{self.queue}{ident}"
+
     def roster(self, name: str) -> str:
         return f"{self.rosters}{name}"
 
@@ -208,6 +229,19 @@
         except (ValueError, msgspec.MsgspecError) as why:
             raise BadRecord(f"{self.keys.settled}: {why}") from None
 
+    @property
+    def queue(self) -> list[Queued]:
+        """In the order of their turns. An entry that can't be read is passed over."""
+        entries = self.snapshot.entries
+        keys = [key for key in entries if key.startswith(self.keys.queue)]
+        waiting = []
+        for key in sorted(keys, key=lambda key: entries[key].created):
+            try:
+                waiting.append(decode(entries[key].value, Queued))
+            except (ValueError, msgspec.MsgspecError):
+                continue
+        return waiting
+
     @property
     def leader(self) -> str:
         """Whose it is; "": nobody's."""
--- a/otterrudder/fleet/state.py
+++ b/otterrudder/fleet/state.py
@@ -35,6 +35,14 @@
     bound_ms: float = 2000.0
     lease_ms: float = 6000.0
     starts_from_folder: bool = False  # only under `wait`
+    # Several processes take the name in turn (the relays of a cell): each one's authority ends with its
+    # lease, whatever `absent` says.
+    is_shared: bool = False
+
+    @property
+    def hangs_on_lease(self) -> bool:
+        """Whether somebody may act in this member's place, or without it, once its lease has lapsed."""
+        return self.is_shared or self.absent == "leave-out"
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterrudder/lab/fleet/model.py
+++ b/otterrudder/lab/fleet/model.py
@@ -394,13 +394,26 @@
 _IS_TIME = {
     "fresh_at": -1,
     "lease_until": 1,
+    "consent_until": 1,
+    "abstains_until": 1,
     "_read_at": -1,
     "_retry_at": 1,
     "_renew_at": 1,
     "_disk_at": 1,
     "_tell_at": 1,
 }
-_PASSED_OVER = {"keys", "rules", "live", "name", "epoch", "folder", "has_disk", "_failed", "cluster"}
+_PASSED_OVER = {
+    "keys",
+    "rules",
+    "live",
+    "name",
+    "epoch",
+    "folder",
+    "has_disk",
+    "_failed",
+    "cluster",
+    "answered_at",
+}
 
 
 def _member_key(member: Member, now: float) -> tuple[object, ...]:
