Fleet: a member's commits and texts in modules of their own

member.py kept four fields for the texts it may need and built its commits in line. The texts are one immutable value now (texts.py), the commits are functions (commits.py).

--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -21,10 +21,12 @@
 import zlib
 from collections.abc import Callable
 
+from otterrudder.fleet import commits
 from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Lease, Outcome, Read, Renew, Save
-from otterrudder.fleet.records import BadRecord, Keys, Live, Roster, View, Vote, encode
+from otterrudder.fleet.records import BadRecord, Keys, Live, Roster, View, Vote
 from otterrudder.fleet.state import Open, Pledge, Policy, Record, Rules, Seen, Standing
-from otterrudder.fleet.store import Compare, Done, Leased, Put, Snapshot
+from otterrudder.fleet.store import Done, Leased, Snapshot
+from otterrudder.fleet.texts import Texts
 
 # of its span for which a lease is believed: two clocks may run apart by a tenth
 LEASE_BELIEVED = 0.9
@@ -46,8 +48,6 @@
         "_floor",
         "_is_abstaining",
         "_is_void",
-        "_judged",
-        "_need_text",
         "_read_at",
         "_renew_at",
         "_retry_at",
@@ -55,7 +55,6 @@
         "_stale",
         "_tell_at",
         "_texts",
-        "_to_judge",
         "_told",
         "_unfit",
         "abstains_until",
@@ -136,11 +135,8 @@
         self._is_void = False  # the read under way began before the registration was lost: it proves nothing
         self._is_abstaining = False  # it would vote, if it did not abstain
         self._stale = True
-        self._need_text = ""
-        self._texts: tuple[tuple[str, str], ...] = ()  # digest and text of what may come into force
         self._unfit = judge(self.known.text) if self.known.version else ""
-        self._judged = (self.known.digest, self._unfit)  # and what is wrong with that text here
-        self._to_judge = ""  # a digest whose text is here and is to be judged
+        self._texts = Texts(judged=self.known.digest, trouble=self._unfit)
         self._read_at = -math.inf
         self._retry_at, self._failed = now, 0
         self._renew_at, self._disk_at = now, now
@@ -272,15 +268,15 @@
             self.keys.live(self.name),
             self.keys.vote(self.name),
         ]
-        if self._need_text:
-            names.append(self.keys.text(self._need_text))
+        if self._texts.needed:
+            names.append(self.keys.text(self._texts.needed))
         return Read(tuple(names))
 
     def _next_read(self) -> float:
         """When it reads without a hint."""
         if self.pledge:
             return self._read_at + self.rules.bound_ms * POLL_SHARE
-        if self._need_text:
+        if self._texts.needed:
             return self._read_at + RETRY_MOST_MS
         if self.seen and self._is_others(self.seen) or self.doubt:
             return self._read_at + self.rules.lease_ms * RENEW_SHARE
@@ -303,20 +299,8 @@
         return other and seen.roster is not None and seen.roster.absent == "wait"
 
     def _register(self, seen: Seen) -> Commit:
-        keys, roster = self.keys, Roster(self.folder, self.rules.absent)
-        compares = (
-            Compare(keys.live(self.name), "created", 0),
-            Compare(keys.roster(self.name), "modified", seen.roster_modified),
-        )
-        writes = [
-            Put(keys.live(self.name), encode(self._live()), self.lease),
-            # Who has counted the votes without this member has to count anew. Not the change itself is
-            # touched: it is watched by all, and a zone that comes back would have all read for each.
-            Put(keys.joined, self.name.encode()),
-        ]
-        if seen.roster != roster:
-            writes.append(Put(keys.roster(self.name), encode(roster)))
-        return Commit("register", compares, tuple(writes))
+        roster = Roster(self.folder, self.rules.absent)
+        return commits.register(self.keys, self.name, self._live(), roster, seen, self.lease)
 
     def _vote(self, now: float, seen: Seen) -> Commit | None:
         change = seen.open
@@ -335,36 +319,28 @@
             return None  # not before the pledge is on disk
         if not trouble and not self.vote_sent:
             self.vote_sent, self.fresh_at = True, now
-        keys = self.keys
-        compares = (
-            Compare(keys.change, "created", change.created),
-            Compare(keys.live(self.name), "created", self.registered),
-            Compare(keys.vote(self.name), "created", 0),
-        )
-        vote = Vote(not trouble, trouble, self.epoch)
-        return Commit("vote", compares, (Put(keys.vote(self.name), encode(vote)),))
+        ballot = Vote(not trouble, trouble, self.epoch)
+        return commits.vote(self.keys, self.name, change, self.registered, ballot)
 
     def _trouble_with(self, change: Open) -> str | None:
         """Why the answer is no; "": it is yes; None: the text has to be read or judged first."""
         if self.disk_trouble:
             return f"{self.name}: its folder: {self.disk_trouble}"
-        if self._judged[0] == change.digest:
-            return self._judged[1]
-        if change.digest in dict(self._texts):
-            self._to_judge = change.digest
-        elif self._need_text == change.digest:
+        if (verdict := self._texts.verdict(change.digest)) is not None:
+            return verdict
+        if self._texts.text(change.digest) is not None:
+            self._texts = self._texts.with_judging(change.digest)
+        elif self._texts.needed == change.digest:
             return f"the text {change.digest} is not in the store"
         else:
-            self._need_text, self._stale = change.digest, True
+            self._texts, self._stale = self._texts.with_needed(change.digest), True
         return None
 
     def _tell(self, now: float) -> Commit:
         self._told = self._to_tell(now)
         is_on_trial = self.seen is not None and self.seen.trial is not None
         self._tell_at = now + FIGURES_MS * (0.75 + self._chance("figures") / 2) if is_on_trial else math.inf
-        key = self.keys.live(self.name)
-        compares = (Compare(key, "created", self.registered),)
-        return Commit("tell", compares, (Put(key, encode(self._live(now)), self.lease),))
+        return commits.tell(self.keys, self.name, self._live(now), self.registered, self.lease)
 
     def _to_tell(self, now: float) -> tuple[int, str]:
         standing = self.standing(now)
@@ -382,8 +358,9 @@
         )
 
     def _judge_effect(self) -> Effect | None:
-        text = dict(self._texts).get(self._to_judge)
-        return None if text is None or Lane.JUDGE in self._busy else Judge(self._to_judge, text)
+        digest = self._texts.judging
+        text = self._texts.text(digest)
+        return None if text is None or Lane.JUDGE in self._busy else Judge(digest, text)
 
     def _lease_effect(self, now: float) -> Effect | None:
         if Lane.LEASE in self._busy or now < self._renew_at or not self._may_lease():
@@ -434,10 +411,9 @@
                 self.pledge = None  # nothing was sent: it is a no
 
     def _told_judge(self, effect: Judge, outcome: Outcome) -> None:
-        if self._to_judge == effect.digest:
-            self._to_judge = ""
-        if isinstance(outcome, str):
-            self._judged = (effect.digest, outcome)
+        verdict = outcome if isinstance(outcome, str) else None
+        self._texts = self._texts.with_verdict(effect.digest, verdict)
+        if verdict is not None:
             self._stale = self._stale or self.head > self.known.version
 
     def _told_lease(self, now: float, sent: float, outcome: Outcome) -> None:
@@ -553,28 +529,28 @@
 
     def _take_policy(self, view: View) -> None:
         head = view.policy
-        for digest in filter(None, (self._need_text, head.digest if head else "")):
+        for digest in filter(None, (self._texts.needed, head.digest if head else "")):
             if (text := view.text(digest)) is not None:
-                self._texts = (*(kept for kept in self._texts if kept[0] != digest), (digest, text))[-2:]
-                self._need_text = ""
-        if self._need_text not in (
+                self._texts = self._texts.with_text(digest, text)
+        if self._texts.needed not in (
             head.digest if head else "",
             self.seen.open.digest if self.seen and self.seen.open else "",
         ):
-            self._need_text = ""  # of a change that has ended
+            self._texts = self._texts.with_needed("")  # it was of a change that has ended
         if not head or head.version <= self.known.version:
             return
         self.head, self.head_change = head.version, head.change
-        text = dict(self._texts).get(head.digest)
+        text = self._texts.text(head.digest)
         if text is None:
-            self._stale = self._need_text != head.digest  # else it was asked for just now, and is not there
-            self._need_text = head.digest
+            self._stale = self._texts.needed != head.digest  # else it was just asked for, and is not there
+            self._texts = self._texts.with_needed(head.digest)
             return
-        if self._judged[0] != head.digest:
-            self._to_judge = head.digest
+        verdict = self._texts.verdict(head.digest)
+        if verdict is None:
+            self._texts = self._texts.with_judging(head.digest)
             return
         self.known = Policy(head.version, head.change, head.digest, text)
-        self._unfit = self._judged[1]
+        self._unfit = verdict
 
     def _take_pledge(self, sent: float, seen: Seen) -> None:
         opened = Pledge(seen.open.id, seen.open.created) if seen.open else None
--- /dev/null
+++ b/otterrudder/fleet/texts.py
@@ -0,0 +1,39 @@
+"""The texts of policies that may come into force at a member: which are here, which has to be read or judged
+next, and what was found wrong with the last one judged. Immutable values; `member.py` holds one."""
+
+from dataclasses import dataclass, replace
+
+KEPT_MOST = 2  # of the open change, and of what is in force
+
+
+@dataclass(frozen=True, slots=True)
+class Texts:
+    held: tuple[tuple[str, str], ...] = ()  # digest and text
+    needed: str = ""  # the digest of a text that has to be read
+    judging: str = ""  # the digest of a text that is here and has to be judged
+    judged: str = ""  # the digest of the text that was judged last
+    trouble: str = ""  # and what is wrong with it here, "" if nothing
+
+    def text(self, digest: str) -> str | None:
+        return dict(self.held).get(digest)
+
+    def verdict(self, digest: str) -> str | None:
+        """None: it was not the last one judged."""
+        return self.trouble if self.judged == digest else None
+
+    def with_text(self, digest: str, text: str) -> "Texts":
+        others = tuple(kept for kept in self.held if kept[0] != digest)
+        return replace(self, held=(*others, (digest, text))[-KEPT_MOST:], needed="")
+
+    def with_needed(self, digest: str) -> "Texts":
+        return replace(self, needed=digest)
+
+    def with_judging(self, digest: str) -> "Texts":
+        return replace(self, judging=digest)
+
+    def with_verdict(self, digest: str, trouble: str | None) -> "Texts":
+        """`trouble` None: the judgement came to nothing, and may be begun anew."""
+        judging = "" if self.judging == digest else self.judging
+        if trouble is None:
+            return replace(self, judging=judging)
+        return replace(self, judging=judging, judged=digest, trouble=trouble)
