--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -6,8 +6,8 @@
 
 import click
 
+from otterrudder import log
 from otterrudder.cli.common import give_up
-from otterrudder.net import log
 from otterrudder.net import serve as server
 from otterrudder.net.configuration import BadConfiguration, read_configuration
 
--- a/otterrudder/net/clock.py
+++ b/otterrudder/clock.py
@@ -4,8 +4,10 @@
 
 
 def unix() -> float:
+    """Unix time in ms; it may jump when the machine's clock is set."""
     return time.time_ns() / 1e6
 
 
 def monotonic() -> float:
+    """Ms since an arbitrary start; it never runs backwards."""
     return time.monotonic_ns() / 1e6
--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -18,6 +18,7 @@
 import anyio.to_thread
 import msgspec
 
+from otterrudder import clock
 from otterrudder.durable import BadState, Folder, in_thread
 from otterrudder.fleet.change import Settler
 from otterrudder.fleet.configuration import Fleet
@@ -26,8 +27,7 @@
 from otterrudder.fleet.records import Keys, Live
 from otterrudder.fleet.store import Store, StoreAway
 from otterrudder.fleet.wants import Commit, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save, Want
-from otterrudder.net import clock
-from otterrudder.net.log import log
+from otterrudder.log import log
 
 STATE = "member"  # the file in the folder
 # ms from one hint to the next: a store that floods its watch is held back by its own window, and a read that
--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -33,9 +33,9 @@
 from aetcd import rpc
 from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
 
+from otterrudder.clock import monotonic as clock
 from otterrudder.fleet.store import Compare, Delete, Entry, Put, Write
 from otterrudder.lab.keyspace import Event, KeySpace
-from otterrudder.net.clock import monotonic as clock
 
 CLUSTER = 0xE7CD  # its id, unless told another
 LAPSE_S = 0.05  # s between looks for leases that have lapsed
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -14,12 +14,12 @@
 
 import anyio
 
+from otterrudder.clock import monotonic as clock
 from otterrudder.fleet.records import Keys
 from otterrudder.lab.processes.books import Verdict, judge
 from otterrudder.lab.processes.link import Harm
 from otterrudder.lab.processes.rig import FLEET, STOP_MS, Place, Rig, policy_text
 from otterrudder.lab.processes.standins import PRODUCTS
-from otterrudder.net.clock import monotonic as clock
 
 DEADLINE_S = 6.0  # of a change, in a run: beyond the longest fault
 SETTLE_S = 20.0  # s in which a change must have ended once all is mended
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -20,6 +20,7 @@
 import anyio
 import anyio.abc
 
+from otterrudder.clock import monotonic as clock
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import read_fleet
 from otterrudder.fleet.points import NAMED
@@ -29,7 +30,6 @@
 from otterrudder.lab.processes.etcd import CLUSTER
 from otterrudder.lab.processes.link import Datagrams, Harm, Link, free_port
 from otterrudder.lab.processes.standins import LONG_RUN_MS, SETTINGS, Gateway, Listing, Runtime, Wire
-from otterrudder.net.clock import monotonic as clock
 
 ROOT = Path(__file__).parents[3]
 FLEET = "rig"  # its name
--- a/otterrudder/lab/processes/standins.py
+++ b/otterrudder/lab/processes/standins.py
@@ -12,9 +12,9 @@
 import anyio.abc
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from otterrudder.clock import monotonic as clock
+from otterrudder.clock import unix
 from otterrudder.lab.processes.link import Link, accept_all
-from otterrudder.net.clock import monotonic as clock
-from otterrudder.net.clock import unix
 
 RUN_MS = 5.0  # of a run
 LONG_RUN_MS = 300.0  # of one that a drain has to wait for
--- a/otterrudder/net/log.py
+++ b/otterrudder/log.py
@@ -36,6 +36,7 @@
 
 
 def set_up(name: str) -> None:
+    """Configures structlog for this process; every line carries the server's name."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/otterrudder/net/control.py
+++ b/otterrudder/net/control.py
@@ -16,7 +16,7 @@
 import anyio
 import anyio.abc
 
-from otterrudder.net.log import log
+from otterrudder.log import log
 
 VERSION = 1  # of the form
 REQUEST_MOST = 4096  # bytes of a request
--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -10,10 +10,11 @@
 import anyio
 import anyio.abc
 
+from otterrudder import clock
 from otterrudder.interface import Effect
-from otterrudder.net import clock, jsonrpc, sockets
+from otterrudder.log import log
+from otterrudder.net import jsonrpc, sockets
 from otterrudder.net.helm import Helm
-from otterrudder.net.log import log
 
 BACKLOG = 1024  # connections that may wait to be accepted while the loop is busy
 OPEN_MOST = 32  # open requests of a connection
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -12,8 +12,9 @@
 
 import anyio
 
-from otterrudder.net import clock, core
-from otterrudder.net.log import log
+from otterrudder import clock
+from otterrudder.log import log
+from otterrudder.net import core
 
 ASK_AHEAD_MS = 6.0  # ms before a ring at which gauges are asked for: a round trip and a busy loop
 LATE_MS = 40.0  # ms of lateness of a ring from which on this process is short of CPU: a whole ring
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -7,10 +7,11 @@
 import anyio
 import anyio.abc
 
+from otterrudder import clock
 from otterrudder.interface import Outcome
-from otterrudder.net import clock, lines, sockets
+from otterrudder.log import log
+from otterrudder.net import lines, sockets
 from otterrudder.net.helm import Helm
-from otterrudder.net.log import log
 
 LINKS_MOST = 48  # connections: twice the calls that a server of the usual size has out
 REUSE_MS = 500.0  # ms unused after which one takes no call: the service may have forgotten it, and then it
--- a/otterrudder/net/registry.py
+++ b/otterrudder/net/registry.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from otterrudder.net.log import log
+from otterrudder.log import log
 
 PERIOD_S = 0.5  # s between reports: five may be lost or late before the entry lapses at 3 s
 
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -5,9 +5,10 @@
 import anyio
 import anyio.abc
 
-from otterrudder.net import clock, lines, sockets
+from otterrudder import clock
+from otterrudder.log import log
+from otterrudder.net import lines, sockets
 from otterrudder.net.helm import Helm
-from otterrudder.net.log import log
 
 PAUSE_MS = 20.0  # ms before the first try to connect again: the link is lost, the runtime most likely is not
 PAUSE_MOST_MS = 500.0  # ms at most: a runtime that comes up is found within that
--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -10,8 +10,8 @@
 
 import anyio
 
-from otterrudder.net import clock
-from otterrudder.net.log import log
+from otterrudder import clock
+from otterrudder.log import log
 
 ROOM_FIRST = 4 * 1024  # bytes of a new buffer: nearly all messages fit, and hundreds of peers are quiet
 GATHER_MOST = 256  # parts of one gathered write: below every system's bound of 1,024
--- a/otterrudder/vrrp/speaker.py
+++ b/otterrudder/vrrp/speaker.py
@@ -21,8 +21,8 @@
 
 import anyio
 
-from otterrudder.net import clock
-from otterrudder.net.log import log
+from otterrudder import clock
+from otterrudder.log import log
 from otterrudder.vrrp import packet
 from otterrudder.vrrp.gate import Door, Gate, Order
 from otterrudder.vrrp.group import Group, Groups, Peer
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -12,6 +12,7 @@
 import anyio
 import pytest
 
+from otterrudder import clock
 from otterrudder.durable import Busy, Folder
 from otterrudder.fleet.agent import Agent, Orders, open_folder
 from otterrudder.fleet.change import Settler, propose
@@ -22,7 +23,6 @@
 from otterrudder.fleet.store import Changed, Compare, Delete, Done, Leased, Put, Snapshot, StoreAway
 from otterrudder.lab.keyspace import KeySpace
 from otterrudder.lab.processes.rig import ROOT
-from otterrudder.net import clock
 
 TIMEOUT_MS = 1000.0  # longer than a loaded machine takes to make a channel
 
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -22,9 +22,10 @@
 import pytest
 from helpers import SETTINGS, Gateway, Server, listener
 
+from otterrudder import clock
 from otterrudder.boot import boot, gauge_names, products_of
 from otterrudder.interface import Outcome
-from otterrudder.net import clock, core, gateways, records, serve
+from otterrudder.net import core, gateways, records, serve
 from otterrudder.net.helm import Helm
 
 A, B, C, MARK = "00000000000000aa", "00000000000000bb", "00000000000000cc", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
