The configuration file's reader moves below net and fleet

otterrudder.fleet imported otterrudder.net.configuration, and otterrudder.net imports fleet: an upward import, and a circle of packages.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.configuration import BadConfiguration, read_configuration
 from otterrudder.fleet.change import (
     Refused,
     count,
@@ -39,7 +40,6 @@
 from otterrudder.fleet.wants import Commit
 from otterrudder.levels.table import FACTS
 from otterrudder.net import control
-from otterrudder.net.configuration import BadConfiguration, read_configuration
 
 ABORTED, UNDECIDED = 3, 4
 TIMEOUT_MS = 2000.0  # of a request
--- a/otterrudder/cli/levels.py
+++ b/otterrudder/cli/levels.py
@@ -9,10 +9,10 @@
 
 from otterrudder.boot import products_of, tenants_of
 from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.configuration import BadConfiguration, read_configuration
 from otterrudder.interface import Cut, Product, Tenant
 from otterrudder.levels import BadTable, Ladder, Rung, Table, read
 from otterrudder.levels.table import FACTS
-from otterrudder.net.configuration import BadConfiguration, read_configuration
 
 AGAINST = click.option(
     "--config",
--- a/otterrudder/cli/migrate.py
+++ b/otterrudder/cli/migrate.py
@@ -9,8 +9,8 @@
 import click
 
 from otterrudder.cli.common import give_up
+from otterrudder.configuration import BadConfiguration, check_configuration, decode_file
 from otterrudder.files import merged
-from otterrudder.net.configuration import BadConfiguration, check_configuration, decode_file
 
 ABSENT = object()  # not even null stands there
 # What the new shape states in another way: the place in the settings, the value there, and why.
--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -8,8 +8,8 @@
 
 from otterrudder import log
 from otterrudder.cli.common import give_up
+from otterrudder.configuration import BadConfiguration, read_configuration
 from otterrudder.net import serve as server
-from otterrudder.net.configuration import BadConfiguration, read_configuration
 
 LEVELS = click.option(
     "--levels",
--- a/otterrudder/cli/vrrp.py
+++ b/otterrudder/cli/vrrp.py
@@ -12,9 +12,9 @@
 
 from otterrudder.boot import products_of, tenants_of
 from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.configuration import BadConfiguration, read_configuration
 from otterrudder.interface import Product, Tenant
 from otterrudder.net import control
-from otterrudder.net.configuration import BadConfiguration, read_configuration
 from otterrudder.vrrp import packet
 from otterrudder.vrrp.group import BadGroups, parse_groups
 from otterrudder.vrrp.packet import BadPacket
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
+from otterrudder.configuration import BadConfiguration, address
 from otterrudder.files import convert, load_toml
 from otterrudder.fleet.member import POLL_SHARE, Rules
 from otterrudder.fleet.records import NAME_MOST, Absent
-from otterrudder.net.configuration import BadConfiguration, address
 
 VERSION = 1  # of the form
 NEEDS = ("aetcd", "grpc")  # what the store's client stands on, the extra `fleet`
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -13,11 +13,11 @@
 
 from otterrudder import __version__, clock
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
+from otterrudder.configuration import MOVABLE, BadConfiguration, address, read_configuration
 from otterrudder.interface import Effect
 from otterrudder.log import log
 from otterrudder.logic import Rudder
 from otterrudder.net import core, early
-from otterrudder.net.configuration import MOVABLE, BadConfiguration, address, read_configuration
 from otterrudder.net.gateways import Gateways
 from otterrudder.net.helm import Helm
 from otterrudder.net.records import Records
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -11,7 +11,7 @@
 
 from otterrudder.boot import boot
 from otterrudder.cli.migrate import migrate_settings
-from otterrudder.net.configuration import BadConfiguration, read_configuration
+from otterrudder.configuration import BadConfiguration, read_configuration
 
 OLD = {
     "classes": [
