The rig's faulty servers start by net.serve: lab imports the command line no more

lab/processes/double.py started the server by otterrudder.cli.serve, an upward import. Files.from_environment reads the same variables, named once in configuration.py, and the commands use those names.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -20,7 +20,12 @@
 import msgspec
 
 from otterrudder.cli.common import give_up, named_in, tables_in
-from otterrudder.configuration import BadConfiguration, read_configuration
+from otterrudder.configuration import (
+    CONFIGURATION_VARIABLE,
+    FLEET_VARIABLE,
+    BadConfiguration,
+    read_configuration,
+)
 from otterrudder.fleet.change import (
     Refused,
     count,
@@ -51,7 +56,7 @@
 FILE = click.option(
     "--fleet",
     "file",
-    envvar="OTTERRUDDER_FLEET",
+    envvar=FLEET_VARIABLE,
     required=True,
     metavar="FILE",
     help="TOML file of the fleet (or OTTERRUDDER_FLEET).",
@@ -539,7 +544,7 @@
 def _check(text: str, path: Path) -> None:
     """Against this machine's configuration where there is one; else by the names that the file itself has."""
     try:
-        if config := os.environ.get("NODE_CONFIG"):
+        if config := os.environ.get(CONFIGURATION_VARIABLE):
             own = own_of(read_configuration(config)["settings"])
         else:
             told = tomllib.loads(text)
--- a/otterrudder/cli/levels.py
+++ b/otterrudder/cli/levels.py
@@ -9,7 +9,7 @@
 
 from otterrudder.boot import products_of, tenants_of
 from otterrudder.cli.common import give_up, named_in, tables_in
-from otterrudder.configuration import BadConfiguration, read_configuration
+from otterrudder.configuration import CONFIGURATION_VARIABLE, BadConfiguration, read_configuration
 from otterrudder.interface import Cut, Product, Tenant
 from otterrudder.levels import BadTable, Ladder, Rung, Table, read
 from otterrudder.levels.table import FACTS
@@ -114,7 +114,7 @@
 
 def _known(file: str, config: str | None) -> tuple[list[Product], list[Tenant]]:
     """The products and tenants that a table is checked against."""
-    path = config or os.environ.get("NODE_CONFIG")
+    path = config or os.environ.get(CONFIGURATION_VARIABLE)
     if path:
         try:
             settings = read_configuration(path)["settings"]
--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -8,13 +8,20 @@
 
 from otterrudder import log
 from otterrudder.cli.common import give_up
-from otterrudder.configuration import BadConfiguration, read_configuration
+from otterrudder.configuration import (
+    CONFIGURATION_VARIABLE,
+    FLEET_VARIABLE,
+    LEVELS_VARIABLE,
+    VRRP_VARIABLE,
+    BadConfiguration,
+    read_configuration,
+)
 from otterrudder.net import serve as server
 
 LEVELS = click.option(
     "--levels",
     "levels",
-    envvar="OTTERRUDDER_LEVELS",
+    envvar=LEVELS_VARIABLE,
     metavar="FILE",
     help="TOML table of levels of reduced service (or OTTERRUDDER_LEVELS). Absent: off.",
 )
@@ -22,7 +29,7 @@
 VRRP = click.option(
     "--vrrp",
     "vrrp",
-    envvar="OTTERRUDDER_VRRP",
+    envvar=VRRP_VARIABLE,
     metavar="FILE",
     help="TOML file of VRRP groups (or OTTERRUDDER_VRRP). Absent: off.",
 )
@@ -31,7 +38,7 @@
 FLEET = click.option(
     "--fleet",
     "fleet",
-    envvar="OTTERRUDDER_FLEET",
+    envvar=FLEET_VARIABLE,
     metavar="FILE",
     help="TOML file of the fleet that this server is of (or OTTERRUDDER_FLEET). Absent: off.",
 )
@@ -39,7 +46,7 @@
 
 def configuration() -> tuple[dict[str, Any], str | None]:
     """The configuration that NODE_CONFIG names, and its path; ends the process if it is no good."""
-    path = os.environ.get("NODE_CONFIG")
+    path = os.environ.get(CONFIGURATION_VARIABLE)
     try:
         return read_configuration(path), path
     except BadConfiguration as trouble:
--- a/otterrudder/cli/vrrp.py
+++ b/otterrudder/cli/vrrp.py
@@ -12,7 +12,7 @@
 
 from otterrudder.boot import products_of, tenants_of
 from otterrudder.cli.common import give_up, named_in, tables_in
-from otterrudder.configuration import BadConfiguration, read_configuration
+from otterrudder.configuration import CONFIGURATION_VARIABLE, BadConfiguration, read_configuration
 from otterrudder.interface import Product, Tenant
 from otterrudder.net import control
 from otterrudder.vrrp import packet
@@ -80,7 +80,7 @@
 
 
 def _known(told: dict[str, object]) -> tuple[list[Product], list[Tenant]]:
-    if path := os.environ.get("NODE_CONFIG"):
+    if path := os.environ.get(CONFIGURATION_VARIABLE):
         settings = read_configuration(path)["settings"]
         return products_of(settings), tenants_of(settings)
     return named_in(tables_in(told, "group"))
--- a/otterrudder/configuration.py
+++ b/otterrudder/configuration.py
@@ -10,6 +10,11 @@
 
 from otterrudder.boot import boot
 
+# Variables of the environment: each names a file, those of the options where the command line does not.
+CONFIGURATION_VARIABLE = "NODE_CONFIG"
+LEVELS_VARIABLE = "OTTERRUDDER_LEVELS"
+VRRP_VARIABLE = "OTTERRUDDER_VRRP"
+FLEET_VARIABLE = "OTTERRUDDER_FLEET"
 MOVABLE = ("runtime", "records", "registry")  # what a new configuration changes without a restart
 _Above0 = Annotated[float, msgspec.Meta(gt=0)]
 _NotBelow0 = Annotated[float, msgspec.Meta(ge=0)]
@@ -105,7 +110,7 @@
 def read_configuration(path: str | None) -> dict[str, Any]:
     """The whole configuration as the file has it; BadConfiguration names the file and the field."""
     if not path:
-        raise BadConfiguration("NODE_CONFIG is not set: it names the configuration file")
+        raise BadConfiguration(f"{CONFIGURATION_VARIABLE} is not set: it names the configuration file")
     return check_configuration(decode_file(path), path)
 
 
--- a/otterrudder/lab/processes/double.py
+++ b/otterrudder/lab/processes/double.py
@@ -10,11 +10,13 @@
 import time
 from collections.abc import Callable
 
+from otterrudder import log
+from otterrudder.configuration import read_configuration
 from otterrudder.fleet import agent
 from otterrudder.fleet.member import Member, Standing
 from otterrudder.interface import Outcome
 from otterrudder.lab.fleet.faults import AnyPolicy, NeverAside, SleepsThrough
-from otterrudder.net import core, registry
+from otterrudder.net import core, registry, serve
 
 EACH = 6  # txns, of which one is spoilt
 LATE_S = 4.6  # s until an answer that is late: the gateways wait 4 s
@@ -155,7 +157,8 @@
 }
 
 if __name__ == "__main__":
-    from otterrudder.cli.serve import serve
-
     FAULTS[sys.argv[1]]()
-    serve.main(args=[], prog_name="otterrudder", standalone_mode=False)
+    files = serve.Files.from_environment()
+    configuration = read_configuration(files.configuration)
+    log.set_up(configuration["name"])
+    sys.exit(serve.run(configuration, files))
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -13,7 +13,16 @@
 
 from otterrudder import __version__, clock
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
-from otterrudder.configuration import MOVABLE, BadConfiguration, address, read_configuration
+from otterrudder.configuration import (
+    CONFIGURATION_VARIABLE,
+    FLEET_VARIABLE,
+    LEVELS_VARIABLE,
+    MOVABLE,
+    VRRP_VARIABLE,
+    BadConfiguration,
+    address,
+    read_configuration,
+)
 from otterrudder.interface import Effect
 from otterrudder.log import log
 from otterrudder.logic import Rudder
@@ -46,6 +55,12 @@
     vrrp: str | None = None
     fleet: str | None = None
 
+    @classmethod
+    def from_environment(cls) -> "Files":
+        """The files that the environment names; an empty name is none."""
+        names = (CONFIGURATION_VARIABLE, LEVELS_VARIABLE, VRRP_VARIABLE, FLEET_VARIABLE)
+        return cls(*(os.environ.get(name) or None for name in names))
+
     def read_levels(self, settings: dict) -> "Table | None":
         """The table of levels, None where there is no file; BadConfiguration says what is wrong with it."""
         if not self.levels:
