lab: a server knows its tries by a protocol; the circle of imports is undone

gateways, server and troubles imported each other for types (server: Try; gateways and troubles: Server). The server states what it needs of a try as the protocol Attempt, and the others import it as usual. Behaviour is as it was: the tests of lab passed.

--- a/otterrudder/lab/gateways.py
+++ b/otterrudder/lab/gateways.py
@@ -8,19 +8,17 @@
 
 import math
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from otterrudder.lab import books
 from otterrudder.lab.arrivals import Ask
 from otterrudder.lab.books import Books
 from otterrudder.lab.checker import Checker
 from otterrudder.lab.engine import Engine
+from otterrudder.lab.server import Server
 from otterrudder.lab.site import GatewaysPart, Site
 from otterrudder.lab.troubles import Listed
 
-if TYPE_CHECKING:
-    from otterrudder.lab.server import Server
-
 WALK_MS = 1.0  # ms from a decline to the next try
 
 
@@ -34,7 +32,7 @@
         gateway: "Gateway",
         ask: Ask,
         number: int,
-        server: "Server",
+        server: Server,
         at: float,
         wait: float,
         is_marked: bool,
@@ -43,7 +41,7 @@
         self.at, self.wait, self.is_marked = at, wait, is_marked
         self.is_over = False
 
-    def tell(self, server: "Server", word: str, rpc: int, *rest: Any) -> None:
+    def tell(self, server: Server, word: str, rpc: int, *rest: Any) -> None:
         """An answer of the server, on its way to the gateway."""
         self.gateway.checker.answered(self.gateway.engine.now, self.number, word)
         server.over(self)
@@ -54,7 +52,7 @@
             self.is_over = True
             self.gateway.heard(self, word, rest)
 
-    def reset(self, server: "Server") -> None:
+    def reset(self, server: Server) -> None:
         """The connection breaks with its server."""
         self._hear("reset", ())
 
@@ -71,7 +69,7 @@
         engine: Engine,
         checker: Checker,
         told: Books,
-        servers: "list[Server]",
+        servers: list[Server],
         numbers: Callable[[], int],
         on_settled: Callable[[Ask], None],
     ) -> None:
@@ -177,7 +175,7 @@
         if how == books.SETTLED and ask.left:
             self.on_settled(ask)
 
-    def _choose(self, ask: Ask, been: tuple[int, ...]) -> "Server | None":
+    def _choose(self, ask: Ask, been: tuple[int, ...]) -> Server | None:
         now = self.engine.now
         known = [n for n in self.listed if n not in been]
         calm = [n for n in known if self.away.get(n, 0.0) <= now] or known
--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -6,9 +6,10 @@
 
 import math
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from otterrudder.interface import Effect, Outcome
+from otterrudder.lab.arrivals import Ask
 from otterrudder.lab.below import Below
 from otterrudder.lab.checker import Checker
 from otterrudder.lab.cores import Cores, Job
@@ -17,14 +18,28 @@
 from otterrudder.levels import Ladder, Table, Watch
 from otterrudder.net.core import GATEWAYS, HELM, RECORDS, RUNTIME, Core
 
-if TYPE_CHECKING:
-    from otterrudder.lab.gateways import Try
-
 UNIX = 1.7e12  # ms: the Unix time of the day's start
 GAUGES = ["busy", "on_cores"]
 Logged = Callable[[float, int, str, dict[str, Any]], None]
 
 
+class Attempt(Protocol):
+    """One try of a txn at this server, as its gateway made it; the core's answers go to it."""
+
+    number: int
+    ask: Ask
+    at: float  # ms: when it reached the machine
+    wait: float  # ms that its gateway waits for an answer
+    is_marked: bool  # as a later try
+    is_over: bool
+
+    def tell(self, server: "Server", word: str, rpc: int, *rest: Any) -> None:
+        """An answer of the server."""
+
+    def reset(self, server: "Server") -> None:
+        """Its connection breaks with the server."""
+
+
 class Run:
     """A started txn on the cores or at a call."""
 
@@ -73,7 +88,7 @@
         watch = Watch(self.table, self.spread(), self.kind) if self.table else None
         boot = self.site.boot(self.number + 1, self.seed * 1000 + self.life)
         self.core = Core(boot, self.products, GAUGES, watch)
-        self.tries: dict[str, Try] = {}
+        self.tries: dict[str, Attempt] = {}
         self.runs: dict[str, Run] = {}
         self.urgent: list[tuple[Callable[..., object], tuple[object, ...], dict[str, Any]]] = []
         self.arrivals: list[tuple[Callable[..., object], tuple[object, ...], dict[str, Any]]] = []
@@ -140,11 +155,11 @@
 
     # Arrivals.
 
-    def take(self, attempt: "Try") -> None:
+    def take(self, attempt: Attempt) -> None:
         """A try reaches the machine: its read waits for a core."""
         self.cores.read(self.site.read_ms, lambda: self._was_read(attempt, self.life))
 
-    def _was_read(self, attempt: "Try", life: int) -> None:
+    def _was_read(self, attempt: Attempt, life: int) -> None:
         if life != self.life or not self.is_up:
             return
         ask, call = attempt.ask, f"{attempt.number:016x}"
@@ -176,7 +191,7 @@
             rank=ask.rank,
         )
 
-    def left(self, attempt: "Try") -> None:
+    def left(self, attempt: Attempt) -> None:
         """Its caller has gone away."""
         self.checker.left(attempt.number)
         self.post_arrival(self.core.left, f"{attempt.number:016x}")
@@ -264,7 +279,7 @@
             self.is_planned = False
             self._plan()
 
-    def over(self, attempt: "Try") -> None:
+    def over(self, attempt: Attempt) -> None:
         """Its answer has gone out, or its caller has; a run that goes on keeps the entry."""
         call = f"{attempt.number:016x}"
         if call not in self.runs:
--- a/otterrudder/lab/troubles.py
+++ b/otterrudder/lab/troubles.py
@@ -1,15 +1,13 @@
 """Troubles on a day's time line: what happens to which servers, when, for how long."""
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, Annotated, Literal
+from typing import Annotated, Literal
 
 import msgspec
 
+from otterrudder.lab.below import Below
 from otterrudder.lab.engine import Engine
-
-if TYPE_CHECKING:
-    from otterrudder.lab.below import Below
-    from otterrudder.lab.server import Server
+from otterrudder.lab.server import Server
 
 Kind = Literal["slow", "dead", "freeze", "release", "below"]
 
@@ -27,14 +25,14 @@
 
 
 class Timeline:
-    def __init__(self, engine: Engine, servers: "list[Server]", below: "Below", notice: "Notice") -> None:
+    def __init__(self, engine: Engine, servers: list[Server], below: Below, notice: "Notice") -> None:
         self.engine, self.servers, self.below, self.notice = engine, servers, below, notice
 
     def plan(self, troubles: Sequence[Trouble]) -> None:
         for trouble in troubles:
             self.engine.at(trouble.at_s * 1000, self._begin, trouble)
 
-    def _struck(self, trouble: Trouble) -> "list[Server]":
+    def _struck(self, trouble: Trouble) -> list[Server]:
         return [self.servers[n] for n in trouble.servers] or self.servers
 
     def _begin(self, trouble: Trouble) -> None:
@@ -57,13 +55,13 @@
             else:
                 self.engine.after(n * trouble.gap_s * 1000, self._leave, server, span)
 
-    def _leave(self, server: "Server", span: float) -> None:
+    def _leave(self, server: Server, span: float) -> None:
         """A release: the old process drains, the new one starts cold once it is gone."""
         server.retire()
         self.notice.gone(server)
         self.engine.after(server.site.server.stop_ms + span, self._back, server)
 
-    def _back(self, server: "Server") -> None:
+    def _back(self, server: Server) -> None:
         if not server.is_up:
             server.start(warm=False)
         self.notice.came(server)
@@ -75,10 +73,10 @@
     def __init__(self, engine: Engine, gateways: "list[Listed]", notice_ms: float) -> None:
         self.engine, self.gateways, self.notice_ms = engine, gateways, notice_ms
 
-    def gone(self, server: "Server") -> None:
+    def gone(self, server: Server) -> None:
         self._tell(server.number, False)
 
-    def came(self, server: "Server") -> None:
+    def came(self, server: Server) -> None:
         self._tell(server.number, True)
 
     def _tell(self, number: int, is_there: bool) -> None:
