--- a/otterrudder/boot.py
+++ b/otterrudder/boot.py
@@ -1,5 +1,8 @@
 """From the settings object, as a server is told it at its start, to a Rudder: for drill and server alike."""
 
+from collections.abc import Mapping
+from typing import Any
+
 from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.logic import Rudder
 
@@ -9,18 +12,18 @@
 _BELOW = {"common": "shared", "next_hop": "tier"}
 
 
-def _ms(table: dict, name: str, default_us: float = 0) -> float:
+def _ms(table: Mapping[str, Any], name: str, default_us: float = 0) -> float:
     value = table.get(name)
     return (default_us if value is None else value) / 1000
 
 
-def products_of(settings: dict) -> list[Product]:
+def products_of(settings: Mapping[str, Any]) -> list[Product]:
     info = settings.get("familyInfo") or {}
     calls, omits = info.get("classCalls") or [], info.get("classSkipWorth") or []
     return [
         Product(
             name=c.get("name") or str(n),
-            effect=_EFFECTS.get(c.get("effect"), Effect.ONCE),
+            effect=_EFFECTS.get(c.get("effect", ""), Effect.ONCE),
             value=c.get("worth") or 0.0,
             sla_ms=_ms(c, "promiseUs", c.get("hardLimitUs") or 1e6),
             expiry_ms=_ms(c, "hardLimitUs", 1e6),
@@ -33,7 +36,7 @@
     ]
 
 
-def tenants_of(settings: dict) -> list[Tenant]:
+def tenants_of(settings: Mapping[str, Any]) -> list[Tenant]:
     servers = max(settings.get("servers") or 1, 1)
     return [
         Tenant(r.get("name") or "", r.get("share") or 0.0, (r.get("allowancePerS") or 0.0) / 1000 / servers)
@@ -41,7 +44,7 @@
     ]
 
 
-def limits_of(settings: dict) -> Limits:
+def limits_of(settings: Mapping[str, Any]) -> Limits:
     told = settings.get("limits") or {}
     return Limits(
         _ms(told, "maxRetryAfterUs") if told.get("retryAfter") else 0.0,
@@ -50,25 +53,25 @@
     )
 
 
-def below_of(settings: dict) -> str:
+def below_of(settings: Mapping[str, Any]) -> str:
     """What lies below: "shared", one service for all servers; "tier"; "": nothing."""
-    return _BELOW.get((settings.get("familyInfo") or {}).get("below"), "")
+    return _BELOW.get((settings.get("familyInfo") or {}).get("below", ""), "")
 
 
-def can_stop(settings: dict) -> bool:
+def can_stop(settings: Mapping[str, Any]) -> bool:
     """Whether running work can be stopped: a stop of an answered txn ends it where work is paused as well."""
     return (settings.get("familyInfo") or {}).get("stopMode") in ("drop", "pause")
 
 
-def gauge_names(settings: dict) -> list[str]:
+def gauge_names(settings: Mapping[str, Any]) -> list[str]:
     """In the order in which a ring brings them; empty where the module has no use for one."""
     return [_GAUGES.get(name, "") for name in (settings.get("familyInfo") or {}).get("gauges") or []]
 
 
-def boot(now: float, instance: int, seed: int, settings: dict, **told: object) -> Rudder:
+def boot(now: float, instance: int, seed: int, settings: Mapping[str, Any], **told: object) -> Rudder:
     """`told`: what this start knows better than the settings, by the Rudder's own names."""
     info, rules = settings.get("familyInfo") or {}, settings.get("rules") or {}
-    facts = dict(
+    facts: dict[str, Any] = dict(
         products=products_of(settings),
         tenants=tenants_of(settings),
         cores=info.get("cores") or 1,
@@ -82,7 +85,7 @@
         cold_ms=_ms(rules, "coldUs"),
         drain_grace_ms=_ms(rules, "drainGraceUs"),
         tick_ms=_ms(settings, "tickUs", 1000),
-        say=_SAY.get(info.get("say"), ""),
+        say=_SAY.get(info.get("say", ""), ""),
         limits=limits_of(settings),
         idle_max_ms=_ms(info, "callerIdleUs"),
         may_stop=can_stop(settings),
--- a/otterrudder/drill/frames.py
+++ b/otterrudder/drill/frames.py
@@ -2,11 +2,14 @@
 
 import struct
 from collections.abc import Iterator
-from typing import BinaryIO
+from typing import Any, BinaryIO
 
 from otterrudder.interface import Outcome, Step
 
 
+Event = tuple[Any, ...]  # (code, instance, fields...)
+
+
 class BadFrame(Exception):
     """The input is not a frame of this wire."""
 
@@ -67,12 +70,13 @@
     return data
 
 
-def decode(body: bytes) -> tuple[float, list[tuple]]:
-    """The clock in ms and the events as (code, instance, fields...)."""
+def decode(body: bytes) -> tuple[float, list[Event]]:
+    """The clock in ms and the events."""
     if len(body) < _HEAD.size:
         raise BadFrame(f"a frame of {len(body)} bytes has no header")
     clock, count = _HEAD.unpack_from(body)
-    at, events = _HEAD.size, []
+    at = _HEAD.size
+    events: list[Event] = []
     try:
         for _ in range(count):
             code = _CODE.unpack_from(body, at)[0]
@@ -103,25 +107,26 @@
 
 
 def encode_step(instance: int, step: Step) -> bytes:
-    word = step[0]
+    """The record of a step; empty for `close`, which the wire has no record of."""
+    word, *rest = step
     if word in _PLAIN:
-        return _TXN.pack(_PLAIN[word], instance, step[1])
+        return _TXN.pack(_PLAIN[word], instance, rest[0])
     if word in _SPAN:
-        return _TXN_SPAN.pack(_SPAN[word], instance, step[1], _us(step[2]))
+        return _TXN_SPAN.pack(_SPAN[word], instance, rest[0], _us(rest[1]))
     if word == "decline":
-        return _DECLINE.pack(75, instance, step[1], step[2], _us(step[3]))
+        return _DECLINE.pack(75, instance, rest[0], rest[1], _us(rest[2]))
     if word == "wake":
-        return _WAKE.pack(65, instance, _us(step[1]), 0)
+        return _WAKE.pack(65, instance, _us(rest[0]), 0)
     if word == "advertise":
-        return _ADVERTISE.pack(66, instance, step[1])
+        return _ADVERTISE.pack(66, instance, rest[0])
     if word == "health":
-        return _HEALTH.pack(67, instance, step[1], True)  # answered from store: a check must not cost a run
+        return _HEALTH.pack(67, instance, rest[0], True)  # answered from store: a check must not cost a run
     if word == "idle":
-        return _IDLE.pack(74, instance, _us(step[1]))
+        return _IDLE.pack(74, instance, _us(rest[0]))
     if word == "close":
         return b""  # the simulator ends the process itself
     if word == "log":
-        return encode_text(79, instance, step[1])
+        return encode_text(79, instance, rest[0])
     raise ValueError(f"no record for step {word!r}")
 
 
--- a/otterrudder/drill/host.py
+++ b/otterrudder/drill/host.py
@@ -1,6 +1,7 @@
 """Hosts many instances of the decision module, each knowing its own events only."""
 
 import json
+from typing import Any
 
 from otterrudder.boot import boot, gauge_names
 from otterrudder.drill import frames
@@ -28,12 +29,12 @@
                 break
         return frames.frame(records)
 
-    def _handle(self, now: float, code: int, instance: int, f: list) -> list[Step]:
+    def _handle(self, now: float, code: int, instance: int, f: list[Any]) -> list[Step]:
         if code == frames.BOOT:
             settings = json.loads(f[1])
-            rudder = self._rudders[instance] = boot(now, instance, f[0], settings)
+            started = self._rudders[instance] = boot(now, instance, f[0], settings)
             self._gauges[instance] = gauge_names(settings)
-            return rudder.done()
+            return started.done()
         if code == frames.KILL:
             self._rudders.pop(instance, None)
             return []
--- a/otterrudder/interface.py
+++ b/otterrudder/interface.py
@@ -16,8 +16,9 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
-Step = tuple[str, *tuple[object, ...]]
+Step = tuple[str, *tuple[Any, ...]]  # a word and its arguments, in the forms above
 
 
 class Effect(Enum):
