--- a/otterrudder/drill/frames.py
+++ b/otterrudder/drill/frames.py
@@ -6,7 +6,6 @@
 
 from otterrudder.interface import Outcome, Step
 
-
 Event = tuple[Any, ...]  # (code, instance, fields...)
 
 
