--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -28,6 +28,7 @@
     from otterrudder.levels import News, Table, Watch
 
 RUNTIME, RECORDS, GATEWAYS, HELM = "runtime", "records", "gateways", "helm"
+Outgoing = tuple[Any, ...]  # (address, word, ...), in the forms above
 # Of what was sent to the runtime, beside the number of gauges. In doubt: a lost link may have swallowed it,
 # and no gauges on a later link say anything of it.
 UNSENT, PROVED, IN_DOUBT = 0, -1, math.inf
@@ -110,7 +111,7 @@
         self.names = {product.name: n for n, product in enumerate(products)}
         self.rudder: Rudder | None = None
         self.unix = self.now = 0.0
-        self.out: list[tuple] = []
+        self.out: list[Outgoing] = []
         self.txns: dict[int, Txn] = {}
         self.calls: dict[str, Txn] = {}  # the same entries by the id the wires know
         self.references: dict[str, Reference] = {}
@@ -124,6 +125,12 @@
         self.told_cores = -1.0  # on the cores as the last ring heard, for the log
         self.told: dict[str, float] = {}  # the answered gauges, until a ring takes them
 
+    @property
+    def _module(self) -> Rudder:
+        """The Rudder, where it is known to be there: no txn is taken and no ring is due before it begins."""
+        assert self.rudder
+        return self.rudder
+
     # The batch: the time first, then what came, then the steps.
 
     def at(self, unix: float, now: float) -> None:
@@ -133,7 +140,7 @@
         if self.rudder:
             self.rudder.at(now)
 
-    def done(self) -> list[tuple]:
+    def done(self) -> list[Outgoing]:
         """Carries the steps out, and those that follow from them, and hands over what is to be sent."""
         while self.rudder and (steps := self.rudder.done()):
             for step in steps:
@@ -141,7 +148,7 @@
                     self._carry_out(step)
                 except Exception as trouble:  # one txn's failure is not the others'
                     self.out.append((HELM, "log", "a step failed", {"step": step, "trouble": repr(trouble)}))
-                    if txn := self.txns.get(step[1]):
+                    if len(step) > 1 and (txn := self.txns.get(step[1])):
                         self._void(txn)
         self.fresh.clear()
         out, self.out = self.out, []
@@ -205,7 +212,7 @@
         txn = self.calls.get(call)
         if txn and not txn.answered:
             self._close(txn)
-            self.rudder.left(txn.number)
+            self._module.left(txn.number)
             self._release(txn)
 
     def check(self, peer: Hashable, rpc: int) -> None:
@@ -266,7 +273,7 @@
     def wants(self, call: str, body: bytes) -> None:
         if (txn := self.calls.get(call)) and txn.started and txn.wants is None:
             txn.wants, txn.given, txn.proof = body, None, PROVED
-            self.rudder.needs_call(txn.number)
+            self._module.needs_call(txn.number)
 
     def gauged(self, tag: int, values: list[float]) -> None:
         if tag == self.asked:  # an older answer proves what was read, but says nothing of now
@@ -297,7 +304,7 @@
             txn.wants, txn.given, txn.proof = None, body, UNSENT
             if self.is_linked:  # else it goes out with the next link, for the run waits for it
                 self._give(txn)
-        self.rudder.call_ended(txn.number, outcome)
+        self._module.call_ended(txn.number, outcome)
 
     # From the helm.
 
@@ -313,10 +320,10 @@
         ladder of levels takes the cores' use for unknown. `late_ms`: how late this ring itself is."""
         told, self.told = self.told, {}
         self.told_cores = told.get("on_cores", -1.0)
-        self.rudder.ring(**told)
+        self._module.ring(**told)
         # a drain declines by its own rule, and nothing else moves in it
         if self.levels and not self.retiring:
-            facts = self.rudder.facts() | {"late_ms": late_ms}
+            facts = self._module.facts() | {"late_ms": late_ms}
             if "busy" not in told:
                 del facts["busy"]
             self._tell_level(self.levels.step(self.now, facts))
@@ -400,7 +407,7 @@
         """An event of this txn could not be dealt with: it is voided, the others go on."""
         if txn := self.calls.get(call):
             self._void(txn)
-            self.rudder.left(txn.number)
+            self._module.left(txn.number)
 
     # Steps.
 
@@ -410,7 +417,7 @@
             if txn := self.txns.get(rest[0]):
                 _OF_A_TXN[word](self, txn, *rest[1:])
             elif word == "run":  # its caller left within this batch: nothing starts, and its slot comes back
-                self.rudder.finished(rest[0], Outcome.MOOT)
+                self._module.finished(rest[0], Outcome.MOOT)
         elif word == "wake":
             self.out.append((HELM, "wake", rest[0]))
         elif word == "advertise":
@@ -445,7 +452,7 @@
 
     def _serve_from(self, txn: Txn, result: bytes | None) -> None:
         self._answer(txn, Outcome.ERROR if result is None else Outcome.OK, result or b"")
-        self.rudder.finished(txn.number, Outcome.ERROR if result is None else Outcome.OK)
+        self._module.finished(txn.number, Outcome.ERROR if result is None else Outcome.OK)
         self._release(txn)
 
     def _stop(self, txn: Txn) -> None:
@@ -520,7 +527,7 @@
             self._answer(txn, outcome, body)
         if txn.calling:
             self._call_over(txn, hang_up=True)
-        self.rudder.finished(txn.number, outcome)
+        self._module.finished(txn.number, outcome)
         if known and known.holder == txn.number:
             waiting, known.waiting = known.waiting, []
             for number in waiting:
@@ -535,7 +542,9 @@
             self.out.append((RECORDS, "hang up", txn.call))
 
     def _release(self, txn: Txn) -> None:
-        if txn.answered and not txn.started and self.txns.pop(txn.number, None):
+        if not txn.answered or txn.started:
+            return
+        if self.txns.pop(txn.number, None):
             del self.calls[txn.call]
 
     def _lapse(self, mark: str) -> None:
--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -6,6 +6,7 @@
 import errno
 import math
 import socket
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -64,7 +65,7 @@
         self.worded = False  # something was answered
         self.wrongs = 0
 
-    def tell(self, word: str, rpc: int, *rest: object) -> None:
+    def tell(self, word: str, rpc: int, *rest: Any) -> None:
         if word == "health":
             parts = jsonrpc.health(rpc, *rest)
         else:
@@ -138,7 +139,7 @@
             self.open[rpc] = fields["call"]
             self.helm.post_arrival(core.arrive, self, rpc, product, of=fields["call"], **fields)
 
-    def _interrupt(self, params: dict) -> None:
+    def _interrupt(self, params: dict[str, Any]) -> None:
         for rpc, call in self.open.items():
             if call == params.get("call"):
                 del self.open[rpc]
@@ -211,7 +212,7 @@
         self.sock.bind(address)
         self.sock.listen(BACKLOG)
 
-    def tell(self, word: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
         if word == "idle":
             self.idle_ms = rest[0]
         elif word == "close":
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/helm.py
@@ -22,8 +22,14 @@
 REPORT_MS = 10_000.0  # ms between lines on how this process does
 
 
+Mail = tuple[Callable[..., object], tuple[Any, ...], dict[str, Any], str]  # a call, its arguments, whose txn
+
+
 class Address(Protocol):
-    def tell(self, word: str, *rest: object) -> None: ...
+    """What the core's messages may be sent to."""
+
+    def tell(self, word: str, *rest: Any) -> None:
+        """Takes a message, in the forms that core.py lists; never waits."""
 
 
 class Helm:
@@ -31,19 +37,19 @@
         self.core = the_core
         self.addresses: dict[Hashable, Address] = {core.HELM: self}
         self.period = 0.0  # ms of the last ring's wait
-        self.urgent: list[tuple] = []
-        self.arrivals: list[tuple] = []
+        self.urgent: list[Mail] = []
+        self.arrivals: list[Mail] = []
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
         self.watch = _Watch()
         self.ahead: list[Callable[[float], None]] = []  # what may not wait for a turn: it is played first
 
-    def post(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+    def post(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
         """Puts a call of the core into the mailbox; `of` names the txn that is voided if it fails."""
         self.urgent.append((act, args, more, of))
         self.wake.set()
 
-    def post_arrival(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+    def post_arrival(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
         self.arrivals.append((act, args, more, of))
         self.wake.set()
 
@@ -82,7 +88,7 @@
             self.tell("wake", self.period)
         self._try(self.watch.turned, now, len(urgent) + len(arrivals), self.core)
 
-    def tell(self, word: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
         if word == "wake":
             self.period = rest[0]
             self.ring_at = clock.monotonic() + rest[0]
@@ -90,7 +96,7 @@
         else:
             log.info(rest[0], **rest[1])
 
-    def _try(self, act: Callable[..., Any], *args: object, of: str = "", **more: object) -> Any:
+    def _try(self, act: Callable[..., Any], *args: Any, of: str = "", **more: Any) -> Any:
         try:
             return act(*args, **more)
         except Exception:
--- a/otterrudder/net/jsonrpc.py
+++ b/otterrudder/net/jsonrpc.py
@@ -4,7 +4,7 @@
 import math
 import re
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 
@@ -36,7 +36,22 @@
 class Message(NamedTuple):
     rpc: int | None  # none: no answer is wanted
     method: str
-    params: dict
+    params: dict[str, Any]
+
+
+class TxnFields(TypedDict):
+    """What a gateway says of a txn, by the names of `Core.arrive`."""
+
+    call: str
+    recv: float  # Unix time in ms
+    ttl: float | None  # ms
+    kb: float
+    tenant: int
+    key: int
+    retry: bool
+    rank: float
+    dedupe: str
+    body: bytes
 
 
 def messages(buffer: Buffer) -> Iterator[Message | Malformed]:
@@ -67,28 +82,28 @@
     return Message(rpc, method, params)
 
 
-def ident(params: dict) -> str:
+def ident(params: dict[str, Any]) -> str:
     call = params.get("call")
     if not isinstance(call, str) or not _HEX16.fullmatch(call):
         raise ValueError("call is not 16 hex digits")
     return call
 
 
-def number(params: dict, name: str, least: float, most: float) -> float:
-    value = params.get(name)
+def number(params: dict[str, Any], name: str, least: float, most: float) -> float:
+    value: Any = params.get(name)
     if type(value) not in (int, float) or not least <= value <= most:  # NaN is neither
         raise ValueError(f"{name} is no number from {least:g} to {most:g}")
     return float(value)
 
 
-def text(params: dict, name: str) -> str:
+def text(params: dict[str, Any], name: str) -> str:
     value = params.get(name, "")
     if not isinstance(value, str):
         raise ValueError(f"{name} is no string")
     return value
 
 
-def txn(params: dict, tenants: dict[str, int], unix: float, marked: bool) -> dict:
+def txn(params: dict[str, Any], tenants: dict[str, int], unix: float, marked: bool) -> TxnFields:
     """The fields of a txn by the core's names; ValueError says what is wrong with them."""
     org, row, mark = text(params, "org"), text(params, "row"), text(params, "dedupe")
     if len(mark) > MARK_MOST or (marked and not mark):
@@ -110,7 +125,7 @@
         raise ValueError("blob is not base64") from None
     if len(body) > BODY_MOST:
         raise ValueError(f"blob is over {BODY_MOST} bytes")
-    return dict(
+    return TxnFields(
         call=ident(params),
         recv=number(params, "recv", unix - AWRY_MS, unix + AWRY_MS),
         ttl=number(params, "ttl", 0, WAIT_MOST_MS) if "ttl" in params else None,
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -3,6 +3,7 @@
 
 import math
 from collections import deque
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -124,20 +125,21 @@
         self.group: anyio.abc.TaskGroup | None = None
         self.is_refused = False  # the last that was heard of the service is a connection that was not made
 
-    def tell(self, word: str, call: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
+        call = rest[0]
         if word == "call":
             if earlier := self.on.pop(call, None):  # a second call for one txn gives up the first
                 earlier.give_up(call)
-            link = self._link(call) if self.address and self.group else None
+            link = self._link(call, self.address, self.group) if self.address and self.group else None
             if link:
                 self.on[call] = link
-                link.take(call, lines.say_body(rest[1], "OP", call, max(math.ceil(rest[0]), 1)))
+                link.take(call, lines.say_body(rest[2], "OP", call, max(math.ceil(rest[1]), 1)))
             else:  # it never ran: the module may try again
                 self.helm.post(self.helm.core.replied, call, Outcome.UNREACHED, of=call)
         elif link := self.on.pop(call, None):
             link.give_up(call)
 
-    def _link(self, call: str) -> Link | None:
+    def _link(self, call: str, address: tuple[str, int], group: anyio.abc.TaskGroup) -> Link | None:
         """The freshest idle one, else a new one, else the one with the fewest calls."""
         now = clock.monotonic()
         for link in self.idle[::-1]:  # one that has gone may leave the list
@@ -147,15 +149,15 @@
                 self.idle.remove(link)
                 return link
         if len(self.links) < self.most:
-            link = Link(self, self.address)
+            link = Link(self, address)
             self.links.add(link)
-            self.group.start_soon(link.run)
+            group.start_soon(link.run)
             return link
         usable = [link for link in self.links if not link.spent and call not in link.carried]
-        link = min(usable, key=lambda link: len(link.calls), default=None)
-        if link in self.idle:
-            self.idle.remove(link)
-        return link
+        least = min(usable, key=lambda link: len(link.calls), default=None)
+        if least in self.idle:
+            self.idle.remove(least)
+        return least
 
     def ended(self, link: Link, call: str, outcome: Outcome, body: bytes = b"") -> None:
         del link.calls[call], self.on[call]
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -1,6 +1,7 @@
 """The link to the runtime: held open, made anew when lost, with every notice heard once and in order."""
 
 import random
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -23,7 +24,7 @@
     def __init__(self, helm: Helm, address: tuple[str, int]) -> None:
         self.helm, self.address = helm, address
         self.stream: sockets.Stream | None = None
-        self.group: anyio.abc.TaskGroup | None = None
+        self.group: anyio.abc.TaskGroup  # while it runs
         self.last = 0  # the last notice heard
         self.replaying = False
         self.born: float | None = None  # when the runtime started, by our clock
@@ -38,7 +39,7 @@
         elif self.stream:
             self.helm.post(self.helm.core.leave_link)
 
-    def tell(self, word: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
         if not self.stream:
             return  # the core repeats what is missing once the link stands
         if word == "leave":
@@ -91,10 +92,11 @@
     def _leave(self, tag: int) -> None:
         """The last question on the old link: its answer proves that all before it was read. What is decided
         meanwhile waits for the new link, so that no start is in doubt."""
-        if self.stream is self.left and not self.leaving:
+        stream = self.stream
+        if stream and stream is self.left and not self.leaving:
             self.leaving = str(tag)
-            self.stream.send(lines.say("gauges", tag))
-            self.group.start_soon(self._end_late, self.stream)
+            stream.send(lines.say("gauges", tag))
+            self.group.start_soon(self._end_late, stream)
 
     async def _end_late(self, stream: sockets.Stream) -> None:
         await anyio.sleep(MOVE_S)
@@ -132,11 +134,12 @@
                 self.helm.post(core.linked)
             else:
                 self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
-                if words[1] == self.leaving:
+                if self.stream and words[1] == self.leaving:
                     self.stream.end(MOVED)
         elif word == "ready":
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
+            assert self.stream  # that it was heard on
             self.stream.send(lines.say("gauges", REPLAYED))
             born = clock.monotonic() - up_ms
             if self.born is None:
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -5,9 +5,9 @@
 import resource
 import signal
 import zlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -61,7 +61,7 @@
         names = (CONFIGURATION_VARIABLE, LEVELS_VARIABLE, VRRP_VARIABLE, FLEET_VARIABLE)
         return cls(*(os.environ.get(name) or None for name in names))
 
-    def read_levels(self, settings: dict) -> "Table | None":
+    def read_levels(self, settings: dict[str, Any]) -> "Table | None":
         """The table of levels, None where there is no file; BadConfiguration says what is wrong with it."""
         if not self.levels:
             return None
@@ -85,7 +85,7 @@
         except BadFleet as trouble:
             raise BadConfiguration(str(trouble)) from None
 
-    def read_vrrp(self, settings: dict) -> "Groups | None":
+    def read_vrrp(self, settings: dict[str, Any]) -> "Groups | None":
         """The VRRP groups with their keys, None where there is no file; BadConfiguration says what is
         wrong."""
         if not self.vrrp:
@@ -98,7 +98,7 @@
             raise BadConfiguration(str(trouble)) from None
 
 
-def unsaid(settings: dict) -> list[str]:
+def unsaid(settings: dict[str, Any]) -> list[str]:
     """What the settings allow and the runtime's protocol has no word for: a line that is no command ends the
     link, so the server keeps it off."""
     why = "the runtime's protocol has no word for it, so it is kept off"
@@ -108,7 +108,7 @@
     ] * omits
 
 
-def run(told: dict, files: Files) -> int:
+def run(told: dict[str, Any], files: Files) -> int:
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
     levels, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
@@ -122,7 +122,7 @@
 
 
 async def _serve(
-    told: dict, files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
+    told: dict[str, Any], files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
 ) -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
@@ -130,7 +130,7 @@
 
 
 async def _live(
-    told: dict,
+    told: dict[str, Any],
     files: Files,
     levels: "Table | None",
     groups: "Groups | None",
@@ -179,7 +179,7 @@
     speaker = _speaker(groups, helm, runtime, records, registry) if groups else None
     agent = _agent(fleet, told, helm, spread) if fleet else None
     log.info("listening", address=told["listen"], pid=os.getpid())
-    if watch:
+    if levels and watch:
         names = [rung.name for rung in levels.rungs]
         log.info("levels", service=watch.name, shadow=watch.is_shadow, of=names)
     gc.collect()
@@ -195,8 +195,11 @@
         if speaker or agent:
             from otterrudder.net.control import Control
 
-            answers = {"vrrp": speaker.shown} if speaker else {}
-            answers |= {"fleet": agent.shown} if agent else {}
+            answers: dict[str, Callable[[], object]] = {}
+            if speaker:
+                answers["vrrp"] = speaker.shown
+            if agent:
+                answers["fleet"] = agent.shown
             group.start_soon(Control(told["name"], answers).run)
         group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, speaker)
         await gateways.run(group)
@@ -234,7 +237,7 @@
     return speaker
 
 
-def _agent(fleet: "Fleet", told: dict, helm: Helm, spread: float) -> "Agent":
+def _agent(fleet: "Fleet", told: dict[str, Any], helm: Helm, spread: float) -> "Agent":
     """The fleet's actor, its folder taken: what it orders goes to the core by the helm, ahead of what
     arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
     from otterrudder.durable import Busy
@@ -295,13 +298,13 @@
     return agent
 
 
-def _records(told: dict) -> tuple[str, int] | None:
+def _records(told: dict[str, Any]) -> tuple[str, int] | None:
     return address(told["records"]) if told.get("records") else None
 
 
 async def _watch(
     signals: AsyncIterator[signal.Signals],
-    told: dict,
+    told: dict[str, Any],
     files: Files,
     helm: Helm,
     runtime: Runtime,
@@ -332,7 +335,9 @@
         yield number
 
 
-def _reload(told: dict, files: Files, runtime: Runtime, records: Records, registry: Registry) -> dict:
+def _reload(
+    told: dict[str, Any], files: Files, runtime: Runtime, records: Records, registry: Registry
+) -> dict[str, Any]:
     """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
     try:
         new = read_configuration(files.configuration)
@@ -353,7 +358,7 @@
     return told | {name: new.get(name) for name in MOVABLE}
 
 
-def _reload_keys(told: dict, files: Files, speaker: "Speaker") -> None:
+def _reload_keys(told: dict[str, Any], files: Files, speaker: "Speaker") -> None:
     """Other keys for VRRP; groups are settled at the start."""
     try:
         if groups := files.read_vrrp(told["settings"]):
@@ -363,7 +368,7 @@
         log.error("vrrp keys not taken", why=str(trouble))
 
 
-def _reload_levels(told: dict, files: Files, helm: Helm) -> None:
+def _reload_levels(told: dict[str, Any], files: Files, helm: Helm) -> None:
     """Takes the table of levels anew; whether there are levels at all is settled at the start."""
     try:
         if table := files.read_levels(told["settings"]):
