A txn's fields are made by a dict literal: no slower than before they had a type

The TypedDict's constructor took 929 ns where dict() took 408 (timeit on this machine, noisy); the literal has no call at all: jsonrpc.txn 3497 ns with the constructor, 2497 ns now.

--- a/otterrudder/net/jsonrpc.py
+++ b/otterrudder/net/jsonrpc.py
@@ -125,18 +125,18 @@
         raise ValueError("blob is not base64") from None
     if len(body) > BODY_MOST:
         raise ValueError(f"blob is over {BODY_MOST} bytes")
-    return TxnFields(
-        call=ident(params),
-        recv=number(params, "recv", unix - AWRY_MS, unix + AWRY_MS),
-        ttl=number(params, "ttl", 0, WAIT_MOST_MS) if "ttl" in params else None,
-        kb=kb,
-        tenant=tenants.get(org, 0),
-        key=int(row, 16) if row else 0,
-        retry="rep" in params,
-        rank=number(params, "crit", 0, 1) if "crit" in params else 1.0,
-        dedupe=mark,
-        body=body,
-    )
+    return {
+        "call": ident(params),
+        "recv": number(params, "recv", unix - AWRY_MS, unix + AWRY_MS),
+        "ttl": number(params, "ttl", 0, WAIT_MOST_MS) if "ttl" in params else None,
+        "kb": kb,
+        "tenant": tenants.get(org, 0),
+        "key": int(row, 16) if row else 0,
+        "retry": "rep" in params,
+        "rank": number(params, "crit", 0, 1) if "crit" in params else 1.0,
+        "dedupe": mark,
+        "body": body,
+    }
 
 
 def settled(rpc: int, body: bytes, load: float | None) -> list[bytes]:
