Rename: net/helm.py Helm is net/dispatcher.py Dispatcher

The name needed explaining: it is the event loop's dispatcher, and its doc comments say what it does. The core's address word goes with it, and tests and docs; nothing else is changed.

--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -1,4 +1,4 @@
-"""One server of a site: a real core driven as the helm drives it, on modelled cores.
+"""One server of a site: a real core driven as the dispatcher drives it, on modelled cores.
 
 A batch is the time first, then what the runtime and the records tier said, then arrivals, the ring if it is
 due, one `done`; what comes at one instant makes one batch. The process may be killed, frozen, slowed or
@@ -16,7 +16,7 @@
 from otterrudder.lab.engine import Engine
 from otterrudder.lab.site import Site
 from otterrudder.levels import Ladder, Table, Watch
-from otterrudder.net.core import GATEWAYS, HELM, RECORDS, RUNTIME, Core
+from otterrudder.net.core import DISPATCHER, GATEWAYS, RECORDS, RUNTIME, Core
 
 UNIX = 1.7e12  # ms: the Unix time of the day's start
 GAUGES = ["busy", "on_cores"]
@@ -134,15 +134,15 @@
                 self._runtime(*message)
             elif address == RECORDS:
                 self._records(*message)
-            elif address == HELM:
-                self._helm(*message)
+            elif address == DISPATCHER:
+                self._dispatcher(*message)
             elif address == GATEWAYS:
                 if message[0] == "close":
                     self.engine.after(1.0, self._stopped, self.life)
             elif address is not None:
                 address.tell(self, *message)
 
-    def _helm(self, word: str, *rest: Any) -> None:
+    def _dispatcher(self, word: str, *rest: Any) -> None:
         if word == "wake":
             self.ring_at = self.engine.now + rest[0]
             self.engine.at(self.ring_at, self._ring, self.life)
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -9,7 +9,7 @@
                 ("gauges", tag)  ("leave", tag)
     RECORDS     ("call", call, wait_ms, body)  ("hang up", call)
     GATEWAYS    ("idle", ms)  ("close",)
-    HELM        ("wake", ms)  ("log", text, facts)
+    DISPATCHER  ("wake", ms)  ("log", text, facts)
 
 Owners: a txn's entry is given back in `_release`, a reference in `_lapse`, a run in `_run_over`, a call in
 `_call_over`, each on every way out.
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:  # a server without levels does not carry them
     from otterrudder.levels import News, Table, Watch
 
-RUNTIME, RECORDS, GATEWAYS, HELM = "runtime", "records", "gateways", "helm"
+RUNTIME, RECORDS, GATEWAYS, DISPATCHER = "runtime", "records", "gateways", "dispatcher"
 Outgoing = tuple[Any, ...]  # (address, word, ...), in the forms above
 # Of what was sent to the runtime, beside the number of gauges. In doubt: a lost link may have swallowed it,
 # and no gauges on a later link say anything of it.
@@ -147,7 +147,9 @@
                 try:
                     self._carry_out(step)
                 except Exception as trouble:  # one txn's failure is not the others'
-                    self.out.append((HELM, "log", "a step failed", {"step": step, "trouble": repr(trouble)}))
+                    self.out.append(
+                        (DISPATCHER, "log", "a step failed", {"step": step, "trouble": repr(trouble)})
+                    )
                     if len(step) > 1 and (txn := self.txns.get(step[1])):
                         self._void(txn)
         self.fresh.clear()
@@ -284,7 +286,7 @@
     def refused(self, word: str, call: str) -> None:
         """A command that the runtime did not carry out."""
         txn = self.calls.get(call)
-        self.out.append((HELM, "log", "runtime refused a command", {"command": word, "call": call}))
+        self.out.append((DISPATCHER, "log", "runtime refused a command", {"command": word, "call": call}))
         if txn and txn.started and word == "start" and txn.proof != UNSENT:
             if not txn.answered:
                 self.out.append((txn.peer, "rejected", txn.rpc, "the runtime does not know this request"))
@@ -306,7 +308,7 @@
                 self._give(txn)
         self._module.call_ended(txn.number, outcome)
 
-    # From the helm.
+    # From the dispatcher.
 
     def ask(self) -> None:
         """Asks for gauges, ahead of a ring."""
@@ -366,7 +368,7 @@
         if news and news.relief and self.rudder and not self.is_aside:
             self.rudder.reduce(news.relief)
         if news:
-            self.out.append((HELM, "log", news.text, news.facts))
+            self.out.append((DISPATCHER, "log", news.text, news.facts))
 
     def beliefs(self) -> dict[str, Any]:
         """What the module counts beside what is known here, for the log: they must agree."""
@@ -419,13 +421,13 @@
             elif word == "run":  # its caller left within this batch: nothing starts, and its slot comes back
                 self._module.finished(rest[0], Outcome.MOOT)
         elif word == "wake":
-            self.out.append((HELM, "wake", rest[0]))
+            self.out.append((DISPATCHER, "wake", rest[0]))
         elif word == "advertise":
             self.load = rest[0]
         elif word == "health":
             self.healthy = rest[0]
         elif word == "log":
-            self.out.append((HELM, "log", rest[0], {}))
+            self.out.append((DISPATCHER, "log", rest[0], {}))
         else:
             self.out.append((GATEWAYS, word, *rest))
 
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/dispatcher.py
@@ -1,7 +1,9 @@
-"""The module's actor: the only caller of the core, with its one timer and the gauges' clock.
+"""The event loop's dispatcher: the only caller of the core.
 
-What waits in the mailbox is taken in one go: the time once, the runtime and records before arrivals (what
-they free is there for those that come), then one `done`."""
+Actors post calls of the core into its mailbox and never call the core themselves. A turn takes all that waits
+in one go: the time once, the runtime and records before arrivals (what they free is there for those that
+come), the ring if it is due, then one `done`, whose messages go to their addresses. Its one timer wakes it
+for the next ring, and a little earlier to ask for gauges."""
 
 import gc
 import math
@@ -32,12 +34,14 @@
         """Takes a message, in the forms that core.py lists; never waits."""
 
 
-class Helm:
+class Dispatcher:
+    """Plays what was posted in turns, one at a time; a call that fails is logged, and the others go on."""
+
     def __init__(self, the_core: core.Core) -> None:
         self.core = the_core
-        self.addresses: dict[Hashable, Address] = {core.HELM: self}
+        self.addresses: dict[Hashable, Address] = {core.DISPATCHER: self}
         self.period = 0.0  # ms of the last ring's wait
-        self.urgent: list[Mail] = []
+        self.urgent: list[Mail] = []  # of all but gateways: played ahead of arrivals
         self.arrivals: list[Mail] = []
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
@@ -50,10 +54,12 @@
         self.wake.set()
 
     def post_arrival(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
+        """The same for what gateways say: played after all that was put in by `post`."""
         self.arrivals.append((act, args, more, of))
         self.wake.set()
 
     async def run(self) -> None:
+        """Takes turns until it is cancelled."""
         while True:
             wait = min(self.ring_at, self.ask_at, self.watch.next) - clock.monotonic()
             if not (self.urgent or self.arrivals) and wait > 0:
@@ -65,6 +71,7 @@
             self.turn()
 
     def turn(self) -> None:
+        """One batch of the core: the time, all mail, what is due, and what the core then sends."""
         now = clock.monotonic()
         for pulse in self.ahead:
             self._try(pulse, now)
@@ -89,6 +96,7 @@
         self._try(self.watch.turned, now, len(urgent) + len(arrivals), self.core)
 
     def tell(self, word: str, *rest: Any) -> None:
+        """What the core sends to its dispatcher: when to ring next, or a line to log."""
         if word == "wake":
             self.period = rest[0]
             self.ring_at = clock.monotonic() + rest[0]
--- a/otterrudder/net/gateways.py
+++ b/otterrudder/net/gateways.py
@@ -15,7 +15,7 @@
 from otterrudder.interface import Effect
 from otterrudder.log import log
 from otterrudder.net import jsonrpc, sockets
-from otterrudder.net.helm import Helm
+from otterrudder.net.dispatcher import Dispatcher
 
 BACKLOG = 1024  # connections that may wait to be accepted while the loop is busy
 OPEN_MOST = 32  # open requests of a connection
@@ -49,7 +49,7 @@
     """One connection. Gives back its socket and its open txns in `run`, on every way out."""
 
     def __init__(self, gateways: "Gateways", sock: socket.socket) -> None:
-        self.gateways, self.helm = gateways, gateways.helm
+        self.gateways, self.dispatcher = gateways, gateways.dispatcher
         self.open: dict[int, str] = {}  # calls by the id of their request
         self.stream = sockets.Stream(
             sock,
@@ -92,7 +92,7 @@
         finally:
             self.gateways.gone(self)
             for call in self.open.values():
-                self.helm.post_arrival(self.helm.core.left, call, of=call)
+                self.dispatcher.post_arrival(self.dispatcher.core.left, call, of=call)
 
     def _hear_all(self, buffer: sockets.Buffer) -> None:
         self.quiet_since, heard = clock.monotonic(), False
@@ -111,13 +111,13 @@
             self._reject(message.rpc, message.code, str(message))
             return
         rpc, method, params = message
-        core = self.helm.core
+        core = self.dispatcher.core
         if method == "interrupt":
             self._interrupt(params)
         elif rpc is None:
             self._reject(None, jsonrpc.REQUEST, "no id")
         elif method == "check":
-            self.helm.post_arrival(core.check, self, rpc)
+            self.dispatcher.post_arrival(core.check, self, rpc)
         elif (product := core.names.get(method)) is None:
             self._reject(rpc, jsonrpc.METHOD, "no such method")
         elif rpc in self.open:
@@ -137,13 +137,13 @@
                 self._reject(rpc, jsonrpc.PARAMS, str(trouble))
                 return
             self.open[rpc] = fields["call"]
-            self.helm.post_arrival(core.arrive, self, rpc, product, of=fields["call"], **fields)
+            self.dispatcher.post_arrival(core.arrive, self, rpc, product, of=fields["call"], **fields)
 
     def _interrupt(self, params: dict[str, Any]) -> None:
         for rpc, call in self.open.items():
             if call == params.get("call"):
                 del self.open[rpc]
-                self.helm.post_arrival(self.helm.core.left, call, of=call)
+                self.dispatcher.post_arrival(self.dispatcher.core.left, call, of=call)
                 return
 
     def _reject(self, rpc: int | None, code: int, why: str) -> None:
@@ -195,10 +195,10 @@
 
 class Gateways:
     def __init__(
-        self, helm: Helm, address: tuple[str, int], sockets_most: int, tenants: dict[str, int]
+        self, dispatcher: Dispatcher, address: tuple[str, int], sockets_most: int, tenants: dict[str, int]
     ) -> None:
         """`sockets_most`: descriptors that are left to connections."""
-        self.helm, self.tenants = helm, tenants
+        self.dispatcher, self.tenants = dispatcher, tenants
         self.most = max(sockets_most - SPARE, PEERS_LEAST)
         self.second, self.complaints = 0, 0
         self.peers: set[Peer] = set()
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -12,7 +12,7 @@
 from otterrudder.interface import Outcome
 from otterrudder.log import log
 from otterrudder.net import lines, sockets
-from otterrudder.net.helm import Helm
+from otterrudder.net.dispatcher import Dispatcher
 
 LINKS_MOST = 48  # connections: twice the calls that a server of the usual size has out
 REUSE_MS = 500.0  # ms unused after which one takes no call: the service may have forgotten it, and then it
@@ -116,8 +116,8 @@
 
 
 class Records:
-    def __init__(self, helm: Helm, address: tuple[str, int] | None, sockets_most: int) -> None:
-        self.helm, self.address = helm, address
+    def __init__(self, dispatcher: Dispatcher, address: tuple[str, int] | None, sockets_most: int) -> None:
+        self.dispatcher, self.address = dispatcher, address
         self.most = max(min(LINKS_MOST, sockets_most // 8), 2)
         self.links: set[Link] = set()
         self.idle: list[Link] = []  # the last used at the end
@@ -135,7 +135,7 @@
                 self.on[call] = link
                 link.take(call, lines.say_body(rest[2], "OP", call, max(math.ceil(rest[1]), 1)))
             else:  # it never ran: the module may try again
-                self.helm.post(self.helm.core.replied, call, Outcome.UNREACHED, of=call)
+                self.dispatcher.post(self.dispatcher.core.replied, call, Outcome.UNREACHED, of=call)
         elif link := self.on.pop(call, None):
             link.give_up(call)
 
@@ -161,7 +161,7 @@
 
     def ended(self, link: Link, call: str, outcome: Outcome, body: bytes = b"") -> None:
         del link.calls[call], self.on[call]
-        self.helm.post(self.helm.core.replied, call, outcome, body, of=call)
+        self.dispatcher.post(self.dispatcher.core.replied, call, outcome, body, of=call)
 
     def gone(self, link: Link) -> None:
         link.spent = link.spent or "gone"
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -9,7 +9,7 @@
 from otterrudder import clock
 from otterrudder.log import log
 from otterrudder.net import lines, sockets
-from otterrudder.net.helm import Helm
+from otterrudder.net.dispatcher import Dispatcher
 
 PAUSE_MS = 20.0  # ms before the first try to connect again: the link is lost, the runtime most likely is not
 PAUSE_MOST_MS = 500.0  # ms at most: a runtime that comes up is found within that
@@ -21,8 +21,8 @@
 
 
 class Runtime:
-    def __init__(self, helm: Helm, address: tuple[str, int]) -> None:
-        self.helm, self.address = helm, address
+    def __init__(self, dispatcher: Dispatcher, address: tuple[str, int]) -> None:
+        self.dispatcher, self.address = dispatcher, address
         self.stream: sockets.Stream | None = None
         self.group: anyio.abc.TaskGroup  # while it runs
         self.last = 0  # the last notice heard
@@ -37,7 +37,7 @@
         if self.stream and self.replaying:
             self.stream.end(MOVED)  # nothing was sent on it
         elif self.stream:
-            self.helm.post(self.helm.core.leave_link)
+            self.dispatcher.post(self.dispatcher.core.leave_link)
 
     def tell(self, word: str, *rest: Any) -> None:
         if not self.stream:
@@ -86,7 +86,7 @@
                 log.warning("runtime link lost", why=why, last_notice=self.last, unsent=stream.unsent)
         finally:
             self.stream = None
-            self.helm.post(self.helm.core.unlinked)
+            self.dispatcher.post(self.dispatcher.core.unlinked)
         return why == MOVED
 
     def _leave(self, tag: int) -> None:
@@ -110,7 +110,7 @@
                 raise sockets.Broken(f"not understood: {' '.join(words)[:80]!r}") from None
 
     def _hear(self, words: lines.Words, body: bytes) -> None:
-        word, core = words[0], self.helm.core
+        word, core = words[0], self.dispatcher.core
         if word in ("end", "wants", "info"):
             number = lines.natural(words[1])
             if number <= self.last:
@@ -125,15 +125,17 @@
                 outcome = lines.ENDS.get(words[3])
                 if outcome is None:
                     raise sockets.Broken(f"unknown end {words[3][:20]!r}")
-                self.helm.post(core.ended, words[2], outcome, body, of=words[2])
+                self.dispatcher.post(core.ended, words[2], outcome, body, of=words[2])
             elif word == "wants":
-                self.helm.post(core.wants, words[2], body, of=words[2])
+                self.dispatcher.post(core.wants, words[2], body, of=words[2])
         elif word == "load":
             if words[1] == REPLAYED:
                 self.replaying = False
-                self.helm.post(core.linked)
+                self.dispatcher.post(core.linked)
             else:
-                self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
+                self.dispatcher.post(
+                    core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]]
+                )
                 if self.stream and words[1] == self.leaving:
                     self.stream.end(MOVED)
         elif word == "ready":
@@ -144,15 +146,15 @@
             born = clock.monotonic() - up_ms
             if self.born is None:
                 log.info("runtime is up", warm=warm, up_ms=up_ms)
-                self.helm.post(core.begin, warm, up_ms)
+                self.dispatcher.post(core.begin, warm, up_ms)
             elif born > self.born + ANEW_MS:
                 log.error("runtime has started anew", up_ms=up_ms, last_notice=self.last)
                 self.last = 0
-                self.helm.post(core.restarted)
+                self.dispatcher.post(core.restarted)
             self.born = born
         elif word == "nack" and words[1:3] == ["gauges", REPLAYED]:
             raise sockets.Broken("the replay has no end")  # the next link asks again
         elif word == "nack":
-            self.helm.post(core.refused, words[1], words[2] if len(words) > 2 else "")
+            self.dispatcher.post(core.refused, words[1], words[2] if len(words) > 2 else "")
         else:
             raise sockets.Broken(f"unknown word {word[:20]!r}")
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -27,8 +27,8 @@
 from otterrudder.log import log
 from otterrudder.logic import Rudder
 from otterrudder.net import core, early
+from otterrudder.net.dispatcher import Dispatcher
 from otterrudder.net.gateways import Gateways
-from otterrudder.net.helm import Helm
 from otterrudder.net.records import Records
 from otterrudder.net.registry import Registry
 from otterrudder.net.runtime import Runtime
@@ -167,17 +167,17 @@
 
         watch = Watch(levels, spread)
     the_core = core.Core(make, products, gauge_names(settings), watch)
-    helm = Helm(the_core)
-    runtime = Runtime(helm, address(told["runtime"]))
+    dispatcher = Dispatcher(the_core)
+    runtime = Runtime(dispatcher, address(told["runtime"]))
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     sockets_most = int(told["limits"]["sockets"])
     sockets_most = sockets_most if allowed == resource.RLIM_INFINITY else min(sockets_most, allowed)
-    records = Records(helm, _records(told), sockets_most)
-    gateways = Gateways(helm, address(told["listen"]), sockets_most - records.most, tenants)
+    records = Records(dispatcher, _records(told), sockets_most)
+    gateways = Gateways(dispatcher, address(told["listen"]), sockets_most - records.most, tenants)
     registry = Registry(told["name"], address(told["registry"]))
-    helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
-    speaker = _speaker(groups, helm, runtime, records, registry) if groups else None
-    agent = _agent(fleet, told, helm, spread) if fleet else None
+    dispatcher.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
+    speaker = _speaker(groups, dispatcher, runtime, records, registry) if groups else None
+    agent = _agent(fleet, told, dispatcher, spread) if fleet else None
     log.info("listening", address=told["listen"], pid=os.getpid())
     if levels and watch:
         names = [rung.name for rung in levels.rungs]
@@ -185,7 +185,7 @@
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked through again and again
     async with anyio.create_task_group() as group:
-        for actor in (helm, runtime, records, registry):
+        for actor in (dispatcher, runtime, records, registry):
             group.start_soon(actor.run)
         if speaker:
             speaker.begin()
@@ -201,44 +201,45 @@
             if agent:
                 answers["fleet"] = agent.shown
             group.start_soon(Control(told["name"], answers).run)
-        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, speaker)
+        group.start_soon(_watch, signals, told, files, dispatcher, runtime, records, registry, speaker)
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
 def _speaker(
-    groups: "Groups", helm: Helm, runtime: Runtime, records: Records, registry: Registry
+    groups: "Groups", dispatcher: Dispatcher, runtime: Runtime, records: Records, registry: Registry
 ) -> "Speaker":
-    """VRRP's actor, its socket taken: what it orders goes to the core by the helm, ahead of what arrives."""
+    """VRRP's actor, its socket taken: what it orders goes to the core by the dispatcher, ahead of what
+    arrives."""
     from otterrudder.vrrp.speaker import Speaker
 
     def order(told: "Order") -> None:
-        helm.post(helm.core.serve_part, told.part, told.is_up, told.left_ms)
+        dispatcher.post(dispatcher.core.serve_part, told.part, told.is_up, told.left_ms)
 
     def facts() -> dict[str, bool]:
-        core = helm.core
+        core = dispatcher.core
         return dict(
             runtime=not core.is_linked,
             records=records.is_refused,
-            late=helm.watch.is_late(),
+            late=dispatcher.watch.is_late(),
             level=core.levels is not None and core.levels.name != "full",
             unhealthy=bool(core.rudder) and not core.healthy and not core.left_parts,
         )
 
     def changed() -> None:
-        registry.draining = helm.core.retiring or not speaker.is_serving
+        registry.draining = dispatcher.core.retiring or not speaker.is_serving
 
     speaker = Speaker(groups, int(clock.unix()), order, facts)
     speaker.changed = changed
     speaker.bind()
     registry.draining = True
-    helm.ahead.append(speaker.pulse)
+    dispatcher.ahead.append(speaker.pulse)
     return speaker
 
 
-def _agent(fleet: "Fleet", told: dict[str, Any], helm: Helm, spread: float) -> "Agent":
-    """The fleet's actor, its folder taken: what it orders goes to the core by the helm, ahead of what
+def _agent(fleet: "Fleet", told: dict[str, Any], dispatcher: Dispatcher, spread: float) -> "Agent":
+    """The fleet's actor, its folder taken: what it orders goes to the core by the dispatcher, ahead of what
     arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
@@ -247,7 +248,7 @@
     from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
-    own = replace(own_of(told["settings"]), products=helm.core.products)
+    own = replace(own_of(told["settings"]), products=dispatcher.core.products)
     parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
     def take(text: str) -> None:
@@ -255,8 +256,8 @@
             content = parsed.get(text) or parse(text or NO_POLICY, own)
         except BadPolicy:
             return  # it stands aside for that, and says why
-        helm.post(
-            helm.core.take_policy,
+        dispatcher.post(
+            dispatcher.core.take_policy,
             content.levels,
             lambda table: Watch(table, spread),
             content.products,
@@ -279,13 +280,13 @@
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
-    orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
+    orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
 
     def facts() -> dict[str, float]:
-        return helm.core.rudder.facts() if helm.core.rudder else {}
+        return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
     agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
-    helm.ahead.append(agent.pulse)
+    dispatcher.ahead.append(agent.pulse)
     log.info(
         "of a fleet",
         fleet=fleet.name,
@@ -306,7 +307,7 @@
     signals: AsyncIterator[signal.Signals],
     told: dict[str, Any],
     files: Files,
-    helm: Helm,
+    dispatcher: Dispatcher,
     runtime: Runtime,
     records: Records,
     registry: Registry,
@@ -316,7 +317,7 @@
         if number == signal.SIGHUP:
             try:
                 told = _reload(told, files, runtime, records, registry)
-                _reload_levels(told, files, helm)
+                _reload_levels(told, files, dispatcher)
                 if speaker:
                     _reload_keys(told, files, speaker)
             except Exception:  # a file that nobody thought of must not end what is served
@@ -325,7 +326,7 @@
         if speaker:  # priority 0 first, so that another takes over while this one drains
             speaker.retire()
         registry.draining = True
-        helm.post(helm.core.retire, told["stop_ms"])
+        dispatcher.post(dispatcher.core.retire, told["stop_ms"])
 
 
 async def _heard(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
@@ -368,10 +369,10 @@
         log.error("vrrp keys not taken", why=str(trouble))
 
 
-def _reload_levels(told: dict[str, Any], files: Files, helm: Helm) -> None:
+def _reload_levels(told: dict[str, Any], files: Files, dispatcher: Dispatcher) -> None:
     """Takes the table of levels anew; whether there are levels at all is settled at the start."""
     try:
         if table := files.read_levels(told["settings"]):
-            helm.post(helm.core.take_levels, table)
+            dispatcher.post(dispatcher.core.take_levels, table)
     except BadConfiguration as trouble:
         log.error("levels not taken", why=str(trouble))
--- a/otterrudder/vrrp/speaker.py
+++ b/otterrudder/vrrp/speaker.py
@@ -2,8 +2,8 @@
 
 Its adverts and timers must stand a busy event loop:
 
-- It is played at the head of each turn of the helm as well as by its own task, so an advert waits for one
-  piece of work at the most, not for a whole turn's mail.
+- It is played at the head of each turn of the dispatcher as well as by its own task, so an advert waits for
+  one piece of work at the most, not for a whole turn's mail.
 - Before a timer is played, all that waits in the socket is heard: an advert that came while this process
   stalled counts before others are taken to be silent. What the kernel dropped meanwhile is covered by one
   more advert's wait: a backup that finds itself late by more than an interval listens for a skew and an
@@ -165,8 +165,8 @@
         return True
 
     def pulse(self, now: float) -> None:
-        """All that is heard and due by `now`; cheap when nothing is. Called by the helm ahead of its turns
-        too."""
+        """All that is heard and due by `now`; cheap when nothing is. Called by the dispatcher ahead of its
+        turns too."""
         due = min(member.due for member in self.members)
         if now < due and now < self._track_at:
             return
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -72,7 +72,7 @@
 
 def words(out: list[tuple]) -> list[tuple]:
     """What its caller or the runtime is told, without numbers that change."""
-    told = [one for one in out if one[0] != "helm"]
+    told = [one for one in out if one[0] != "dispatcher"]
     return [one[:2] if one[1] != "declined" else ("declined", *one[3:5]) for one in told]
 
 
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -26,7 +26,7 @@
 from otterrudder.boot import boot, gauge_names, products_of
 from otterrudder.interface import Outcome
 from otterrudder.net import core, gateways, records, serve
-from otterrudder.net.helm import Helm
+from otterrudder.net.dispatcher import Dispatcher
 
 A, B, C, MARK = "00000000000000aa", "00000000000000bb", "00000000000000cc", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 ANSWERS = 30  # longest ones: some 160 KB
@@ -46,7 +46,8 @@
 
 
 class Inside:
-    """The helm, the listener and a stand-in of the runtime, in this process; turns are the test's own."""
+    """The dispatcher, the listener and a stand-in of the runtime, in this process; its turns are the
+    test's own."""
 
     def __init__(self, group: anyio.abc.TaskGroup, sockets_most: int = 256) -> None:
         self.group, self.runtime = group, Sent()
@@ -55,12 +56,14 @@
             products_of(SETTINGS),
             gauge_names(SETTINGS),
         )
-        self.helm = Helm(the_core)
-        self.gateways = gateways.Gateways(self.helm, ("127.0.0.1", 0), sockets_most, {"north": 0, "south": 1})
-        self.helm.addresses |= {core.RUNTIME: self.runtime, core.GATEWAYS: self.gateways}
-        self.helm.post(the_core.begin, True, 60_000.0)
-        self.helm.post(the_core.linked)
-        self.helm.turn()
+        self.dispatcher = Dispatcher(the_core)
+        self.gateways = gateways.Gateways(
+            self.dispatcher, ("127.0.0.1", 0), sockets_most, {"north": 0, "south": 1}
+        )
+        self.dispatcher.addresses |= {core.RUNTIME: self.runtime, core.GATEWAYS: self.gateways}
+        self.dispatcher.post(the_core.begin, True, 60_000.0)
+        self.dispatcher.post(the_core.linked)
+        self.dispatcher.turn()
 
     async def connect(self, small: bool = False) -> tuple[Gateway, gateways.Peer]:
         """A connection, and its peer once it is served; `small`: the system holds next to nothing for it."""
@@ -76,12 +79,12 @@
     async def served(self, gateway: Gateway, call: str, body: bytes = b"done", **more: object) -> dict:
         """Takes the one start that is there or to come, ends it, and hands over the answer."""
         await until(lambda: self.turned() and call in self.runtime.started)
-        self.helm.post(self.helm.core.ended, call, Outcome.OK, body)
-        self.helm.turn()
+        self.dispatcher.post(self.dispatcher.core.ended, call, Outcome.OK, body)
+        self.dispatcher.turn()
         return await answer(gateway)
 
     def turned(self) -> bool:
-        self.helm.turn()
+        self.dispatcher.turn()
         return True
 
 
@@ -252,12 +255,12 @@
         gateway.sock.sendall(gateway.txn_message(A) + b"{\n" * 15_000)
         await until(lambda: rig.turned() and rig.runtime.started == [A])
         gateway.sock.sendall(gateway.txn_message(B))  # after the last wrong one: never heard
-        rig.helm.post(rig.helm.core.ended, A, Outcome.OK, b"r" * 4096)
-        rig.helm.turn()
+        rig.dispatcher.post(rig.dispatcher.core.ended, A, Outcome.OK, b"r" * 4096)
+        rig.dispatcher.turn()
         lines = (await end(gateway)).splitlines()
         assert not gateway.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         assert len(lines) == gateways.WRONGS_MOST + 1 and json.loads(lines[-1])["id"] == 1
-        rig.helm.turn()
+        rig.dispatcher.turn()
         assert rig.runtime.started == [A]
 
     inside(play)
@@ -318,8 +321,8 @@
         rig.group.start_soon(rig.gateways._accept, rig.group)
         assert "result" in await rig.served(newcomer, B)
         assert owed_peer in rig.gateways.peers
-        rig.helm.post(rig.helm.core.ended, A, Outcome.OK, b"done")
-        rig.helm.turn()
+        rig.dispatcher.post(rig.dispatcher.core.ended, A, Outcome.OK, b"done")
+        rig.dispatcher.turn()
         assert b"result" in await end(owed)
 
     inside(play, sockets_most=gateways.SPARE + 10)
@@ -336,7 +339,7 @@
             gone = weakref.ref(peer)
             del peer
             await until(lambda: not rig.gateways.peers)
-            rig.helm.turn()
+            rig.dispatcher.turn()
             await rest()
             assert gone() is None
         finally:
@@ -362,8 +365,8 @@
                 busy.sock.sendall(busy.txn_message(C)[:50])
 
         rig.gateways._until_left = last_moment
-        rig.helm.post(rig.helm.core.retire, 0.0)  # the stop is now
-        rig.group.start_soon(rig.helm.run)
+        rig.dispatcher.post(rig.dispatcher.core.retire, 0.0)  # the stop is now
+        rig.group.start_soon(rig.dispatcher.run)
         await rig.gateways.run(rig.group)
         for gateway in (resting, half):
             told = [json.loads(text) for text in (await end(gateway)).splitlines()]
@@ -431,14 +434,14 @@
         the_core = core.Core(
             lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS), gauge_names(SETTINGS)
         )
-        rig.helm.core = rig.gateways.helm.core = the_core
+        rig.dispatcher.core = rig.gateways.dispatcher.core = the_core
         gateway, _ = await rig.connect()
-        rig.helm.post(the_core.retire, 1500.0)
-        rig.helm.post(the_core.begin, True, 60_000.0)
-        rig.helm.post(the_core.linked)
+        rig.dispatcher.post(the_core.retire, 1500.0)
+        rig.dispatcher.post(the_core.begin, True, 60_000.0)
+        rig.dispatcher.post(the_core.linked)
         gateway.sock.sendall(gateway.txn_message(A))
         await rest()
-        rig.group.start_soon(rig.helm.run)
+        rig.group.start_soon(rig.dispatcher.run)
         await rig.gateways.run(rig.group)  # it ends by itself
         told = [json.loads(text) for text in (await end(gateway)).splitlines()]
         assert [message["error"]["code"] for message in told if "id" in message] == [-32014]
@@ -454,15 +457,15 @@
         the_core = core.Core(
             lambda now, warm, up: boot(now, 1, 1, SETTINGS), products_of(SETTINGS), gauge_names(SETTINGS)
         )
-        rig.helm.core = rig.gateways.helm.core = the_core
+        rig.dispatcher.core = rig.gateways.dispatcher.core = the_core
 
         async def terminated() -> AsyncIterator[signal.Signals]:
             yield signal.SIGTERM
 
         parts: list = [Mock(), Mock(), Mock()]
-        rig.helm.post(the_core.begin, True, 60_000.0)
-        rig.helm.post(the_core.linked)
-        await serve._watch(terminated(), {"stop_ms": 1500.0}, serve.Files(None), rig.helm, *parts, None)
+        rig.dispatcher.post(the_core.begin, True, 60_000.0)
+        rig.dispatcher.post(the_core.linked)
+        await serve._watch(terminated(), {"stop_ms": 1500.0}, serve.Files(None), rig.dispatcher, *parts, None)
         over = anyio.Event()
 
         async def run() -> None:
@@ -470,7 +473,7 @@
             over.set()
 
         rig.group.start_soon(run)
-        rig.group.start_soon(rig.helm.run)
+        rig.group.start_soon(rig.dispatcher.run)
         gateway, _ = await rig.connect()
         gateway.sock.sendall(gateway.txn_message(A))
         await until(lambda: rig.runtime.started)
@@ -559,14 +562,14 @@
 
 
 def test_a_count_of_the_process_that_fails_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    # With no descriptor left the memory's file can't be opened, and the helm once ended with it.
+    # With no descriptor left the memory's file can't be opened, and the dispatcher once ended with it.
     async def play(rig: Inside) -> None:
         def none_left() -> float:
             raise OSError(24, "Too many open files")
 
-        monkeypatch.setattr("otterrudder.net.helm._rss_mb", none_left)
-        rig.helm.watch.next = 0.0
-        rig.helm.turn()
+        monkeypatch.setattr("otterrudder.net.dispatcher._rss_mb", none_left)
+        rig.dispatcher.watch.next = 0.0
+        rig.dispatcher.turn()
         gateway, _ = await rig.connect()
         gateway.sock.sendall(gateway.txn_message(A))
         assert "result" in await rig.served(gateway, A)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 from otterrudder.boot import boot, gauge_names, products_of
 from otterrudder.interface import Outcome
 from otterrudder.net import core, jsonrpc, lines
-from otterrudder.net.helm import Helm
+from otterrudder.net.dispatcher import Dispatcher
 from otterrudder.net.sockets import Broken, Buffer
 
 
@@ -239,13 +239,13 @@
 
 def test_a_ring_that_fails_is_not_the_last() -> None:
     bench = Bench()
-    helm = Helm(bench.core)
-    helm.addresses |= {core.GATEWAYS: Mock(), core.RUNTIME: Mock()}
-    helm.tell("wake", 40.0)
-    helm.ring_at = helm.ask_at = 0.0
+    dispatcher = Dispatcher(bench.core)
+    dispatcher.addresses |= {core.GATEWAYS: Mock(), core.RUNTIME: Mock()}
+    dispatcher.tell("wake", 40.0)
+    dispatcher.ring_at = dispatcher.ask_at = 0.0
     bench.core.rudder.holds = None  # the module is broken: whatever it is asked fails
-    helm.turn()
-    assert 0.0 < helm.ring_at < float("inf")
+    dispatcher.turn()
+    assert 0.0 < dispatcher.ring_at < float("inf")
 
 
 def test_a_runtime_that_came_anew_has_lost_its_runs() -> None:
