Rename: lab/books.py Books is lab/ledger.py Ledger

The standard name for what it is; Second is SecondCounts. lab/processes/books.py keeps its name for now.

--- a/otterrudder/lab/checker.py
+++ b/otterrudder/lab/checker.py
@@ -1,4 +1,4 @@
-"""Books of the four rules, kept from what crossed between gateways, servers and runtimes, never from the
+"""A ledger of the four rules, kept from what crossed between gateways, servers and runtimes, never from the
 server.
 
 Each entry is one try on one server's life. A rule that is broken is written down with its time, server and
--- a/otterrudder/lab/day.py
+++ b/otterrudder/lab/day.py
@@ -8,10 +8,10 @@
 
 from otterrudder.lab.arrivals import Arrivals, Ask
 from otterrudder.lab.below import Below
-from otterrudder.lab.books import Books, Session
 from otterrudder.lab.checker import Checker
 from otterrudder.lab.engine import Engine
 from otterrudder.lab.gateways import Gateway
+from otterrudder.lab.ledger import Ledger, Session
 from otterrudder.lab.server import Server
 from otterrudder.lab.shapes import Part, demand
 from otterrudder.lab.site import Site
@@ -76,7 +76,7 @@
         self.site, self.levels = site, levels
         self.engine = Engine()
         self.checker = Checker()
-        self.books = Books(site.products, int(length_s))
+        self.ledger = Ledger(site.products, int(length_s))
         self.demand = demand(load, streams, length_s)
         self.arrivals = Arrivals(site, self.demand, streams, self.length_ms)
         b = site.below
@@ -101,7 +101,9 @@
         ]
         self.tries = 0
         self.gateways = [
-            Gateway(n, site, self.engine, self.checker, self.books, self.servers, self._number, self._goes_on)
+            Gateway(
+                n, site, self.engine, self.checker, self.ledger, self.servers, self._number, self._goes_on
+            )
             for n in range(site.gateways.count)
         ]
         notice = Notice(self.engine, list(self.gateways), site.gateways.notice_ms)
@@ -144,7 +146,7 @@
 
     def _arrives(self, ask: Ask) -> None:
         if self.site.session_mean:
-            self.books.sessions[ask.session] = Session()
+            self.ledger.sessions[ask.session] = Session()
         self.gateways[ask.gateway].take(ask)
         self._come()
 
@@ -158,7 +160,7 @@
             self.engine.after(SWEEP_MS, self._sweep)
 
     def _result(self) -> Result:
-        told, checker, length_s = self.books, self.checker, self.length_ms / 1000
+        told, checker, length_s = self.ledger, self.checker, self.length_ms / 1000
         asked = told.table("asked").sum()
         figures: dict[str, float] = dict(
             value=told.value(),
@@ -183,8 +185,8 @@
         return Result(figures, self.moves, checker.broken, self._series())
 
     def _worst(self, span: int) -> float:
-        seconds = len(told) if (told := self.books.seconds) else 0
-        return min((self.books.value(s, s + span) for s in range(0, max(seconds - span, 1), 2)), default=1.0)
+        seconds = len(told) if (told := self.ledger.seconds) else 0
+        return min((self.ledger.value(s, s + span) for s in range(0, max(seconds - span, 1), 2)), default=1.0)
 
     def _of_levels(self, length_s: float) -> dict[str, float]:
         if not self.levels:
@@ -231,11 +233,11 @@
         """Of whole sessions, as the source counts: its equation 2 is `power`."""
         if not self.site.session_mean:
             return {}
-        over = [session for session in self.books.sessions.values() if session.is_over]
+        over = [session for session in self.ledger.sessions.values() if session.is_over]
         begun = [session for session in over if session.settled]  # one that never got in is not broken
         ended = sum(not session.is_broken for session in over)
         error = 1 - ended / len(begun) if begun else 0.0
-        time_s = float(np.mean(self.books.times)) / 1000 if self.books.times else float("inf")
+        time_s = float(np.mean(self.ledger.times)) / 1000 if self.ledger.times else float("inf")
         throughput = ended / length_s
         return dict(
             session_throughput=throughput,
@@ -247,8 +249,8 @@
 
     def _series(self) -> dict[str, list[float]]:
         """By second: demand, value asked for and settled in time, the mean and the highest level."""
-        worth = np.array([p.value for p in self.books.products])
-        asked, in_time = (self.books.table(name) for name in ("asked", "in_time"))
+        worth = np.array([p.value for p in self.ledger.products])
+        asked, in_time = (self.ledger.table(name) for name in ("asked", "in_time"))
         length = int(self.length_ms / 1000)
         heights = np.array([row[:length] + [0.0] * (length - len(row)) for row in self.heights])
         series = dict(
@@ -258,7 +260,7 @@
             level=heights.mean(0).tolist(),
             level_most=heights.max(0).tolist(),
         )
-        for n, product in enumerate(self.books.products):
+        for n, product in enumerate(self.ledger.products):
             series[f"asked.{product.name}"] = asked[:length, n].astype(float).tolist()
             series[f"in_time.{product.name}"] = in_time[:length, n].astype(float).tolist()
         return series
--- a/otterrudder/lab/gateways.py
+++ b/otterrudder/lab/gateways.py
@@ -10,11 +10,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from otterrudder.lab import books
 from otterrudder.lab.arrivals import Ask
-from otterrudder.lab.books import Books
 from otterrudder.lab.checker import Checker
 from otterrudder.lab.engine import Engine
+from otterrudder.lab.ledger import DECLINED, SETTLED, UNREACHED, VOIDED, Ledger
 from otterrudder.lab.server import Server
 from otterrudder.lab.site import GatewaysPart, Site
 from otterrudder.lab.troubles import Listed
@@ -68,12 +67,12 @@
         site: Site,
         engine: Engine,
         checker: Checker,
-        told: Books,
+        ledger: Ledger,
         servers: list[Server],
         numbers: Callable[[], int],
         on_settled: Callable[[Ask], None],
     ) -> None:
-        self.number, self.engine, self.checker, self.books = number, engine, checker, told
+        self.number, self.engine, self.checker, self.ledger = number, engine, checker, ledger
         self.part: GatewaysPart = site.gateways
         self.products = site.products
         self.servers, self.numbers, self.on_settled = servers, numbers, on_settled
@@ -90,7 +89,7 @@
         self.listed: list[int] = []  # servers as this gateway knows them
 
     def take(self, ask: Ask) -> None:
-        self.books.asked(ask.at, ask.product)
+        self.ledger.asked(ask.at, ask.product)
         self._try(ask, (), self.engine.now)
 
     def _try(self, ask: Ask, been: tuple[int, ...], since: float) -> None:
@@ -98,13 +97,13 @@
         left = since + spec.expiry_ms - self.engine.now
         server = self._choose(ask, been) if left > 1.0 and len(been) < self.part.tries else None
         if server is None:
-            self._end(ask, books.DECLINED if been else books.UNREACHED)
+            self._end(ask, DECLINED if been else UNREACHED)
             return
         now, wait = self.engine.now, min(left, spec.expiry_ms * self.part.try_share)
         attempt = Try(
             self, ask, self.numbers(), server, now + self.part.net_ms, wait, bool(been) and self.part.marks
         )
-        self.books.tries += 1
+        self.ledger.tries += 1
         self.open[server.number] = self.open.get(server.number, 0) + 1
         self.engine.after(self.part.net_ms, self._reaches, attempt)
         self.engine.after(wait, attempt.given_up)
@@ -125,7 +124,7 @@
             if attempt.server.is_up:
                 attempt.server.left(attempt)
                 attempt.server.over(attempt)
-            self._end(attempt.ask, books.VOIDED)
+            self._end(attempt.ask, VOIDED)
 
     def _closed(self, attempt: Try) -> tuple[tuple[int, ...], float]:
         self.open[attempt.server.number] -= 1
@@ -137,14 +136,14 @@
         been = (*been, server.number)
         if word == "settled":
             self._note_load(server.number, rest[-1])
-            self._end(ask, books.SETTLED)
+            self._end(ask, SETTLED)
         elif word == "declined":
             is_final, away_ms, load = rest
             self._note_load(server.number, load)
             if self.heeds_away and away_ms > 0:
                 self.away[server.number] = max(self.away.get(server.number, 0.0), now + away_ms)
             if is_final and self.heeds_stop:
-                self._end(ask, books.DECLINED)
+                self._end(ask, DECLINED)
             else:
                 self.engine.after(WALK_MS, self._try, ask, been, since)
         elif word == "voided":
@@ -157,7 +156,7 @@
         """After a failure only what may run twice goes elsewhere: servers share nothing, and know no other's
         marks."""
         if self.products[ask.product].window_ms or len(been) >= self.part.tries:
-            self._end(ask, books.VOIDED)
+            self._end(ask, VOIDED)
         else:
             self.engine.after(WALK_MS, self._try, ask, been, since)
 
@@ -166,13 +165,13 @@
             self.load[server] = load
 
     def _end(self, ask: Ask, how: str) -> None:
-        self.books.ended(ask.at, self.engine.now, ask.product, how)
-        session = self.books.sessions.get(ask.session)
+        self.ledger.ended(ask.at, self.engine.now, ask.product, how)
+        session = self.ledger.sessions.get(ask.session)
         if session:
-            session.settled += how == books.SETTLED
-            session.is_broken |= how != books.SETTLED
+            session.settled += how == SETTLED
+            session.is_broken |= how != SETTLED
             session.is_over = session.is_broken or not ask.left
-        if how == books.SETTLED and ask.left:
+        if how == SETTLED and ask.left:
             self.on_settled(ask)
 
     def _choose(self, ask: Ask, been: tuple[int, ...]) -> Server | None:
--- a/otterrudder/lab/books.py
+++ b/otterrudder/lab/ledger.py
@@ -1,4 +1,4 @@
-"""What callers got, second by second: the figures of a day come from here, not from any server."""
+"""The ledger of a day: what callers got, second by second. Its figures come from here, from no server."""
 
 from dataclasses import dataclass, field
 
@@ -10,7 +10,7 @@
 
 
 @dataclass(slots=True)
-class Second:
+class SecondCounts:
     """Counts of the txns that were asked for in one second, by product."""
 
     asked: list[int]
@@ -20,16 +20,20 @@
 
 @dataclass(slots=True)
 class Session:
+    """How a session of txns goes: one that does not settle breaks it."""
+
     settled: int = 0
     is_broken: bool = False
     is_over: bool = False
 
 
 @dataclass(slots=True)
-class Books:
+class Ledger:
+    """What was asked for in a day of `length_s`, and how each txn ended for its caller."""
+
     products: list[Product]
     length_s: int
-    seconds: list[Second] = field(init=False)
+    seconds: list[SecondCounts] = field(init=False)
     ends: dict[str, int] = field(default_factory=dict)
     tries: int = 0
     times: list[float] = field(default_factory=list)  # ms to the answer of what settled
@@ -37,12 +41,13 @@
 
     def __post_init__(self) -> None:
         zeros = len(self.products)
-        self.seconds = [Second([0] * zeros, [0] * zeros, [0] * zeros) for _ in range(self.length_s + 1)]
+        self.seconds = [SecondCounts([0] * zeros, [0] * zeros, [0] * zeros) for _ in range(self.length_s + 1)]
 
-    def _second(self, at: float) -> Second:
+    def _second(self, at: float) -> SecondCounts:
         return self.seconds[min(int(at / 1000), self.length_s)]
 
     def asked(self, at: float, product: int) -> None:
+        """A caller asks for a txn at `at`."""
         self._second(at).asked[product] += 1
 
     def ended(self, at: float, now: float, product: int, how: str) -> None:
