--- a/otterrudder/net/lines.py
+++ b/otterrudder/net/lines.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from otterrudder.interface import Outcome
-from otterrudder.net.sockets import Broken, Buffer
+from otterrudder.net.sockets import Buffer, ProtocolError
 
 LINE_MOST = 512  # bytes of a line without its body: an id, a name and some numbers
 BODY_MOST = 60 * 1024  # bytes of a body: results are 4 KiB at most, replies not much more
@@ -40,29 +40,29 @@
             except UnicodeDecodeError:
                 words = []
         if not words:
-            raise Broken("a line that is too long or not text")
+            raise ProtocolError("a line that is too long or not text")
         body = b""
         if has_body(words):
             length = natural(words[-1])
             if length > BODY_MOST:
-                raise Broken(f"a body of {length} bytes")
+                raise ProtocolError(f"a body of {length} bytes")
             ends = buffer.start + size + length
             if buffer.end < ends + 2:
                 buffer.seen = buffer.start
                 return
             body = bytes(memoryview(buffer.data)[buffer.start + size : ends])
             if buffer.data[ends : ends + 2] != b"\r\n":
-                raise Broken("a body that does not end where its length says")
+                raise ProtocolError("a body that does not end where its length says")
             size += length + 2
         buffer.drop(size)
         yield words, body
     if buffer.end - buffer.start > LINE_MOST:
-        raise Broken("a line without end")
+        raise ProtocolError("a line without end")
 
 
 def natural(word: str) -> int:
     if not (word.isascii() and word.isdigit() and len(word) < 16):
-        raise Broken(f"{word[:20]!r} is no whole number")
+        raise ProtocolError(f"{word[:20]!r} is no whole number")
     return int(word)
 
 
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -91,7 +91,7 @@
         for words, body in lines.messages(buffer, lines.records_body):
             outcome = lines.REPLIES.get(words[1]) if len(words) > 1 else None
             if outcome is None:
-                raise sockets.Broken(f"unknown reply {' '.join(words)[:40]!r}")
+                raise sockets.ProtocolError(f"unknown reply {' '.join(words)[:40]!r}")
             if words[0] in self.calls:
                 self.records.ended(self, words[0], outcome, body)
             else:  # a copy, or somebody else's: the good one may still follow
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -107,7 +107,7 @@
             try:
                 self._hear(words, body)
             except (ValueError, IndexError):
-                raise sockets.Broken(f"not understood: {' '.join(words)[:80]!r}") from None
+                raise sockets.ProtocolError(f"not understood: {' '.join(words)[:80]!r}") from None
 
     def _hear(self, words: lines.Words, body: bytes) -> None:
         word, core = words[0], self.dispatcher.core
@@ -117,14 +117,14 @@
                 log.warning("notice heard twice", notice=number, last_notice=self.last)
                 return
             if number > self.last + 1 and not self.replaying:
-                raise sockets.Broken(f"notice {number} after {self.last}")
+                raise sockets.ProtocolError(f"notice {number} after {self.last}")
             if number > self.last + 1:  # the runtime keeps so many and no more: what is lost is lost
                 log.error("notices are missing", notice=number, last_notice=self.last)
             self.last = number
             if word == "end":
                 outcome = lines.ENDS.get(words[3])
                 if outcome is None:
-                    raise sockets.Broken(f"unknown end {words[3][:20]!r}")
+                    raise sockets.ProtocolError(f"unknown end {words[3][:20]!r}")
                 self.dispatcher.post(core.ended, words[2], outcome, body, of=words[2])
             elif word == "wants":
                 self.dispatcher.post(core.wants, words[2], body, of=words[2])
@@ -153,8 +153,8 @@
                 self.dispatcher.post(core.restarted)
             self.born = born
         elif word == "nack" and words[1:3] == ["gauges", REPLAYED]:
-            raise sockets.Broken("the replay has no end")  # the next link asks again
+            raise sockets.ProtocolError("the replay has no end")  # the next link asks again
         elif word == "nack":
             self.dispatcher.post(core.refused, words[1], words[2] if len(words) > 2 else "")
         else:
-            raise sockets.Broken(f"unknown word {word[:20]!r}")
+            raise sockets.ProtocolError(f"unknown word {word[:20]!r}")
--- a/otterrudder/net/sockets.py
+++ b/otterrudder/net/sockets.py
@@ -22,7 +22,7 @@
 CLOSED = "closed by the other side"
 
 
-class Broken(Exception):
+class ProtocolError(Exception):
     """What came is no message, and what follows it can't be told from it: the connection has to go."""
 
 
@@ -60,7 +60,7 @@
         while data:
             with self.space() as space:
                 if not space:
-                    raise Broken("a message that is too long")
+                    raise ProtocolError("a message that is too long")
                 count = min(len(space), len(data))
                 space[:count] = data[:count]
             self.end, data = self.end + count, data[count:]
@@ -194,7 +194,7 @@
         self.buffer.end += count
         try:
             self.hear(self.buffer)
-        except Broken as trouble:
+        except ProtocolError as trouble:
             self.leave(str(trouble))
         except Exception:
             log.exception("input could not be dealt with")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 from otterrudder.interface import Outcome
 from otterrudder.net import core, jsonrpc, lines
 from otterrudder.net.dispatcher import Dispatcher
-from otterrudder.net.sockets import Broken, Buffer
+from otterrudder.net.sockets import Buffer, ProtocolError
 
 
 def fed(pieces: list[bytes], read, room: int = 4096) -> list:
@@ -53,7 +53,7 @@
     assert fed([line[:5000], line[5000:]], READERS[GATEWAY], 16384)[0][2] == {"x": "y" * 9000}
     buffer = Buffer(16384)
     assert len(buffer.data) == 4096
-    with pytest.raises(Broken):
+    with pytest.raises(ProtocolError):
         buffer.put(b"z" * 20000)
     assert len(buffer.data) == 16384
 
@@ -78,7 +78,7 @@
     ],
 )
 def test_lines_that_can_not_be_followed_break_the_link(data: bytes) -> None:
-    with pytest.raises(Broken):
+    with pytest.raises(ProtocolError):
         fed([data], READERS[RUNTIME])
 
 
