--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -37,16 +37,16 @@
 class Reference:
     """What is known of a referenced txn by its mark, whichever of its tries holds it."""
 
-    __slots__ = ("holder", "what", "until", "result", "over", "waiting")
+    __slots__ = ("holder", "digest", "until", "result", "over", "waiting")
 
-    def __init__(self, holder: int, what: bytes) -> None:
-        self.holder, self.what, self.until = holder, what, 0.0
+    def __init__(self, holder: int, digest: bytes) -> None:
+        self.holder, self.digest, self.until = holder, digest, 0.0
         self.result: bytes | None = None  # of the run that settled
         self.over = False  # the run has ended, with or without a result
         self.waiting: list[int] = []  # tries to be answered from it
 
 
-def what(product: int, body: bytes) -> bytes:
+def request_digest(product: int, body: bytes) -> bytes:
     """A digest of what is asked for: all tries of a referenced txn agree in it."""
     return blake2b(body, digest_size=12, salt=b"%d" % product).digest()
 
@@ -62,7 +62,7 @@
         "product",
         "body",
         "mark",
-        "what",
+        "digest",
         "answered",
         "started",
         "proof",
@@ -81,10 +81,10 @@
         product: int,
         body: bytes,
         mark: str,
-        what: bytes,
+        digest: bytes,
     ) -> None:
         self.number, self.call, self.peer, self.rpc, self.product = number, call, peer, rpc, product
-        self.body, self.mark, self.what = body, mark, what
+        self.body, self.mark, self.digest = body, mark, digest
         self.answered = self.started = self.calling = False
         self.proof: float = UNSENT  # the gauges whose answer proves that its start or reply was read
         self.wants: bytes | None = None  # the body of the call it stands at
@@ -182,18 +182,18 @@
             self.out.append((peer, "declined", rpc, False, 0.0, self.load))
             return
         spec = self.products[product]
-        mark, known, asked = dedupe if spec.effect is Effect.REFERENCED else "", None, b""
+        mark, known, digest = dedupe if spec.effect is Effect.REFERENCED else "", None, b""
         if mark:
-            asked = what(product, body)
+            digest = request_digest(product, body)
             known = self.references.get(mark) or self.fresh.get(mark)
-            if known and known.what != asked:  # its result would be served to another request
+            if known and known.digest != digest:  # its result would be served to another request
                 self.out.append((peer, "rejected", rpc, "this mark came with another body or method"))
                 return
         self.numbered += 1
-        txn = Txn(self.numbered, call, peer, rpc, product, body, mark, asked)
+        txn = Txn(self.numbered, call, peer, rpc, product, body, mark, digest)
         self.txns[txn.number] = self.calls[call] = txn
         if mark and not known:
-            self.fresh[mark] = Reference(txn.number, asked)
+            self.fresh[mark] = Reference(txn.number, digest)
         age = max(self.unix - recv, 0.0)
         left = 0.0 if ttl is None else max(ttl - age, 1e-3)  # 0 would say that nothing is known
         self.rudder.arrive(
@@ -479,7 +479,7 @@
     def _keep(self, txn: Txn, span_ms: float) -> None:
         known = self.references.get(txn.mark)
         if not known:
-            known = self.references[txn.mark] = Reference(txn.number, txn.what)
+            known = self.references[txn.mark] = Reference(txn.number, txn.digest)
             heapq.heappush(self.lapses, (self.now + span_ms, txn.mark))
         elif known.holder != txn.number:
             known.holder, known.over, known.result = txn.number, False, None
