Rename: levels' Watch and News are LevelController and LevelUpdate

Watch watched nothing: it holds a server's ladder and says what follows from each tick. Its module is levels/controller.py; tests and the benchmark go with it.

--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -14,7 +14,7 @@
 
 from otterrudder.interface import Outcome  # noqa: E402
 from otterrudder.lab.site import Site, load_toml, site_of  # noqa: E402
-from otterrudder.levels import Table, Watch, read  # noqa: E402
+from otterrudder.levels import LevelController, Table, read  # noqa: E402
 from otterrudder.net.core import Core  # noqa: E402
 
 PER_RING = 8  # txns between rings: 200 a second at 25 rings, what a server of the platform gets
@@ -23,8 +23,8 @@
 
 def served(loops: int, site: Site, table: Table | None, start: str) -> float:
     """Seconds for `loops` txns from arrival to answer, one in hand at a time, rings between."""
-    watch = Watch(Table(table.rungs, table.damping, False, start), 0.0) if table else None
-    core = Core(site.boot(1, 1), site.products, ["busy", "on_cores"], watch)
+    controller = LevelController(Table(table.rungs, table.damping, False, start), 0.0) if table else None
+    core = Core(site.boot(1, 1), site.products, ["busy", "on_cores"], controller)
     now = 0.0
     core.at(now + 1e12, now)
     core.begin(True, 1e6)
--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -15,7 +15,7 @@
 from otterrudder.lab.cores import Cores, Job
 from otterrudder.lab.engine import Engine
 from otterrudder.lab.site import Site
-from otterrudder.levels import Ladder, Table, Watch
+from otterrudder.levels import Ladder, LevelController, Table
 from otterrudder.net.core import DISPATCHER, GATEWAYS, RECORDS, RUNTIME, Core
 
 UNIX = 1.7e12  # ms: the Unix time of the day's start
@@ -85,9 +85,9 @@
         self.life = next(self.lives)  # a number for each start, of all servers of the day
         s = self.site.server
         self.cores.start(1.0 if warm else s.cold_from, 0.0 if warm else s.cold_s * 1000)
-        watch = Watch(self.table, self.spread(), self.kind) if self.table else None
+        controller = LevelController(self.table, self.spread(), self.kind) if self.table else None
         boot = self.site.boot(self.number + 1, self.seed * 1000 + self.life)
-        self.core = Core(boot, self.products, GAUGES, watch)
+        self.core = Core(boot, self.products, GAUGES, controller)
         self.tries: dict[str, Attempt] = {}
         self.runs: dict[str, Run] = {}
         self.urgent: list[tuple[Callable[..., object], tuple[object, ...], dict[str, Any]]] = []
--- a/otterrudder/levels/watch.py
+++ b/otterrudder/levels/controller.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class News:
+class LevelUpdate:
     """What a tick brought: the level the module is to be told, if it changes, and a line for the log."""
 
     relief: Relief | None
@@ -22,7 +22,9 @@
     facts: dict[str, object]
 
 
-class Watch:
+class LevelController:
+    """One server's ladder and its mode: hears the facts of each tick, answers with what follows from them."""
+
     def __init__(self, table: Table, spread: float, kind: type[Ladder] = Ladder) -> None:
         """`spread`: 0 to 1, this instance's own, see Ladder; `kind`: a baseline's, in the lab."""
         self._ladder = kind(table.rungs, table.damping, spread=spread, start=table.start)
@@ -37,24 +39,24 @@
     def name(self) -> str:
         return self._ladder.name
 
-    def step(self, now: float, facts: Mapping[str, float]) -> News | None:
+    def step(self, now: float, facts: Mapping[str, float]) -> LevelUpdate | None:
         """The tick at `now` ms, with what is known then."""
-        return self._news(self._ladder.step(now, facts), now)
+        return self._update(self._ladder.step(now, facts), now)
 
-    def take(self, table: Table, now: float) -> News:
+    def take(self, table: Table, now: float) -> LevelUpdate:
         """Another table; what is in force stays as far as the table has it."""
         self.is_shadow = table.is_shadow
-        news = self._news(self._ladder.replace(table.rungs, table.damping, now), now)
-        if news is None:
-            news = News(None, "levels taken", dict(service=self.name, shadow=self.is_shadow))
-        return replace(news, relief=self.relief)  # told in any case: the mode may have changed
+        update = self._update(self._ladder.replace(table.rungs, table.damping, now), now)
+        if update is None:
+            update = LevelUpdate(None, "levels taken", dict(service=self.name, shadow=self.is_shadow))
+        return replace(update, relief=self.relief)  # told in any case: the mode may have changed
 
     def beliefs(self, now: float) -> dict[str, object]:
         """For the line on how the server does."""
         told: dict[str, object] = dict(service=self.name, service_s=round(self._ladder.stayed(now) / 1000, 1))
         return told | (dict(service_shadow=True) if self.is_shadow else {})
 
-    def _news(self, move: Move | None, now: float) -> News | None:
+    def _update(self, move: Move | None, now: float) -> LevelUpdate | None:
         if move is None:
             return None
         told: dict[str, object] = dict(left=move.left, entered=move.entered, why=move.why.value)
@@ -64,4 +66,4 @@
         told |= dict(least_stay_s=round(move.stay_ms / 1000, 1), damped=round(move.damped, 2))
         told |= dict(shadow=True) if self.is_shadow else {}
         text = "less service" if move.up else "more service"
-        return News(None if self.is_shadow else move.relief, text, told)
+        return LevelUpdate(None if self.is_shadow else move.relief, text, told)
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -25,7 +25,7 @@
 from otterrudder.logic import Rudder
 
 if TYPE_CHECKING:  # a server without levels does not carry them
-    from otterrudder.levels import News, Table, Watch
+    from otterrudder.levels import LevelController, LevelUpdate, Table
 
 RUNTIME, RECORDS, GATEWAYS, DISPATCHER = "runtime", "records", "gateways", "dispatcher"
 Outgoing = tuple[Any, ...]  # (address, word, ...), in the forms above
@@ -98,7 +98,7 @@
         boot: Callable[..., Rudder],
         products: list[Product],
         gauges: list[str],
-        levels: "Watch | None" = None,
+        levels: "LevelController | None" = None,
     ) -> None:
         """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms). `levels`:
         the ladder of reduced service, if there is one."""
@@ -338,7 +338,7 @@
     def take_policy(
         self,
         table: "Table | None",
-        make: "Callable[[Table], Watch]",
+        make: "Callable[[Table], LevelController]",
         products: list[Product],
         tenants: list[Tenant],
         limits: Limits,
@@ -364,11 +364,11 @@
         if self.rudder and not self.retiring:
             self.rudder.reduce(self.aside if self.is_aside else self.levels.relief if self.levels else None)
 
-    def _tell_level(self, news: "News | None") -> None:
-        if news and news.relief and self.rudder and not self.is_aside:
-            self.rudder.reduce(news.relief)
-        if news:
-            self.out.append((DISPATCHER, "log", news.text, news.facts))
+    def _tell_level(self, update: "LevelUpdate | None") -> None:
+        if update and update.relief and self.rudder and not self.is_aside:
+            self.rudder.reduce(update.relief)
+        if update:
+            self.out.append((DISPATCHER, "log", update.text, update.facts))
 
     def beliefs(self) -> dict[str, Any]:
         """What the module counts beside what is known here, for the log: they must agree."""
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -161,12 +161,12 @@
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     # A fleet shares one table: each server's own lag keeps them from leaving a level together.
     spread = zlib.crc32(f"{told['name']}/levels".encode()) / 2**32
-    watch = None
+    controller = None
     if levels:
-        from otterrudder.levels import Watch
+        from otterrudder.levels import LevelController
 
-        watch = Watch(levels, spread)
-    the_core = core.Core(make, products, gauge_names(settings), watch)
+        controller = LevelController(levels, spread)
+    the_core = core.Core(make, products, gauge_names(settings), controller)
     dispatcher = Dispatcher(the_core)
     runtime = Runtime(dispatcher, address(told["runtime"]))
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -179,9 +179,9 @@
     speaker = _speaker(groups, dispatcher, runtime, records, registry) if groups else None
     agent = _agent(fleet, told, dispatcher, spread) if fleet else None
     log.info("listening", address=told["listen"], pid=os.getpid())
-    if levels and watch:
+    if levels and controller:
         names = [rung.name for rung in levels.rungs]
-        log.info("levels", service=watch.name, shadow=watch.is_shadow, of=names)
+        log.info("levels", service=controller.name, shadow=controller.is_shadow, of=names)
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked through again and again
     async with anyio.create_task_group() as group:
@@ -246,7 +246,7 @@
     from otterrudder.fleet.client import Client
     from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
     from otterrudder.fleet.records import Live
-    from otterrudder.levels import Watch
+    from otterrudder.levels import LevelController
 
     own = replace(own_of(told["settings"]), products=dispatcher.core.products)
     parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
@@ -259,7 +259,7 @@
         dispatcher.post(
             dispatcher.core.take_policy,
             content.levels,
-            lambda table: Watch(table, spread),
+            lambda table: LevelController(table, spread),
             content.products,
             content.tenants,
             content.limits,
--- a/tests/fleet/test_fleet_core.py
+++ b/tests/fleet/test_fleet_core.py
@@ -10,7 +10,7 @@
 from otterrudder.boot import boot, gauge_names, products_of, tenants_of
 from otterrudder.fleet.policy import Own, parse
 from otterrudder.interface import Limits, Outcome
-from otterrudder.levels import Watch
+from otterrudder.levels import LevelController
 from otterrudder.net.core import Core
 
 PRODUCTS, TENANTS = products_of(SETTINGS), tenants_of(SETTINGS)
@@ -46,7 +46,7 @@
     def policy(self, text: str) -> None:
         told = parse(text, Own(PRODUCTS, TENANTS))
         self.core.take_policy(
-            told.levels, lambda table: Watch(table, 0.0), told.products, told.tenants, told.limits
+            told.levels, lambda table: LevelController(table, 0.0), told.products, told.tenants, told.limits
         )
 
     def ask(self, product: int, mark: str = "", retry: bool = False) -> list[tuple]:
--- a/tests/levels/test_table.py
+++ b/tests/levels/test_table.py
@@ -9,7 +9,7 @@
 from helpers import ROOT
 
 from otterrudder.interface import Cut, Effect, Product, Tenant
-from otterrudder.levels import BadTable, Watch, parse, read
+from otterrudder.levels import BadTable, LevelController, parse, read
 from otterrudder.net.core import Core
 
 PRODUCTS = [
@@ -140,7 +140,7 @@
 def test_the_core_tells_the_module_and_the_log_and_a_drain_freezes_the_ladder(mode: str) -> None:
     text = table(SHARE, NONE, top=f'version = 1\nmode = "{mode}"\n')
     module = Module()
-    core = Core(lambda *_: module, PRODUCTS, [], Watch(parse(text, PRODUCTS, TENANTS), 0.0))
+    core = Core(lambda *_: module, PRODUCTS, [], LevelController(parse(text, PRODUCTS, TENANTS), 0.0))
     core.begin(True, 0.0)
     logged, now = [], 0.0
 
