--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -288,9 +288,9 @@
     def _check_falls(self) -> None:
         s = self.site.server
         warm = self.cores.warmth()
-        beliefs = self.core.beliefs()
+        counters = self.core.counters()
         refs = len(self.core.references) * s.ref_kb
-        used = (beliefs["held"] + beliefs["runs"] * s.run_factor) * s.held_kb + refs
+        used = (counters["held"] + counters["runs"] * s.run_factor) * s.held_kb + refs
         self.memory_peak = max(self.memory_peak, used / self.memory_most)
         crowd = self.cores.crowd / (1 + (s.falls_at - 1) * warm)
         self.crowd_peak = max(self.crowd_peak, crowd)
--- a/otterrudder/levels/controller.py
+++ b/otterrudder/levels/controller.py
@@ -51,7 +51,7 @@
             update = LevelUpdate(None, "levels taken", dict(service=self.name, shadow=self.is_shadow))
         return replace(update, relief=self.relief)  # told in any case: the mode may have changed
 
-    def beliefs(self, now: float) -> dict[str, object]:
+    def log_fields(self, now: float) -> dict[str, object]:
         """For the line on how the server does."""
         told: dict[str, object] = dict(service=self.name, service_s=round(self._ladder.stayed(now) / 1000, 1))
         return told | (dict(service_shadow=True) if self.is_shadow else {})
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -370,7 +370,7 @@
         if update:
             self.out.append((DISPATCHER, "log", update.text, update.facts))
 
-    def beliefs(self) -> dict[str, Any]:
+    def counters(self) -> dict[str, Any]:
         """What the module counts beside what is known here, for the log: they must agree."""
         if not self.rudder:
             return {}
@@ -384,7 +384,7 @@
             on_cores=self.told_cores,
             gauges_behind=self.asked - self.heard,
             load=self.load,
-            **(self.levels.beliefs(self.now) if self.levels else {}),
+            **(self.levels.log_fields(self.now) if self.levels else {}),
         )
 
     def serve_part(self, part: Part, is_up: bool, left_ms: float) -> None:
--- a/otterrudder/net/dispatcher.py
+++ b/otterrudder/net/dispatcher.py
@@ -148,7 +148,7 @@
         cpu = used.ru_utime + used.ru_stime
         log.info(
             "doing",
-            **of.beliefs(),
+            **of.counters(),
             txns=len(of.txns),
             references=len(of.references),
             numbered=of.numbered,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -343,7 +343,7 @@
             elif what == 13:
                 news = bench.step(the_core.ring, ms=40.0)
             out = news
-        told = the_core.beliefs()
+        told = the_core.counters()
         assert told["in_hand"] == told["runs"]  # the module's count and the wire's agree
     bench.step(the_core.retire, 1500.0)
     bench.step(lambda: None, ms=1500.0)
