--- a/otterrudder/net/dispatcher.py
+++ b/otterrudder/net/dispatcher.py
@@ -45,7 +45,7 @@
         self.arrivals: list[Mail] = []
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
-        self.watch = _Watch()
+        self.statistics = _LoopStatistics()
         self.ahead: list[Callable[[float], None]] = []  # what may not wait for a turn: it is played first
 
     def post(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
@@ -61,7 +61,7 @@
     async def run(self) -> None:
         """Takes turns until it is cancelled."""
         while True:
-            wait = min(self.ring_at, self.ask_at, self.watch.next) - clock.monotonic()
+            wait = min(self.ring_at, self.ask_at, self.statistics.next) - clock.monotonic()
             if not (self.urgent or self.arrivals) and wait > 0:
                 self.wake = anyio.Event()
                 with anyio.move_on_after(wait / 1000):
@@ -85,7 +85,7 @@
             self._try(self.core.ask)
         if now >= self.ring_at:
             late = now - self.ring_at
-            self.watch.late(late)
+            self.statistics.ring_played(late)
             self.ring_at = float("inf")
             self._try(self.core.ring, late)
         for address, *message in self._try(self.core.done) or ():
@@ -93,7 +93,7 @@
                 self._try(self.addresses.get(address, address).tell, *message)
         if self.ring_at == self.ask_at == float("inf") and self.period:  # a failed ring must not be the last
             self.tell("wake", self.period)
-        self._try(self.watch.turned, now, len(urgent) + len(arrivals), self.core)
+        self._try(self.statistics.turn_played, now, len(urgent) + len(arrivals), self.core)
 
     def tell(self, word: str, *rest: Any) -> None:
         """What the core sends to its dispatcher: when to ring next, or a line to log."""
@@ -119,8 +119,8 @@
     return round(int(Path("/proc/self/statm").read_bytes().split()[1]) * resource.getpagesize() / 2**20, 1)
 
 
-class _Watch:
-    """A cheap count of how this process does, told now and then."""
+class _LoopStatistics:
+    """How the loop keeps up: cheap counts, logged and begun anew each REPORT_MS."""
 
     def __init__(self) -> None:
         self.next = clock.monotonic() + REPORT_MS
@@ -129,16 +129,18 @@
         self.mail = self.turns = self.events = 0
         self.cpu = 0.0
 
-    def late(self, ms: float) -> None:
-        self.lag = max(self.lag, ms)
-        if ms > LATE_MS:
+    def ring_played(self, late_ms: float) -> None:
+        """A ring was played so late."""
+        self.lag = max(self.lag, late_ms)
+        if late_ms > LATE_MS:
             self.late_at = clock.monotonic()
 
     def is_late(self) -> bool:
         """Whether a ring of late was so late that answers at expiry may be."""
         return clock.monotonic() - self.late_at < LATE_FOR_MS
 
-    def turned(self, began: float, mail: int, of: core.Core) -> None:
+    def turn_played(self, began: float, mail: int, of: core.Core) -> None:
+        """A turn that began then took so much mail."""
         now = clock.monotonic()
         self.turn_ms = max(self.turn_ms, now - began)
         self.mail, self.turns, self.events = max(self.mail, mail), self.turns + 1, self.events + mail
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -222,7 +222,7 @@
         return dict(
             runtime=not core.is_linked,
             records=records.is_refused,
-            late=dispatcher.watch.is_late(),
+            late=dispatcher.statistics.is_late(),
             level=core.levels is not None and core.levels.name != "full",
             unhealthy=bool(core.rudder) and not core.healthy and not core.left_parts,
         )
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -568,7 +568,7 @@
             raise OSError(24, "Too many open files")
 
         monkeypatch.setattr("otterrudder.net.dispatcher._rss_mb", none_left)
-        rig.dispatcher.watch.next = 0.0
+        rig.dispatcher.statistics.next = 0.0
         rig.dispatcher.turn()
         gateway, _ = await rig.connect()
         gateway.sock.sendall(gateway.txn_message(A))
