--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -20,6 +20,12 @@
 import msgspec
 
 from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.configuration import (
+    CONFIGURATION_VARIABLE,
+    FLEET_VARIABLE,
+    BadConfiguration,
+    read_configuration,
+)
 from otterrudder.fleet.change import (
     Refused,
     count,
@@ -39,7 +45,6 @@
 from otterrudder.fleet.store import Done, StoreAway
 from otterrudder.levels.table import FACTS
 from otterrudder.net import control
-from otterrudder.net.configuration import BadConfiguration, read_configuration
 
 ABORTED, UNDECIDED = 3, 4
 TIMEOUT_MS = 2000.0  # of a request
@@ -51,7 +56,7 @@
 FILE = click.option(
     "--fleet",
     "file",
-    envvar="OTTERRUDDER_FLEET",
+    envvar=FLEET_VARIABLE,
     required=True,
     metavar="FILE",
     help="TOML file of the fleet (or OTTERRUDDER_FLEET).",
@@ -539,7 +544,7 @@
 def _check(text: str, path: Path) -> None:
     """Against this machine's configuration where there is one; else by the names that the file itself has."""
     try:
-        if config := os.environ.get("NODE_CONFIG"):
+        if config := os.environ.get(CONFIGURATION_VARIABLE):
             own = own_of(read_configuration(config)["settings"])
         else:
             told = tomllib.loads(text)
--- a/otterrudder/fleet/commits.py
+++ b/otterrudder/fleet/commits.py
@@ -18,8 +18,8 @@
     )
     writes = [
         Put(keys.live(name), encode(live), lease),
-        # Who has counted the votes without this member has to count anew. The change itself is not touched: it
-        # is watched by all, and a zone that comes back would have all read for each.
+        # Who has counted the votes without this member has to count anew. The change itself is not touched:
+        # it is watched by all, and a zone that comes back would have all read for each.
         Put(keys.joined, name.encode()),
     ]
     if seen.roster != roster:
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
+from otterrudder.configuration import BadConfiguration, address
 from otterrudder.files import convert, load_toml
 from otterrudder.fleet.member import POLL_SHARE
 from otterrudder.fleet.records import NAME_MOST, Absent
 from otterrudder.fleet.state import Rules
-from otterrudder.net.configuration import BadConfiguration, address
 
 VERSION = 1  # of the form
 NEEDS = ("aetcd", "grpc")  # what the store's client stands on, the extra `fleet`
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -1,13 +1,15 @@
 """The link to the runtime: held open, made anew when lost, with every notice heard once and in order."""
 
 import random
+from typing import Any
 
 import anyio
 import anyio.abc
 
-from otterrudder.net import clock, lines, sockets
-from otterrudder.net.helm import Helm
-from otterrudder.net.log import log
+from otterrudder import clock
+from otterrudder.log import log
+from otterrudder.net import lines, sockets
+from otterrudder.net.dispatcher import Dispatcher
 
 PAUSE_MS = 20.0  # ms before the first try to connect again: the link is lost, the runtime most likely is not
 PAUSE_MOST_MS = 500.0  # ms at most: a runtime that comes up is found within that
@@ -19,10 +21,10 @@
 
 
 class Runtime:
-    def __init__(self, helm: Helm, address: tuple[str, int]) -> None:
-        self.helm, self.address = helm, address
+    def __init__(self, dispatcher: Dispatcher, address: tuple[str, int]) -> None:
+        self.dispatcher, self.address = dispatcher, address
         self.stream: sockets.Stream | None = None
-        self.group: anyio.abc.TaskGroup | None = None
+        self.group: anyio.abc.TaskGroup  # while it runs
         self.last = 0  # the last notice heard
         self.replaying = False
         self.born: float | None = None  # when the runtime started, by our clock
@@ -35,9 +37,9 @@
         if self.stream and self.replaying:
             self.stream.end(MOVED)  # nothing was sent on it
         elif self.stream:
-            self.helm.post(self.helm.core.leave_link)
+            self.dispatcher.post(self.dispatcher.core.leave_link)
 
-    def tell(self, word: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
         if not self.stream:
             return  # the core repeats what is missing once the link stands
         if word == "leave":
@@ -84,16 +86,17 @@
                 log.warning("runtime link lost", why=why, last_notice=self.last, unsent=stream.unsent)
         finally:
             self.stream = None
-            self.helm.post(self.helm.core.unlinked)
+            self.dispatcher.post(self.dispatcher.core.unlinked)
         return why == MOVED
 
     def _leave(self, tag: int) -> None:
         """The last question on the old link: its answer proves that all before it was read. What is decided
         meanwhile waits for the new link, so that no start is in doubt."""
-        if self.stream is self.left and not self.leaving:
+        stream = self.stream
+        if stream and stream is self.left and not self.leaving:
             self.leaving = str(tag)
-            self.stream.send(lines.say("gauges", tag))
-            self.group.start_soon(self._end_late, self.stream)
+            stream.send(lines.say("gauges", tag))
+            self.group.start_soon(self._end_late, stream)
 
     async def _end_late(self, stream: sockets.Stream) -> None:
         await anyio.sleep(MOVE_S)
@@ -104,51 +107,54 @@
             try:
                 self._hear(words, body)
             except (ValueError, IndexError):
-                raise sockets.Broken(f"not understood: {' '.join(words)[:80]!r}") from None
+                raise sockets.ProtocolError(f"not understood: {' '.join(words)[:80]!r}") from None
 
     def _hear(self, words: lines.Words, body: bytes) -> None:
-        word, core = words[0], self.helm.core
+        word, core = words[0], self.dispatcher.core
         if word in ("end", "wants", "info"):
             number = lines.natural(words[1])
             if number <= self.last:
                 log.warning("notice heard twice", notice=number, last_notice=self.last)
                 return
             if number > self.last + 1 and not self.replaying:
-                raise sockets.Broken(f"notice {number} after {self.last}")
+                raise sockets.ProtocolError(f"notice {number} after {self.last}")
             if number > self.last + 1:  # the runtime keeps so many and no more: what is lost is lost
                 log.error("notices are missing", notice=number, last_notice=self.last)
             self.last = number
             if word == "end":
                 outcome = lines.ENDS.get(words[3])
                 if outcome is None:
-                    raise sockets.Broken(f"unknown end {words[3][:20]!r}")
-                self.helm.post(core.ended, words[2], outcome, body, of=words[2])
+                    raise sockets.ProtocolError(f"unknown end {words[3][:20]!r}")
+                self.dispatcher.post(core.ended, words[2], outcome, body, of=words[2])
             elif word == "wants":
-                self.helm.post(core.wants, words[2], body, of=words[2])
+                self.dispatcher.post(core.wants, words[2], body, of=words[2])
         elif word == "load":
             if words[1] == REPLAYED:
                 self.replaying = False
-                self.helm.post(core.linked)
+                self.dispatcher.post(core.linked)
             else:
-                self.helm.post(core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]])
-                if words[1] == self.leaving:
+                self.dispatcher.post(
+                    core.gauged, lines.natural(words[1]), [float(value) for value in words[2:]]
+                )
+                if self.stream and words[1] == self.leaving:
                     self.stream.end(MOVED)
         elif word == "ready":
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
+            assert self.stream  # that it was heard on
             self.stream.send(lines.say("gauges", REPLAYED))
             born = clock.monotonic() - up_ms
             if self.born is None:
                 log.info("runtime is up", warm=warm, up_ms=up_ms)
-                self.helm.post(core.begin, warm, up_ms)
+                self.dispatcher.post(core.begin, warm, up_ms)
             elif born > self.born + ANEW_MS:
                 log.error("runtime has started anew", up_ms=up_ms, last_notice=self.last)
                 self.last = 0
-                self.helm.post(core.restarted)
+                self.dispatcher.post(core.restarted)
             self.born = born
         elif word == "nack" and words[1:3] == ["gauges", REPLAYED]:
-            raise sockets.Broken("the replay has no end")  # the next link asks again
+            raise sockets.ProtocolError("the replay has no end")  # the next link asks again
         elif word == "nack":
-            self.helm.post(core.refused, words[1], words[2] if len(words) > 2 else "")
+            self.dispatcher.post(core.refused, words[1], words[2] if len(words) > 2 else "")
         else:
-            raise sockets.Broken(f"unknown word {word[:20]!r}")
+            raise sockets.ProtocolError(f"unknown word {word[:20]!r}")
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -5,21 +5,30 @@
 import resource
 import signal
 import zlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
-from otterrudder import __version__
+from otterrudder import __version__, clock
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
+from otterrudder.configuration import (
+    CONFIGURATION_VARIABLE,
+    FLEET_VARIABLE,
+    LEVELS_VARIABLE,
+    MOVABLE,
+    VRRP_VARIABLE,
+    BadConfiguration,
+    address,
+    read_configuration,
+)
 from otterrudder.interface import Effect
+from otterrudder.log import log
 from otterrudder.logic import Rudder
-from otterrudder.net import clock, core, early
-from otterrudder.net.configuration import MOVABLE, BadConfiguration, address, read_configuration
+from otterrudder.net import core, early
+from otterrudder.net.dispatcher import Dispatcher
 from otterrudder.net.gateways import Gateways
-from otterrudder.net.helm import Helm
-from otterrudder.net.log import log
 from otterrudder.net.records import Records
 from otterrudder.net.registry import Registry
 from otterrudder.net.runtime import Runtime
@@ -46,7 +55,13 @@
     vrrp: str | None = None
     fleet: str | None = None
 
-    def read_levels(self, settings: dict) -> "Table | None":
+    @classmethod
+    def from_environment(cls) -> "Files":
+        """The files that the environment names; an empty name is none."""
+        names = (CONFIGURATION_VARIABLE, LEVELS_VARIABLE, VRRP_VARIABLE, FLEET_VARIABLE)
+        return cls(*(os.environ.get(name) or None for name in names))
+
+    def read_levels(self, settings: dict[str, Any]) -> "Table | None":
         """The table of levels, None where there is no file; BadConfiguration says what is wrong with it."""
         if not self.levels:
             return None
@@ -70,7 +85,7 @@
         except BadFleet as trouble:
             raise BadConfiguration(str(trouble)) from None
 
-    def read_vrrp(self, settings: dict) -> "Groups | None":
+    def read_vrrp(self, settings: dict[str, Any]) -> "Groups | None":
         """The VRRP groups with their keys, None where there is no file; BadConfiguration says what is
         wrong."""
         if not self.vrrp:
@@ -83,7 +98,7 @@
             raise BadConfiguration(str(trouble)) from None
 
 
-def unsaid(settings: dict) -> list[str]:
+def unsaid(settings: dict[str, Any]) -> list[str]:
     """What the settings allow and the runtime's protocol has no word for: a line that is no command ends the
     link, so the server keeps it off."""
     why = "the runtime's protocol has no word for it, so it is kept off"
@@ -93,7 +108,7 @@
     ] * omits
 
 
-def run(told: dict, files: Files) -> int:
+def run(told: dict[str, Any], files: Files) -> int:
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
     levels, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
@@ -107,7 +122,7 @@
 
 
 async def _serve(
-    told: dict, files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
+    told: dict[str, Any], files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
 ) -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
@@ -115,7 +130,7 @@
 
 
 async def _live(
-    told: dict,
+    told: dict[str, Any],
     files: Files,
     levels: "Table | None",
     groups: "Groups | None",
@@ -146,31 +161,31 @@
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     # A fleet shares one table: each server's own lag keeps them from leaving a level together.
     spread = zlib.crc32(f"{told['name']}/levels".encode()) / 2**32
-    watch = None
+    controller = None
     if levels:
-        from otterrudder.levels import Watch
+        from otterrudder.levels import LevelController
 
-        watch = Watch(levels, spread)
-    the_core = core.Core(make, products, gauge_names(settings), watch)
-    helm = Helm(the_core)
-    runtime = Runtime(helm, address(told["runtime"]))
+        controller = LevelController(levels, spread)
+    the_core = core.Core(make, products, gauge_names(settings), controller)
+    dispatcher = Dispatcher(the_core)
+    runtime = Runtime(dispatcher, address(told["runtime"]))
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     sockets_most = int(told["limits"]["sockets"])
     sockets_most = sockets_most if allowed == resource.RLIM_INFINITY else min(sockets_most, allowed)
-    records = Records(helm, _records(told), sockets_most)
-    gateways = Gateways(helm, address(told["listen"]), sockets_most - records.most, tenants)
+    records = Records(dispatcher, _records(told), sockets_most)
+    gateways = Gateways(dispatcher, address(told["listen"]), sockets_most - records.most, tenants)
     registry = Registry(told["name"], address(told["registry"]))
-    helm.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
-    speaker = _speaker(groups, helm, runtime, records, registry) if groups else None
-    agent = _agent(fleet, told, helm, spread) if fleet else None
+    dispatcher.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
+    speaker = _speaker(groups, dispatcher, runtime, records, registry) if groups else None
+    agent = _agent(fleet, told, dispatcher, spread) if fleet else None
     log.info("listening", address=told["listen"], pid=os.getpid())
-    if watch:
+    if levels and controller:
         names = [rung.name for rung in levels.rungs]
-        log.info("levels", service=watch.name, shadow=watch.is_shadow, of=names)
+        log.info("levels", service=controller.name, shadow=controller.is_shadow, of=names)
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked through again and again
     async with anyio.create_task_group() as group:
-        for actor in (helm, runtime, records, registry):
+        for actor in (dispatcher, runtime, records, registry):
             group.start_soon(actor.run)
         if speaker:
             speaker.begin()
@@ -180,56 +195,60 @@
         if speaker or agent:
             from otterrudder.net.control import Control
 
-            answers = {"vrrp": speaker.shown} if speaker else {}
-            answers |= {"fleet": agent.shown} if agent else {}
+            answers: dict[str, Callable[[], object]] = {}
+            if speaker:
+                answers["vrrp"] = speaker.shown
+            if agent:
+                answers["fleet"] = agent.shown
             group.start_soon(Control(told["name"], answers).run)
-        group.start_soon(_watch, signals, told, files, helm, runtime, records, registry, speaker)
+        group.start_soon(_watch, signals, told, files, dispatcher, runtime, records, registry, speaker)
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
 def _speaker(
-    groups: "Groups", helm: Helm, runtime: Runtime, records: Records, registry: Registry
+    groups: "Groups", dispatcher: Dispatcher, runtime: Runtime, records: Records, registry: Registry
 ) -> "Speaker":
-    """VRRP's actor, its socket taken: what it orders goes to the core by the helm, ahead of what arrives."""
+    """VRRP's actor, its socket taken: what it orders goes to the core by the dispatcher, ahead of what
+    arrives."""
     from otterrudder.vrrp.speaker import Speaker
 
     def order(told: "Order") -> None:
-        helm.post(helm.core.serve_part, told.part, told.is_up, told.left_ms)
+        dispatcher.post(dispatcher.core.serve_part, told.part, told.is_up, told.left_ms)
 
     def facts() -> dict[str, bool]:
-        core = helm.core
+        core = dispatcher.core
         return dict(
             runtime=not core.is_linked,
             records=records.is_refused,
-            late=helm.watch.is_late(),
+            late=dispatcher.statistics.is_late(),
             level=core.levels is not None and core.levels.name != "full",
             unhealthy=bool(core.rudder) and not core.healthy and not core.left_parts,
         )
 
     def changed() -> None:
-        registry.draining = helm.core.retiring or not speaker.is_serving
+        registry.draining = dispatcher.core.retiring or not speaker.is_serving
 
     speaker = Speaker(groups, int(clock.unix()), order, facts)
     speaker.changed = changed
     speaker.bind()
     registry.draining = True
-    helm.ahead.append(speaker.pulse)
+    dispatcher.ahead.append(speaker.pulse)
     return speaker
 
 
-def _agent(fleet: "Fleet", told: dict, helm: Helm, spread: float) -> "Agent":
-    """The fleet's actor, its folder taken: what it orders goes to the core by the helm, ahead of what
+def _agent(fleet: "Fleet", told: dict[str, Any], dispatcher: Dispatcher, spread: float) -> "Agent":
+    """The fleet's actor, its folder taken: what it orders goes to the core by the dispatcher, ahead of what
     arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
     from otterrudder.durable import Busy
     from otterrudder.fleet.agent import Agent, Orders, open_folder
     from otterrudder.fleet.client import Client
     from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
     from otterrudder.fleet.records import Live
-    from otterrudder.levels import Watch
+    from otterrudder.levels import LevelController
 
-    own = replace(own_of(told["settings"]), products=helm.core.products)
+    own = replace(own_of(told["settings"]), products=dispatcher.core.products)
     parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
     def take(text: str) -> None:
@@ -237,10 +256,10 @@
             content = parsed.get(text) or parse(text or NO_POLICY, own)
         except BadPolicy:
             return  # it stands aside for that, and says why
-        helm.post(
-            helm.core.take_policy,
+        dispatcher.post(
+            dispatcher.core.take_policy,
             content.levels,
-            lambda table: Watch(table, spread),
+            lambda table: LevelController(table, spread),
             content.products,
             content.tenants,
             content.limits,
@@ -261,13 +280,13 @@
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
-    orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
+    orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
 
     def facts() -> dict[str, float]:
-        return helm.core.rudder.facts() if helm.core.rudder else {}
+        return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
     agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
-    helm.ahead.append(agent.pulse)
+    dispatcher.ahead.append(agent.pulse)
     log.info(
         "of a fleet",
         fleet=fleet.name,
@@ -280,15 +299,15 @@
     return agent
 
 
-def _records(told: dict) -> tuple[str, int] | None:
+def _records(told: dict[str, Any]) -> tuple[str, int] | None:
     return address(told["records"]) if told.get("records") else None
 
 
 async def _watch(
     signals: AsyncIterator[signal.Signals],
-    told: dict,
+    told: dict[str, Any],
     files: Files,
-    helm: Helm,
+    dispatcher: Dispatcher,
     runtime: Runtime,
     records: Records,
     registry: Registry,
@@ -298,7 +317,7 @@
         if number == signal.SIGHUP:
             try:
                 told = _reload(told, files, runtime, records, registry)
-                _reload_levels(told, files, helm)
+                _reload_levels(told, files, dispatcher)
                 if speaker:
                     _reload_keys(told, files, speaker)
             except Exception:  # a file that nobody thought of must not end what is served
@@ -307,7 +326,7 @@
         if speaker:  # priority 0 first, so that another takes over while this one drains
             speaker.retire()
         registry.draining = True
-        helm.post(helm.core.retire, told["stop_ms"])
+        dispatcher.post(dispatcher.core.retire, told["stop_ms"])
 
 
 async def _heard(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
@@ -317,7 +336,9 @@
         yield number
 
 
-def _reload(told: dict, files: Files, runtime: Runtime, records: Records, registry: Registry) -> dict:
+def _reload(
+    told: dict[str, Any], files: Files, runtime: Runtime, records: Records, registry: Registry
+) -> dict[str, Any]:
     """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
     try:
         new = read_configuration(files.configuration)
@@ -338,7 +359,7 @@
     return told | {name: new.get(name) for name in MOVABLE}
 
 
-def _reload_keys(told: dict, files: Files, speaker: "Speaker") -> None:
+def _reload_keys(told: dict[str, Any], files: Files, speaker: "Speaker") -> None:
     """Other keys for VRRP; groups are settled at the start."""
     try:
         if groups := files.read_vrrp(told["settings"]):
@@ -348,10 +369,10 @@
         log.error("vrrp keys not taken", why=str(trouble))
 
 
-def _reload_levels(told: dict, files: Files, helm: Helm) -> None:
+def _reload_levels(told: dict[str, Any], files: Files, dispatcher: Dispatcher) -> None:
     """Takes the table of levels anew; whether there are levels at all is settled at the start."""
     try:
         if table := files.read_levels(told["settings"]):
-            helm.post(helm.core.take_levels, table)
+            dispatcher.post(dispatcher.core.take_levels, table)
     except BadConfiguration as trouble:
         log.error("levels not taken", why=str(trouble))
