--- /dev/null
+++ b/tests/fleet/test_cell.py
@@ -0,0 +1,702 @@
+"""The pure parts of agreement by cells: a server's part, a relay's, the poll of kinds, consent, the queue."""
+
+import math
+from dataclasses import replace
+
+import pytest
+from cell_harness import FLEET, KEYS, RULES, Harness, Stream, in_force, registration, sent, told
+
+from otterrudder.fleet.cell.consent import CONSENT_MS, Consents, Promise
+from otterrudder.fleet.cell.kinds import ASK_AGAIN_MS, ASK_MOST_MS, VERDICTS_MOST, Candidate, Poll, Verdicts
+from otterrudder.fleet.cell.messages import (
+    AskConsent,
+    AskVerdict,
+    Consent,
+    Grant,
+    InForce,
+    RefusalReason,
+    Refuse,
+    Register,
+    RelayMessage,
+    Renew,
+    Verdict,
+    decode_from_peer,
+    decode_from_relay,
+    decode_from_server,
+    encode,
+)
+from otterrudder.fleet.cell.participant import (
+    HOME_AGAIN_MS,
+    LEASE_SPAN_MS,
+    PENDING_MOST,
+    RETRY_MOST_MS,
+    RETRY_MS,
+    TEXTS_MOST,
+    CheckText,
+    Connect,
+    Disconnect,
+    Identity,
+    Participant,
+)
+from otterrudder.fleet.cell.relay import (
+    TAKEOVER_MS,
+    CellIdentity,
+    EndSession,
+    Relay,
+    RelayLimits,
+)
+from otterrudder.fleet.change import Settler
+from otterrudder.fleet.effects import Commit, Lane, Lease, Read
+from otterrudder.fleet.queue import InForce as PolicyInForce
+from otterrudder.fleet.queue import QueueRefused, enqueue, leave_queue, open_first, place
+from otterrudder.fleet.records import QUEUE_MOST, Queued, digest_of
+from otterrudder.fleet.records import encode as encode_record
+from otterrudder.fleet.state import Rules, Standing
+from otterrudder.fleet.store import Put
+
+# A server's part.
+
+
+def participant(relays: tuple[str, ...] = ("a", "b")) -> Participant:
+    return Participant(0.0, Identity(FLEET, "s", "s.1", "plain"), relays)
+
+
+def connect(server: Participant, now: float = 0.0) -> Register:
+    """Its connection comes about; its first message."""
+    (wanted,) = [effect for effect in server.effects(now) if isinstance(effect, Connect)]
+    server.connected(now, wanted.connection)
+    (message,) = sent(server.effects(now))
+    assert isinstance(message, Register)
+    return message
+
+
+def grant(server: Participant, now: float, sequence: int, version: int = 0, span: float = 3000.0) -> None:
+    change = f"change {version}" if version else ""
+    server.received(now, server.connection, Grant(sequence, version, change, span))
+
+
+def takes(server: Participant, now: float, version: int, text: str) -> None:
+    """A text comes, and is good."""
+    server.received(now, server.connection, in_force(version, text, digest_of(text)))
+    for effect in server.effects(now):
+        if isinstance(effect, CheckText):
+            server.checked(now, effect.digest, "")
+
+
+def test_a_lease_counts_from_the_sending() -> None:
+    server = participant()
+    assert server.standing(0.0) is Standing.STARTING and server.admits(0.0) is None
+    sequence = connect(server).sequence
+    grant(server, 700.0, sequence)
+    assert server.lease_until == 0.9 * LEASE_SPAN_MS
+    assert server.admits(2699.0) == 0 and server.admits(2700.0) is None
+    assert server.standing(2700.0) is Standing.LAPSED
+
+
+def test_a_lease_is_asked_for_again_after_a_quarter() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence)
+    assert 0.2 * LEASE_SPAN_MS < server.due() < 0.3 * LEASE_SPAN_MS
+    (message,) = sent(server.effects(server.due()))
+    assert message == Renew(2, 0, "serving")
+
+
+def test_a_lease_goes_on_while_the_relay_is_left() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence)
+    server.disconnected(100.0, server.connection)
+    assert server.relay == "b" and server.admits(2000.0) == 0
+    message = connect(server, 100.0)
+    assert message.version == 0 and message.sequence == 2
+    grant(server, 200.0, 2)
+    assert server.lease_until == 100.0 + 0.9 * LEASE_SPAN_MS
+
+
+def test_a_silent_relay_is_left_for_the_next() -> None:
+    server = participant()
+    connect(server)
+    assert server.due() == 0.25 * LEASE_SPAN_MS
+    effects = server.effects(server.due())
+    assert [type(effect) for effect in effects] == [Disconnect, Connect] and server.relay == "b"
+    assert server.refusal == "a does not answer"
+    late = Grant(1, 0, "", 3000.0)
+    server.received(800.0, 1, late)  # of the stream that was given up
+    assert server.admits(800.0) is None
+
+
+def test_a_grant_that_was_not_asked_for_counts_for_nothing() -> None:
+    server = participant()
+    connect(server)
+    grant(server, 0.0, 7)
+    assert server.standing(0.0) is Standing.STARTING
+
+
+def test_a_refusal_leads_to_the_next_relay_at_once() -> None:
+    server = participant()
+    connect(server)
+    server.received(0.0, 1, Refuse(1, RefusalReason.NOT_LEADER))
+    assert [type(effect) for effect in server.effects(0.0)] == [Disconnect, Connect]
+    assert server.relay == "b" and server.refusal == "a: not-leader"
+
+
+def test_tries_grow_rarer_while_all_relays_refuse() -> None:
+    server, waits, now = participant(), [], 0.0
+    for _ in range(20):
+        register = connect(server, now)
+        server.received(now, server.connection, Refuse(register.sequence, RefusalReason.FULL, "full"))
+        server._effects.clear()
+        waits.append(max(server.due() - now, 0.0))
+        now = max(now, server.due())
+    assert waits[0] == 0.0 and waits[1] >= RETRY_MS / 2
+    assert all(0 < wait <= RETRY_MOST_MS for wait in waits[1:]) and max(waits) > RETRY_MOST_MS / 2
+
+
+def test_unanswered_keeps_the_stream() -> None:
+    server = participant()
+    connect(server)
+    server.received(0.0, 1, Refuse(1, RefusalReason.UNANSWERED, "this kind was asked"))
+    assert server.effects(0.0) == [] and server.connection == 1
+    assert server.due() == RETRY_MS
+    assert sent(server.effects(RETRY_MS)) == [Renew(2, 0, "starting")]
+
+
+def test_a_version_that_goes_back_is_not_believed() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence, 1)
+    takes(server, 0.0, 1, "one")
+    assert server.admits(0.0) == 1
+    server.effects(server.due())
+    grant(server, 800.0, 2, 0)
+    assert server.relay == "b" and server.doubt == "a tells of version 0, older than 1"
+    assert server.lease_until == 0.9 * LEASE_SPAN_MS and server.admits(800.0) == 1
+
+
+def test_another_change_under_the_same_number_is_not_believed() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence, 1)
+    takes(server, 0.0, 1, "one")
+    server.effects(server.due())
+    server.received(800.0, 1, Grant(2, 1, "another", 3000.0))
+    assert server.relay == "b" and server.doubt == "a tells of another version 1"
+
+
+def test_the_old_version_lasts_for_its_lease_and_no_longer() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence)
+    server.effects(server.due())
+    grant(server, 800.0, 2, 1)  # its text has not come
+    assert server.admits(2699.0) == 0 and server.standing(2700.0) is Standing.BEHIND
+    takes(server, 2800.0, 1, "one")
+    assert server.admits(2800.0) == 1
+
+
+def test_a_server_that_knew_nothing_admits_nothing_before_the_text() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence, 1)
+    assert server.standing(0.0) is Standing.BEHIND
+    takes(server, 0.0, 1, "one")
+    assert server.admits(0.0) == 1
+
+
+def test_a_damaged_text_is_not_taken() -> None:
+    server = participant()
+    connect(server)
+    server.received(0.0, 1, in_force(1, "damaged", digest_of("one")))
+    assert server.relay == "b" and server.head == 0
+    assert server.doubt == "a: the text of version 1 is damaged"
+
+
+def test_a_text_that_is_no_good_here_stops_the_server() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence, 1)
+    server.received(0.0, 1, in_force(1, "one", digest_of("one")))
+    (check,) = server.effects(0.0)
+    assert isinstance(check, CheckText)
+    server.checked(0.0, check.digest, "values.look: no product")
+    assert server.standing(0.0) is Standing.UNFIT and server.why == "values.look: no product"
+    takes(server, 10.0, 2, "two")
+    assert server.standing(10.0) is Standing.SERVING
+
+
+def test_a_question_is_answered_once_checked_and_from_memory_after() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence)
+    question = AskVerdict(digest_of("one"), "one")
+    server.received(0.0, 1, question)
+    assert server.effects(0.0) == [CheckText(question.digest, "one")]
+    server.received(0.0, 1, question)
+    assert server.effects(0.0) == []
+    server.checked(5.0, question.digest, "no")
+    assert sent(server.effects(5.0)) == [Verdict(question.digest, "no")]
+    server.received(6.0, 1, question)
+    assert sent(server.effects(6.0)) == [Verdict(question.digest, "no")]
+
+
+def test_the_first_address_is_tried_again() -> None:
+    server = participant()
+    connect(server)
+    server.received(0.0, 1, Refuse(1, RefusalReason.FULL))
+    grant(server, 0.0, connect(server).sequence)
+    now = 0.0
+    while server.relay == "b" and now < 2 * HOME_AGAIN_MS:
+        now = server.due()
+        for message in sent(server.effects(now)):
+            grant(server, now, message.sequence)
+    assert HOME_AGAIN_MS / 2 <= now <= 1.5 * HOME_AGAIN_MS + LEASE_SPAN_MS and server.relay == "a"
+    assert server.admits(now) == 0  # the lease goes on
+
+
+def test_a_server_keeps_no_more_than_it_may() -> None:
+    server = participant()
+    connect(server)
+    for number in range(20):
+        text = f"text {number}"
+        server.received(0.0, 1, in_force(number + 1, text, digest_of(text)))
+        server.received(0.0, 1, AskVerdict(digest_of(f"asked {number}"), f"asked {number}"))
+        server._request(0.0, Renew(number, 0))
+    assert len(server._texts) <= TEXTS_MOST and len(server._to_answer) <= TEXTS_MOST
+    assert len(server._pending) <= PENDING_MOST
+    for number in range(20):
+        server.checked(0.0, f"digest {number}", "")
+    assert len(server._checked) <= TEXTS_MOST + 1
+
+
+# Messages.
+
+
+def test_messages_come_back_as_they_were() -> None:
+    for message in (registration(), Renew(3, 1, "serving"), Verdict("d", "no")):
+        assert decode_from_server(encode(message)) == message
+    relays = (
+        Grant(3, 1, "A", 3000.0),
+        in_force(1, "t", "d"),
+        AskVerdict("d", "t"),
+        Refuse(1, RefusalReason.FULL, "x"),
+    )
+    for message in relays:
+        assert decode_from_relay(encode(message)) == message
+    for message in (AskConsent(1, "f", "c", "a", ("a", "b")), Consent(1, "b", 3000.0)):
+        assert decode_from_peer(encode(message)) == message
+
+
+# Kinds.
+
+
+def test_a_second_server_is_asked_where_the_first_is_silent() -> None:
+    servers = [Candidate(1, "old", "s1"), Candidate(2, "old", "s2")]
+    poll = Poll("d", Verdicts())
+    assert poll.ask(0.0, servers) == [1] and poll.due() == ASK_AGAIN_MS
+    assert poll.ask(ASK_AGAIN_MS, servers) == [2]
+    assert poll.ask(2 * ASK_AGAIN_MS, servers) == [1]
+    assert not poll.is_overdue(ASK_MOST_MS - 1, "old") and poll.is_overdue(ASK_MOST_MS, "old")
+    poll.answered("old", "s2", "")
+    assert not poll.is_overdue(ASK_MOST_MS, "old")
+
+
+def test_a_no_names_the_server_once() -> None:
+    poll = Poll("d", Verdicts())
+    servers = [Candidate(1, "old", "s1")]
+    poll.answered("old", "s1", "values.look: no product")
+    assert poll.decided(servers) == "s1: values.look: no product"
+    again = Poll("d", poll.verdicts)
+    assert again.decided([Candidate(2, "old", "s2")]) == "s2: values.look: no product"
+
+
+def test_verdicts_are_bounded() -> None:
+    verdicts = Verdicts()
+    for number in range(VERDICTS_MOST + 1):
+        verdicts.put("k", str(number), "")
+    assert verdicts.get("k", "0") is None and verdicts.get("k", "1") == ""
+
+
+# A relay.
+
+
+def at_work(**options: object) -> Harness:
+    """Two cells of two relays, two servers each, all admitting under the servers' own files."""
+    harness = Harness(**options)  # type: ignore[arg-type]
+    for cell in ("east", "west"):
+        relays = harness.add_cell(cell)
+        for number in range(2):
+            harness.add_server(f"{cell}-s{number}", relays, f"kind of {cell}")
+    harness.run(10_000.0)
+    assert set(harness.admitted().values()) == {0}
+    return harness
+
+
+def test_cells_agree_and_their_servers_switch() -> None:
+    harness = at_work()
+    harness.propose("A")
+    harness.run(2000.0)
+    assert set(harness.admitted().values()) == {1} and harness.view().change is None
+
+
+def test_one_server_of_a_kind_is_asked() -> None:
+    harness = at_work()
+    asked: list[str] = []
+    deliver = harness._to_server
+
+    def watch(stream: Stream, message: RelayMessage) -> None:
+        if isinstance(message, AskVerdict):
+            asked.append(stream.server)
+        deliver(stream, message)
+
+    harness._to_server = watch  # type: ignore[method-assign]
+    harness.propose("A")
+    harness.run(2000.0)
+    assert sorted(name.split("-")[0] for name in asked) == ["east", "west"]
+
+
+def test_a_grant_ends_with_the_authority_of_the_relay() -> None:
+    harness = at_work()
+    relay = harness.leader("east")
+    until = relay.member.lease_until
+    relay.member.consent_until = -math.inf
+    number = next(n for n, stream in harness.streams.items() if stream.relay == relay.identity.address)
+    for left in (2000.0, 500.0):
+        relay.received(until - left, number, Renew(99, 0))
+        (message,) = told(relay._effects[-1:])
+        assert isinstance(message, Grant) and message.span_ms == pytest.approx(left)
+    relay.received(until - 100.0, number, Renew(99, 0))
+    refusals = [message for message in told(relay._effects) if isinstance(message, Refuse)]
+    assert refusals[-1].reason is RefusalReason.NO_AUTHORITY
+
+
+def test_a_grant_ends_by_the_bound_after_a_vote() -> None:
+    harness = at_work()
+    harness.propose("A")
+    relay = harness.leader("east")
+    harness.is_store_away = False
+    while not relay.member.pledge:
+        assert harness._step()
+    until = relay.member.fresh_at + relay.member.rules.bound_ms
+    assert relay.member.vote_sent and relay.authority_until(harness.now) <= until
+
+
+def test_no_lease_may_outlast_the_bound() -> None:
+    identity = CellIdentity(FLEET, "east", "a", ("a",))
+    with pytest.raises(ValueError, match="outlasts the bound"):
+        Relay(0.0, identity, "a.1", Rules(bound_ms=2000.0), RelayLimits(span_ms=2001.0))
+
+
+def test_a_full_relay_names_itself() -> None:
+    harness = at_work(limits=RelayLimits(sessions_most=2))
+    relay = harness.leader("east")
+    relay.received(harness.now, 999, registration())
+    (refuse,) = [message for message in told(relay.effects(harness.now)) if isinstance(message, Refuse)]
+    assert (refuse.reason, refuse.detail) == (
+        RefusalReason.FULL,
+        f"{relay.identity.address} has its 2 sessions",
+    )
+    assert relay.refused[RefusalReason.FULL] == 1 and len(relay.sessions) == 2
+
+
+@pytest.mark.parametrize(
+    ("message", "reason"),
+    [
+        (registration(fleet="other"), RefusalReason.WRONG_FLEET),
+        (Register(1, FLEET, "s", "s.1", "k", protocol=2), RefusalReason.PROTOCOL),
+        (Renew(1, 0), RefusalReason.PROTOCOL),
+        (Verdict("d"), RefusalReason.PROTOCOL),
+        (registration(), RefusalReason.NOT_LEADER),
+    ],
+)
+def test_a_relay_refuses_and_says_why(message: Register | Renew | Verdict, reason: RefusalReason) -> None:
+    relay = Harness().add_relay("a", "east")
+    relay.received(0.0, 1, message)
+    effects = [effect for effect in relay.effects(0.0) if not isinstance(effect, Read | Lease)]
+    assert [refuse.reason for refuse in told(effects) if isinstance(refuse, Refuse)] == [reason]
+    assert EndSession(1) in effects and not relay.sessions
+
+
+def test_a_relay_that_leaves_sends_its_servers_away() -> None:
+    harness = at_work()
+    relay = harness.leader("east")
+    relay.leave(harness.now)
+    assert not relay.sessions and relay.authority_until(harness.now) == -math.inf
+    reasons = [message.reason for message in told(relay.effects(harness.now)) if isinstance(message, Refuse)]
+    assert reasons == [RefusalReason.LEAVING] * 2
+
+
+def test_sessions_of_silent_servers_are_swept() -> None:
+    harness = at_work()
+    relay = harness.leader("east")
+    effects = relay.effects(harness.now + 2 * LEASE_SPAN_MS + 2000.0)
+    assert sum(isinstance(effect, EndSession) for effect in effects) == 2 and not relay.sessions
+
+
+def test_a_no_ends_up_in_the_vote_with_the_server_and_the_key() -> None:
+    harness = at_work(refuses={"kind of east": "values.look: no product"})
+    harness.propose("A", "policy!")
+    harness.run(2000.0)
+    (end,) = harness.view().settled
+    assert not end.committed and end.why.startswith("east: east-s")
+    assert end.why.endswith(": values.look: no product") and set(harness.admitted().values()) == {0}
+
+
+def test_a_silent_kind_gets_no_lease_and_does_not_block() -> None:
+    harness = at_work(silent={"east-s0", "east-s1"})
+    harness.propose("A")
+    harness.run(ASK_MOST_MS + 1500.0)
+    assert RefusalReason.UNANSWERED in {refuse.reason for refuse in harness.refusals}
+    harness.run(LEASE_SPAN_MS)
+    view = harness.view()
+    assert view.policy and view.policy.version == 1 and view.change is None
+    assert harness.admitted() == {"east-s0": None, "east-s1": None, "west-s0": 1, "west-s1": 1}
+
+
+def test_a_text_in_force_is_not_polled() -> None:
+    harness = at_work()
+    harness.propose("A", "policy A")
+    harness.run(2000.0)
+    harness.checks.clear()
+    harness.refuses = {"kind of east": "no"}
+    for address in list(harness.relays):
+        if harness.relays[address].identity.cell == "east":
+            harness.remove_relay(address)
+    harness.add_cell("east")
+    harness.run(20_000.0)
+    assert harness.checks == [] and harness.admitted()["east-s0"] == 1
+
+
+def test_a_relay_of_a_cell_takes_over() -> None:
+    harness = at_work()
+    harness.propose("A")
+    harness.run(2000.0)
+    harness.remove_relay(harness.leader("east").identity.address)
+    harness.run(15_000.0)
+    assert harness.admitted()["east-s0"] == 1
+    harness.propose("B")
+    harness.run(3000.0)
+    assert set(harness.admitted().values()) == {2}
+
+
+def test_who_takes_over_does_not_vote_for_a_moment() -> None:
+    harness = at_work()
+    old = harness.leader("east").identity.address
+    harness.remove_relay(old)
+    harness.propose("A")
+    harness.run(1000.0)
+    new = next(relay for address, relay in harness.relays.items() if address.startswith("east"))
+    while not new.leads():
+        harness.run(50.0)
+    led_at = harness.now
+    harness.run(TAKEOVER_MS - 200.0)
+    assert "east" not in harness.view().votes and harness.view().change
+    harness.run(1500.0)
+    assert harness.view().change is None and harness.now - led_at > TAKEOVER_MS
+
+
+# Consent.
+
+CANDIDATES = ("a", "b", "c")
+
+
+def consents() -> Consents:
+    return Consents(0.0, FLEET, "east", "a", CANDIDATES)
+
+
+def promise(name: str = "b", candidates: tuple[str, ...] = CANDIDATES) -> Promise:
+    return Promise(0.0, FLEET, "east", name, candidates)
+
+
+def test_all_peers_are_needed() -> None:
+    asker = consents()
+    requests = asker.requests(100.0)
+    assert [request.peer for request in requests] == ["b", "c"] and asker.requests(100.0) == []
+    asker.received(Consent(requests[0].message.sequence, "b", CONSENT_MS))
+    assert asker.until() == -math.inf
+    asker.received(Consent(requests[1].message.sequence, "c", CONSENT_MS))
+    assert asker.until() == 100.0 + 0.9 * CONSENT_MS
+
+
+def test_a_consent_counts_for_its_giver_and_its_request_alone() -> None:
+    asker = Consents(0.0, FLEET, "east", "a", ("a", "b"))
+    (request,) = asker.requests(0.0)
+    asker.received(Consent(request.message.sequence, "c", CONSENT_MS))
+    asker.received(Consent(request.message.sequence, "b", CONSENT_MS))
+    assert asker.until() == -math.inf  # the request was answered, by somebody else
+    (request,) = asker.requests(1000.0)
+    asker.received(Consent(request.message.sequence, "b", 0.0, "this relay leads the cell"))
+    assert asker.until() == -math.inf
+
+
+@pytest.mark.parametrize(
+    ("change", "leads", "hears", "why"),
+    [
+        ({}, False, False, ""),
+        ({}, True, False, "leads the cell"),
+        ({}, False, True, "the store answers here"),
+        ({"candidates": ("a", "b")}, False, False, "knows other relays"),
+        ({"sender": "d"}, False, False, "knows other relays"),
+        ({"cell": "west"}, False, False, "is of the cell east"),
+        ({"fleet": "g"}, False, False, "is of the cell east"),
+    ],
+)
+def test_who_consents(change: dict[str, object], leads: bool, hears: bool, why: str) -> None:
+    giver = promise()
+    giver.until = -math.inf
+    fields = {"sequence": 1, "fleet": FLEET, "cell": "east", "sender": "a", "candidates": CANDIDATES}
+    answer = giver.answer(9000.0, AskConsent(**{**fields, **change}), leads, hears)  # type: ignore[arg-type]
+    assert why in answer.why and bool(answer.why) == bool(why)
+    assert (answer.span_ms, giver.until) == ((0.0, -math.inf) if why else (CONSENT_MS, 9000.0 + CONSENT_MS))
+
+
+def test_a_relay_that_just_started_takes_part_in_nothing() -> None:
+    assert promise().until == CONSENT_MS and promise("a", ("a",)).until == -math.inf
+    harness = Harness()
+    harness.add_cell("east")
+    harness.run(CONSENT_MS - 100.0)
+    assert all(relay.authority_until(harness.now) == -math.inf for relay in harness.relays.values())
+
+
+def test_a_cell_serves_on_while_the_store_is_away() -> None:
+    harness = at_work()
+    harness.is_store_away = True
+    for _ in range(600):
+        harness.run(100.0)
+        assert set(harness.admitted().values()) == {0}, harness.now
+
+
+def test_a_cell_whose_relays_are_not_all_there_ends_with_the_lease() -> None:
+    harness = at_work()
+    harness.is_store_away = True
+    leader = harness.leader("east").identity.address
+    harness.remove_relay(next(a for a in harness.relays if a.startswith("east") and a != leader))
+    harness.run(10_000.0)
+    assert harness.admitted() == {"east-s0": None, "east-s1": None, "west-s0": 0, "west-s1": 0}
+
+
+def test_no_consent_counts_under_leave_out() -> None:
+    harness = at_work(rules=replace(RULES, absent="leave-out"))
+    harness.is_store_away = True
+    harness.run(10_000.0)
+    assert set(harness.admitted().values()) == {None}
+
+
+def test_a_cell_of_one_relay_is_a_plain_member() -> None:
+    harness = Harness()
+    relays = harness.add_cell("east", 1)
+    harness.add_server("s", relays)
+    harness.run(3000.0)
+    harness.is_store_away = True
+    harness.run(30_000.0)
+    assert harness.admitted() == {"s": 0}
+
+
+# The queue.
+
+
+def test_the_queue_is_in_the_order_of_the_store() -> None:
+    harness = Harness()
+    for ident in ("z", "a", "m"):
+        harness.enqueue(ident)
+    view = harness.view()
+    assert [entry.id for entry in view.queue] == ["z", "a", "m"]
+    assert [place(view, ident) for ident in ("z", "a", "m", "x")] == [0, 1, 2, None]
+    first = open_first(view)
+    assert first
+    harness.commit(first)
+    view = harness.view()
+    assert view.change and view.change.id == "z"
+    assert [place(view, ident) for ident in ("z", "a", "m")] == [0, 1, 2]
+    assert open_first(view) is None
+    harness.commit(leave_queue(view, "a"))
+    assert [entry.id for entry in harness.view().queue] == ["m"]
+    with pytest.raises(QueueRefused, match="does not wait"):
+        leave_queue(harness.view(), "a")
+
+
+def test_a_full_queue_names_its_bound() -> None:
+    harness = Harness()
+    entry = encode_record(Queued("x"))
+    harness.space.commit((), tuple(Put(KEYS.queued(str(n)), entry) for n in range(QUEUE_MOST)))
+    with pytest.raises(QueueRefused, match=f"{QUEUE_MOST} changes wait already"):
+        enqueue(harness.view(), Queued("y"), "text")
+
+
+def test_a_change_made_from_what_is_no_longer_in_force_ends_and_says_so() -> None:
+    harness = at_work()
+    base = digest_of("policy A")
+    harness.propose("A")
+    harness.run(2000.0)
+    harness.enqueue("B", base=base)
+    harness.enqueue("C", base=base)
+    harness.enqueue("D")
+    harness.run(6000.0)
+    ends = {end.id: end for end in harness.view().settled}
+    assert [ends[ident].committed for ident in "ABCD"] == [True, True, False, True]
+    assert ends["C"].why == f"it was made from policy {base[:12]}, which is not in force at its turn"
+    assert set(harness.admitted().values()) == {3} and not harness.view().queue
+
+
+def test_the_text_of_a_change_that_waits_is_kept() -> None:
+    harness = at_work()
+    for number in range(40):  # more ends than are kept
+        harness.enqueue(f"c{number}", "one" if number % 2 else f"two {number}")
+    harness.run(120_000.0)
+    assert [end.committed for end in harness.view().settled] == [True] * 32
+    assert set(harness.admitted().values()) == {40}
+
+
+def test_the_next_change_is_opened_at_once() -> None:
+    harness = at_work()
+    for ident in "ABC":
+        harness.enqueue(ident)
+    start, opened = harness.now, {}
+    while len(harness.view().settled) < 3 and harness.now < start + 10_000.0:
+        harness.run(1.0)
+        if change := harness.view().change:
+            opened.setdefault(change.id, harness.now)
+    assert harness.now - start < 3000.0
+    assert {end.committed for end in harness.view().settled} == {True}
+
+
+def test_what_follows_an_end_is_opened_by_what_was_read_before_it() -> None:
+    harness = at_work()
+    harness.enqueue("A")
+    harness.enqueue("B")
+    first = open_first(harness.view())
+    assert first
+    harness.commit(first)
+    view = harness.view()
+    assert view.change
+    after = open_first(view, PolicyInForce(1, view.change.digest, 99))
+    assert after and after.what == "open" and after.compares[1].equals == 99
+
+
+def test_a_settler_of_relays_keeps_the_leadership_and_follows_hints() -> None:
+    harness = at_work()
+    leaders = [relay for relay in harness.relays.values() if relay.member.is_leader]
+    assert len(leaders) == 1
+    (leader,) = leaders
+    assert leader.watched() == (KEYS.head, KEYS.votes, KEYS.queue)
+    assert all(relay.watched() == (KEYS.head,) for relay in harness.relays.values() if relay is not leader)
+    harness.run(30_000.0)
+    assert [relay for relay in harness.relays.values() if relay.member.is_leader] == [leader]
+    settler = Settler(KEYS, "east", keeps_leadership=True)
+    read = settler.effects(5000.0, "", True, True, 1, 1)
+    assert isinstance(read, Read) and read.lane is Lane.SETTLE
+    settler.completed(5000.0, read, harness.space.read(read.names))
+    assert settler.due() > 5000.0
+    settler.hint(5000.0)
+    assert settler.due() == 5000.0 and isinstance(settler.effects(5000.0, "", True, True, 1, 1), Read)
+    lead = Settler(KEYS, "west", keeps_leadership=True).effects(1.0, "", False, False, 1, 1)
+    assert lead is None or isinstance(lead, Commit) and lead.what == "lead"
+
+
+def test_in_force_is_told_to_all_sessions_once() -> None:
+    harness = at_work()
+    relay = harness.leader("east")
+    pushed: list[InForce] = []
+    deliver = harness._to_server
+
+    def watch(stream: Stream, message: RelayMessage) -> None:
+        if isinstance(message, InForce) and stream.relay == relay.identity.address:
+            pushed.append(message)
+        deliver(stream, message)
+
+    harness._to_server = watch  # type: ignore[method-assign]
+    harness.propose("A")
+    harness.run(3000.0)
+    assert len(pushed) == 2 and {message.version for message in pushed} == {1}
