Cells: a poll is due for kinds that owe an answer, not for those that gave it

Poll.due took the last question of every kind, also of those that had answered or whose servers had gone, so it lay in the past and the relay's loop would have spun while one kind was slow. Both tests failed before: due at 500 ms where it had to be never, or 1000.

--- a/otterrudder/fleet/cell/kinds.py
+++ b/otterrudder/fleet/cell/kinds.py
@@ -3,6 +3,7 @@
 A kind is the digest of a server's configuration and its program's version, so two servers of one kind give
 the same answer. Pure and bounded."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -60,6 +61,7 @@
     digest: str
     verdicts: Verdicts
     _asked: dict[str, _Asked] = field(default_factory=dict)
+    _owed: set[str] = field(default_factory=set)  # kinds with a server that may be asked, and no answer
     _refusal: str = ""
 
     def ask(self, now: float, candidates: Iterable[Candidate]) -> list[int]:
@@ -67,12 +69,11 @@
         by_kind: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             by_kind.setdefault(candidate.kind, []).append(candidate)
-        connections = (self._ask_kind(now, kind, members) for kind, members in by_kind.items())
+        self._owed = {kind for kind in by_kind if self.verdicts.get(kind, self.digest) is None}
+        connections = [self._ask_kind(now, kind, by_kind[kind]) for kind in by_kind if kind in self._owed]
         return [connection for connection in connections if connection is not None]
 
     def _ask_kind(self, now: float, kind: str, members: list[Candidate]) -> int | None:
-        if self.verdicts.get(kind, self.digest) is not None:
-            return None
         asked = self._asked.get(kind)
         if asked and now - asked.last_at < ASK_AGAIN_MS:
             return None
@@ -88,6 +89,7 @@
 
     def answered(self, kind: str, name: str, trouble: str) -> None:
         self.verdicts.put(kind, self.digest, trouble)
+        self._owed.discard(kind)
         if trouble and not self._refusal:
             self._refusal = trouble if trouble.startswith(f"{name}:") else f"{name}: {trouble}"
 
@@ -111,6 +113,5 @@
         return ""
 
     def due(self) -> float:
-        """When a kind may have to be asked again, in the caller's clock; inf: nobody was asked."""
-        times = (asked.last_at + ASK_AGAIN_MS for asked in self._asked.values())
-        return min(times, default=float("inf"))
+        """When a kind may have to be asked again, in the caller's clock; inf: no answer is owed."""
+        return min((self._asked[kind].last_at + ASK_AGAIN_MS for kind in self._owed), default=math.inf)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -309,6 +309,28 @@
     assert verdicts.get("k", "0") is None and verdicts.get("k", "1") == ""
 
 
+def test_each_kind_is_asked_once_and_the_answer_is_remembered() -> None:
+    verdicts = Verdicts()
+    servers = [Candidate(1, "old", "s1"), Candidate(2, "old", "s2"), Candidate(3, "new", "s3")]
+    poll = Poll("d", verdicts)
+    assert poll.ask(0.0, servers) == [1, 3] and poll.ask(1.0, servers) == []
+    poll.answered("old", "s1", "")
+    assert poll.decided(servers) is None
+    poll.answered("new", "s3", "")
+    assert poll.decided(servers) == "" and poll.due() == math.inf
+    again = Poll("d", verdicts)
+    assert again.ask(9.0, servers) == [] and again.decided(servers) == ""
+
+
+def test_nobody_is_due_for_a_kind_that_has_answered_or_gone() -> None:
+    poll = Poll("d", Verdicts())
+    answered, gone, asked = Candidate(1, "x", "s1"), Candidate(2, "y", "s2"), Candidate(3, "z", "s3")
+    poll.ask(0.0, [answered, gone, asked])
+    poll.answered("x", "s1", "")
+    poll.ask(ASK_AGAIN_MS, [answered, asked])
+    assert poll.due() == 2 * ASK_AGAIN_MS
+
+
 # A relay.
 
 
