Fleet: a member whose change ended while it abstained is not due at once for ever

Member kept that it was abstaining when the change ended before its vote, so due() gave a moment in the past at every turn. The test spun before: due now, and nothing to do.

--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -320,6 +320,7 @@
 
     def _vote(self, now: float, seen: Seen) -> Commit | None:
         change = seen.open
+        self._is_abstaining = False
         if not change or seen.voted is not None:
             return None
         pledged = self.pledge == Pledge(change.id, change.created)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -45,7 +45,7 @@
     Relay,
     RelayLimits,
 )
-from otterrudder.fleet.change import Settler
+from otterrudder.fleet.change import Settler, settle
 from otterrudder.fleet.effects import Commit, Lane, Lease, Read
 from otterrudder.fleet.queue import InForce as PolicyInForce
 from otterrudder.fleet.queue import QueueRefused, enqueue, leave_queue, open_first, place
@@ -509,6 +509,18 @@
     assert harness.view().change is None and harness.now - led_at > TAKEOVER_MS
 
 
+def test_a_change_that_ends_before_the_vote_leaves_nobody_due() -> None:
+    harness = at_work()
+    relay = harness.leader("east")
+    relay.member.abstains_until = harness.now + 500.0
+    harness.propose("A")
+    harness.run(100.0)
+    end = settle(harness.view(), True)
+    assert end
+    harness.commit(end)
+    harness.run(5000.0)
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
