Fleet: a settler does not read in a row while its member has not seen the change

A settler that keeps the leadership read the store without a pause as long as an open change was in the store and its member's own reads were held up: it took the change up, was told that none was open, and began anew. It now counts what it has read, and reads again after COUNT_MS.

--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -357,12 +357,12 @@
 
     def _begin_commit(self, now: float, view: View, age: float) -> Commit | None:
         change, trial, commit = view.change, view.trial, None
-        if change and change.id == self.change:
+        if change and change.id != self.change:  # the member has not seen it yet
+            self.change, self._seen_since, age = change.id, now, 0.0
+            self._at = now if self._is_hinted else now + COUNT_MS
+        if change:
             commit = settle(view, age >= change.deadline_ms)
             self._ended = view if commit else None
-        elif change:
-            self.change, self._seen_since = change.id, now
-            self._at = now
         elif commit := open_first(view):
             pass
         elif trial and trial_id(trial) == self.change:
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -43,9 +43,10 @@
     CellIdentity,
     EndSession,
     Relay,
+    RelayEffect,
     RelayLimits,
 )
-from otterrudder.fleet.change import Settler, settle
+from otterrudder.fleet.change import COUNT_MS, Settler, settle
 from otterrudder.fleet.effects import Commit, Lane, Lease, Read
 from otterrudder.fleet.queue import InForce as PolicyInForce
 from otterrudder.fleet.queue import QueueRefused, enqueue, leave_queue, open_first, place
@@ -734,3 +735,21 @@
     harness.propose("A")
     harness.run(3000.0)
     assert len(pushed) == 2 and {message.version for message in pushed} == {1}
+
+
+def test_a_change_that_the_member_has_not_seen_is_not_read_in_a_row() -> None:
+    harness = at_work()
+    (leader,) = [relay for relay in harness.relays.values() if relay.member.is_leader]
+    reads: list[float] = []
+    begin = harness._relay_effect
+
+    def watch(address: str, relay: Relay, effect: RelayEffect) -> None:
+        if isinstance(effect, Read) and effect.lane is Lane.SETTLE:
+            reads.append(harness.now)
+        begin(address, relay, effect)
+
+    harness._relay_effect = watch  # type: ignore[method-assign]
+    harness.propose("A")
+    leader.member._retry_at = harness.now + 1000.0  # its own reads are held up
+    harness.run(900.0)
+    assert len(reads) <= 900.0 / COUNT_MS + 4  # hints: of the change, of two votes
