Cells: a relay that takes over decides no poll before its moment without a vote is over

The moment is there so that the former leader's servers find the new one and their kinds are asked. The poll began when the relay had no server yet, so it was decided at once as a yes, and the vote was held back without asking anybody more: a kind that refuses the text was passed over. Trail: leader dies; its standby registers; a change is proposed; servers come 0.9 s later; the change was committed against their no.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -11,8 +11,8 @@
 - A vote says what the servers say: one of each kind is asked about the text. A server whose lease has
   lapsed is not asked, and a kind that does not answer gets no leases and is not waited for once those that
   it had have ended.
-- Who takes a cell over does not vote for the span of a lease: until then servers of the former leader may
-  not have found it, and their kinds would not be asked.
+- Who takes a cell over does not vote for a moment: until then servers of the former leader may not have
+  found it, and their kinds would not be asked. So no poll is decided before.
 - While the store is away, the leader goes on with the consent of all other relays of its cell
   (`consent.py`)."""
 
@@ -115,6 +115,7 @@
         "_effects",
         "_is_leaving",
         "_led",
+        "_poll_waits",
         "_pushed",
         "_sweep_at",
         "consents",
@@ -177,6 +178,7 @@
         self.member.abstains_until = self.promise.until
         self.refused: dict[RefusalReason, int] = dict.fromkeys(RefusalReason, 0)
         self._led = False
+        self._poll_waits = False  # all that are here have been asked, and others may come
         self._pushed: Policy = Policy()
         self._is_leaving = False
         self._sweep_at = now + SWEEP_MS
@@ -206,6 +208,8 @@
         times = [self.member.due(), self.settler.due(), self._sweep_at]
         if self.poll:
             times.append(self.poll.due())
+            if self._poll_waits:
+                times.append(self.member.abstains_until)
         if self._may_need_consent():
             times.append(max(self.consents.due(), self._consent_from()))
         return min(times)
@@ -375,6 +379,9 @@
         candidates = list(self._candidates(now))
         for connection in self.poll.ask(now, candidates):
             self._send(connection, AskVerdict(self.poll.digest, self.poll_task.text))
+        self._poll_waits = now < self.member.abstains_until
+        if self._poll_waits:  # servers are still on their way here
+            return
         decided = self.poll.decided(candidates)
         if decided is not None:
             self._end_poll(now, decided)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -522,6 +522,24 @@
     harness.run(5000.0)
 
 
+def test_who_takes_over_asks_the_kinds_that_come_to_it() -> None:
+    """It polls no earlier than it may vote: until then servers are still on their way to it."""
+    harness = at_work(refuses={"kind of east": "no"})
+    old = harness.leader("east").identity.address
+    new = next(a for a in harness.relays if a.startswith("east") and a != old)
+    harness.remove_relay(old)
+    while not harness.relays[new].leads():
+        harness.run(10.0)
+    harness.streams = {n: s for n, s in harness.streams.items() if s.relay != new}
+    harness.relays[new].sessions.clear()
+    for name in ("east-s0", "east-s1"):
+        harness.servers[name].disconnected(harness.now, harness.servers[name].connection)
+        harness.servers[name]._connect_at = harness.now + 0.6 * TAKEOVER_MS
+    harness.propose("A", "policy!")
+    harness.run(4 * TAKEOVER_MS)
+    assert [end.committed for end in harness.view().settled] == [False]
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
