Cells: what servers said counts for one change and the kinds that are here, until the vote

Member keeps its last judgement of a text. For one server that is right; a relay's is what its servers said, and servers change. So the same text proposed again was voted on with nobody asked, a kind that registered between the poll and the vote was passed over, a no went on for ever, and a text that another relay got into force after a no here would have stopped the whole cell. The relay now looks at the judgement again until the vote is sent. A kind whose stream has ended is waited for until its lease has lapsed: before, a stream that broke for 0.4 s lost a no. Member has two more methods: judgement and judge_again.

--- a/otterrudder/fleet/cell/kinds.py
+++ b/otterrudder/fleet/cell/kinds.py
@@ -12,6 +12,7 @@
     4096  # remembered answers; the one unused for longest is forgotten, and asked for again if needed
 )
 ASK_AGAIN_MS = 500.0  # ms after which another server of the same kind is asked
+LOOK_LEAST_MS = 100.0  # ms between looks for a server of a kind that can't be asked yet
 ASK_MOST_MS = 1500.0  # ms after which a kind that has not answered gets no leases until it has
 
 
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A session that may be asked: its kind is registered and its lease has not lapsed."""
+    """A server whose lease has not lapsed. `connection`: 0 if its stream has ended: it can't be asked."""
 
     connection: int
     kind: str
@@ -61,11 +62,13 @@
     digest: str
     verdicts: Verdicts
     _asked: dict[str, _Asked] = field(default_factory=dict)
-    _owed: set[str] = field(default_factory=set)  # kinds with a server that may be asked, and no answer
+    _owed: set[str] = field(default_factory=set)  # kinds that have a server here and have not answered
+    _looked_at: float = -math.inf
     _refusal: str = ""
 
     def ask(self, now: float, candidates: Iterable[Candidate]) -> list[int]:
         """The connections that are to be asked now."""
+        self._looked_at = now
         by_kind: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             by_kind.setdefault(candidate.kind, []).append(candidate)
@@ -77,9 +80,11 @@
         asked = self._asked.get(kind)
         if asked and now - asked.last_at < ASK_AGAIN_MS:
             return None
+        reached = [member.connection for member in members if member.connection]
+        if not reached:
+            return None
         tried = asked.connections if asked else set()
-        fresh = [member for member in members if member.connection not in tried] or members
-        chosen = fresh[0].connection
+        chosen = next((connection for connection in reached if connection not in tried), reached[0])
         if asked:
             asked.last_at = now
             asked.connections.add(chosen)
@@ -114,4 +119,6 @@
 
     def due(self) -> float:
         """When a kind may have to be asked again, in the caller's clock; inf: no answer is owed."""
-        return min((self._asked[kind].last_at + ASK_AGAIN_MS for kind in self._owed), default=math.inf)
+        last = (self._asked[kind].last_at if kind in self._asked else -math.inf for kind in self._owed)
+        times = (max(at + ASK_AGAIN_MS, self._looked_at + LOOK_LEAST_MS) for at in last)
+        return min(times, default=math.inf)
--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -9,8 +9,8 @@
   allows, and nothing has to be remembered of grants: a relay that dies, freezes or is cut off leaves leases
   behind that end by themselves.
 - A vote says what the servers say: one of each kind is asked about the text. A server whose lease has
-  lapsed is not asked, and a kind that does not answer gets no leases and is not waited for once those that
-  it had have ended.
+  lapsed is not asked, and one whose stream has ended is waited for until its lease has lapsed. A kind that
+  does not answer gets no leases and is not waited for once those that it had have ended.
 - Who takes a cell over does not vote for a moment: until then servers of the former leader may not have
   found it, and their kinds would not be asked. So no poll is decided before.
 - While the store is away, the leader goes on with the consent of all other relays of its cell
@@ -39,10 +39,10 @@
 )
 from otterrudder.fleet.cell.participant import LEASE_SPAN_MS
 from otterrudder.fleet.change import Settler
-from otterrudder.fleet.effects import Effect, Judge, Lane, Outcome
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Outcome
 from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import Keys, Live, digest_of
-from otterrudder.fleet.state import Policy, Record, Rules
+from otterrudder.fleet.state import Open, Policy, Record, Rules
 
 SESSIONS_MOST = 2000  # servers of a relay, unless its file says otherwise: a zone has some 300
 GRANT_LEAST_MS = 200.0  # ms; a shorter lease would be over before its answer is used
@@ -112,10 +112,12 @@
 
 class Relay:
     __slots__ = (
+        "_away",
         "_effects",
         "_is_leaving",
         "_led",
         "_poll_waits",
+        "_polled",
         "_pushed",
         "_sweep_at",
         "consents",
@@ -168,6 +170,9 @@
         )
         self.settler = Settler(keys, identity.cell, keeps_leadership=True)
         self.sessions: dict[int, Session] = {}
+        self._away: dict[
+            str, tuple[float, str]
+        ] = {}  # kinds: the end of a lease whose stream has ended, whose
         self.verdicts = Verdicts()
         self.poll: Poll | None = None
         self.poll_task: Judge | None = None
@@ -178,6 +183,7 @@
         self.member.abstains_until = self.promise.until
         self.refused: dict[RefusalReason, int] = dict.fromkeys(RefusalReason, 0)
         self._led = False
+        self._polled = 0  # the revision that made the change that the poll is about
         self._poll_waits = False  # all that are here have been asked, and others may come
         self._pushed: Policy = Policy()
         self._is_leaving = False
@@ -206,7 +212,7 @@
         if self._effects:
             return -math.inf
         times = [self.member.due(), self.settler.due(), self._sweep_at]
-        if self.poll:
+        if self.poll and self.poll_task:
             times.append(self.poll.due())
             if self._poll_waits:
                 times.append(self.member.abstains_until)
@@ -223,8 +229,11 @@
         self.settler.hint(now)
 
     def closed(self, connection: int) -> None:
-        """The server's stream ended. Its lease goes on to its end."""
-        self.sessions.pop(connection, None)
+        """The server's stream ended. Its lease goes on to its end, and its kind is waited for until then."""
+        if session := self.sessions.pop(connection, None):
+            until = self._away.get(session.kind, (-math.inf, ""))[0]
+            if session.granted_until > until:
+                self._away[session.kind] = (session.granted_until, session.name)
 
     def received(self, now: float, connection: int, message: ServerMessage) -> None:
         if isinstance(message, Register):
@@ -285,11 +294,14 @@
         return begun
 
     def _take_store_effects(self, now: float) -> None:
+        self._review_judgement(now)
         for effect in self.member.effects(now):
             if isinstance(effect, Judge):
                 self._begin_judging(now, effect)
-            else:
-                self._effects.append(effect)
+                continue
+            self._effects.append(effect)
+            if isinstance(effect, Commit) and effect.what == "vote" and not self.member.pledge:
+                self.member.judge_again()  # a no is of this change alone, and stops nobody once it has ended
         settle = self.settler.effects_of(now, self.member)
         if settle:
             self._effects.append(settle)
@@ -320,7 +332,7 @@
             reason = RefusalReason.LEAVING if self._is_leaving else RefusalReason.NO_AUTHORITY
             self._refuse(session.connection, sequence, reason, self._why_no_authority(now))
             return
-        if self.poll and self.poll.is_overdue(now, session.kind):
+        if self.poll and self._unvoted() and self.poll.is_overdue(now, session.kind):
             detail = "this kind of server was asked about a change and has not answered"
             self._refuse(session.connection, sequence, RefusalReason.UNANSWERED, detail)
             return
@@ -348,7 +360,7 @@
         self.refused[reason] += 1
         self._send(connection, Refuse(sequence, reason, detail))
         if reason is not RefusalReason.UNANSWERED:
-            self.sessions.pop(connection, None)
+            self.closed(connection)
             self._effects.append(EndSession(connection))
 
     def _send(self, connection: int, message: RelayMessage) -> None:
@@ -359,15 +371,38 @@
         self._sweep_at = now + SWEEP_MS
         oldest = now - SILENT_SPANS * self.limits.span_ms
         for connection in [c for c, session in self.sessions.items() if session.heard_at < oldest]:
-            del self.sessions[connection]
+            self.closed(connection)
             self._effects.append(EndSession(connection))
+        self._away = {kind: away for kind, away in self._away.items() if away[0] > now}
 
     # What the servers say of a change.
 
     def _begin_judging(self, now: float, task: Judge) -> None:
-        self.poll, self.poll_task, self.poll_sent = Poll(task.digest, self.verdicts), task, now
+        opened = self._unvoted()
+        created = opened.created if opened and opened.digest == task.digest else 0
+        if not self.poll or not created or created != self._polled:
+            self.poll, self._polled = Poll(task.digest, self.verdicts), created
+        self.poll_task, self.poll_sent = task, now
         self._go_on_polling(now)
 
+    def _review_judgement(self, now: float) -> None:
+        """What servers have said counts for one change, and for the kinds that were here: until the vote is
+        sent a new change, a new kind or a no that comes late has the poll go on."""
+        opened = self._unvoted()
+        if not opened or self.poll_task or self.member.judgement(opened.digest) is None:
+            return
+        is_other = not self.poll or self._polled != opened.created
+        is_yes = self.member.judgement(opened.digest) == ""
+        if is_other or is_yes and self.poll and self.poll.decided(self._candidates(now)) != "":
+            self.member.judge_again()
+
+    def _unvoted(self) -> Open | None:
+        """The open change, while this cell has not voted on it as far as it knows."""
+        seen = self.member.seen
+        if not seen or seen.voted is not None:
+            return None
+        return seen.open
+
     def _go_on_polling(self, now: float) -> None:
         if not self.poll or not self.poll_task:
             return
@@ -394,6 +429,9 @@
         for session in self.sessions.values():
             if session.granted_until > now:
                 yield Candidate(session.connection, session.kind, session.name)
+        for kind, (until, name) in self._away.items():
+            if until > now:
+                yield Candidate(0, kind, name)
 
     def _take_verdict(self, now: float, session: Session, verdict: Verdict) -> None:
         if self.poll and verdict.digest == self.poll.digest:
@@ -404,7 +442,7 @@
 
     def _end_poll(self, now: float, verdict: str | None) -> None:
         task, sent = self.poll_task, self.poll_sent
-        self.poll = self.poll_task = None
+        self.poll_task = None
         assert task
         self.member.completed(now, task, sent, verdict)
         self._take_store_effects(now)
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -208,6 +208,16 @@
         """Something changed in the store, or a watch was begun: it is read."""
         self._stale = True
 
+    def judgement(self, digest: str) -> str | None:
+        """What is wrong with that text, as far as it was judged here; None: it was not."""
+        return self._judged[1] if self._judged[0] == digest else None
+
+    def judge_again(self) -> None:
+        """What was judged may no longer be so: no vote goes by it, and a pledge not sent is withdrawn."""
+        self._judged = ("", "")
+        if self.pledge and not self.vote_sent:
+            self.pledge = None
+
     def effects(self, now: float) -> list[Effect]:
         """What is to be begun now; each owes `completed` one outcome. A vote needs a judgement, a save."""
         store, disk = self._store_effect(now), self._disk_effect(now)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -540,6 +540,68 @@
     assert [end.committed for end in harness.view().settled] == [False]
 
 
+def test_the_same_text_is_polled_again_when_it_is_proposed_again() -> None:
+    harness = at_work(refuses={"kind of west": "no", "kind of north": "no"})
+    harness.propose("A", "policy!")
+    harness.run(2000.0)
+    assert [end.committed for end in harness.view().settled] == [False]  # east has said yes, west no
+    for name in ("west-s0", "west-s1"):
+        harness.remove_server(name)
+    harness.add_server("east-s2", tuple(a for a in harness.relays if a.startswith("east")), "kind of north")
+    harness.run(4000.0)
+    harness.propose("B", "policy!")
+    harness.run(3000.0)
+    assert [end.committed for end in harness.view().settled] == [False, False]
+    assert harness.view().settled[-1].why == "east: east-s2: no"
+
+
+def test_a_kind_that_comes_between_the_poll_and_the_vote_is_asked() -> None:
+    harness = at_work(refuses={"kind of north": "no"}, silent={"east-s0", "east-s1"})
+    relay = harness.leader("east")
+    held: list[Read] = []
+    begin = harness._relay_effect
+
+    def hold_reads(address: str, of: Relay, effect: RelayEffect) -> None:
+        if of is relay and isinstance(effect, Read) and effect.lane is Lane.STORE:
+            held.append(effect)
+        else:
+            begin(address, of, effect)
+
+    harness.propose("A", "policy!")
+    harness.run(50.0)
+    harness._relay_effect = hold_reads  # type: ignore[method-assign]
+    relay.hint(harness.now, KEYS.head)
+    harness.run(0.0)
+    harness.silent.clear()
+    for name in ("east-s0", "east-s1"):
+        if check := harness.servers[name]._check:
+            harness.servers[name].checked(harness.now, check.digest, "")
+    harness.run(0.0)
+    assert relay.member.judgement(digest_of("policy!")) == "" and not relay.member.vote_sent
+    east = tuple(address for address in harness.relays if address.startswith("east"))
+    harness.add_server("east-s2", east, "kind of north")
+    harness.run(50.0)
+    harness._relay_effect = begin  # type: ignore[method-assign]
+    sent_at = harness.now - 50.0
+    relay.completed(harness.now, held[0], sent_at, harness.space.answer(harness.now, held[0]))
+    harness.run(1000.0)
+    assert [end.committed for end in harness.view().settled] == [False]
+
+
+def test_a_kind_is_waited_for_while_its_lease_lasts_though_its_stream_has_ended() -> None:
+    harness = at_work(refuses={"kind of east": "no"})
+    for name in ("east-s0", "east-s1"):
+        server = harness.servers[name]
+        number = harness._number(name, server.connection)
+        assert number is not None
+        harness._end(number)
+        server.disconnected(harness.now, server.connection)
+        server._connect_at = harness.now + 400.0
+    harness.propose("A", "policy!")
+    harness.run(2000.0)
+    assert [end.committed for end in harness.view().settled] == [False]
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
