Cells: a server that starts while a change may be committed waits for a read

A relay that has voted goes by what it last read for the bound. A server that started after the commit and registered within it was granted a lease for the version before, and admitted under it. Its request is now answered after a read of the store that was sent since it came; all that wait share one.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -11,6 +11,8 @@
 - A vote says what the servers say: one of each kind is asked about the text. A server whose lease has
   lapsed is not asked, and one whose stream has ended is waited for until its lease has lapsed. A kind that
   does not answer gets no leases and is not waited for once those that it had have ended.
+- While a change is open that the cell has voted for, a server that has just come gets its first lease after
+  a read of the store that was sent since: what starts after a commit does not admit under the version before.
 - Who takes a cell over does not vote for a moment: until then servers of the former leader may not have
   found it, and their kinds would not be asked. So no poll is decided before.
 - While the store is away, the leader goes on with the consent of all other relays of its cell
@@ -85,6 +87,8 @@
     granted_until: float = -math.inf  # by the relay's clock
     sent_version: int = 0  # of the text that was last sent
     sent_at: float = -math.inf
+    registered_at: float = 0.0
+    held: int = 0  # the sequence of a request that is answered after the next read; 0: none
 
 
 @dataclass(frozen=True, slots=True)
@@ -322,6 +326,7 @@
             session = Session(
                 connection, message.name, message.epoch, message.kind, message.zone, message.version, now
             )
+            session.registered_at = now
             self.sessions[connection] = session
             self._answer(now, session, message.sequence)
 
@@ -336,11 +341,21 @@
             detail = "this kind of server was asked about a change and has not answered"
             self._refuse(session.connection, sequence, RefusalReason.UNANSWERED, detail)
             return
+        if self._may_be_newer(session):
+            session.held = sequence
+            self.member.hint()
+            return
         known = self.member.known
         self._push(now, session)
-        session.granted_until = now + span
+        session.held, session.granted_until = 0, now + span
         self._send(session.connection, Grant(sequence, known.version, known.change, span))
 
+    def _may_be_newer(self, session: Session) -> bool:
+        """Whether the open change may have been committed before that server came. What runs may go by the
+        version before for the bound; what starts after a commit may not."""
+        member = self.member
+        return bool(member.pledge) and member.vote_sent and member.fresh_at < session.registered_at
+
     def _why_no_authority(self, now: float) -> str:
         if now < self.promise.until:
             return "it has consented to another relay of its cell"
@@ -454,6 +469,9 @@
         if leads and not self._led:
             self.member.abstains_until = max(self.member.abstains_until, now + TAKEOVER_MS)
         self._led = leads
+        for session in [held for held in self.sessions.values() if held.held]:
+            if not leads or not self._may_be_newer(session):
+                self._answer(now, session, session.held)
         if self.member.known is not self._pushed:
             self._pushed = self.member.known
             for session in self.sessions.values():
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -602,6 +602,23 @@
     assert [end.committed for end in harness.view().settled] == [False]
 
 
+def test_a_server_that_has_just_started_waits_for_a_read() -> None:
+    """The change may have been committed before it started, and the relay not know yet."""
+    harness = at_work()
+    relay = harness.leader("east")
+    harness.propose("A")
+    while "east" not in harness.view().votes:
+        harness._step()
+    now = relay.member.fresh_at + 300.0
+    relay.received(now, 999, registration(5, name="new"))
+    effects = relay.effects(now)
+    assert not [effect for effect in told(effects) if isinstance(effect, Grant)]
+    (read,) = [effect for effect in effects if isinstance(effect, Read) and effect.lane is Lane.STORE]
+    relay.completed(now, read, now, harness.space.answer(now, read))
+    grants = [message for message in told(relay.effects(now)) if isinstance(message, Grant)]
+    assert [message.sequence for message in grants] == [5]
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
