Fleet: the keys of cells in its file; effects are carried out in one place for all actors

A relay and a server of a cell need files of their own, and what an agent does with the store, the folder and the helm is wanted by both. The file gains relays, server_lease_ms and a table [relay], each refused where it would break a promise; Executor carries out store and folder effects, OrderSender tells the server.

--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -8,47 +8,31 @@
 
 Owners: the store's channel and the folder are given back in `run`, on every way out."""
 
-import contextlib
-import functools
 import secrets
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 import anyio
 import anyio.to_thread
 import msgspec
 
-from otterrudder.durable import BadState, Folder, in_thread
+from otterrudder.durable import BadState, Folder
 from otterrudder.fleet.change import Settler
 from otterrudder.fleet.configuration import Fleet
-from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Lease, Outcome, Read, Renew, Request, Save
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Outcome
+from otterrudder.fleet.executor import LEAVE_MS, STATE, Executor
 from otterrudder.fleet.member import Member
+from otterrudder.fleet.orders import Orders, OrderSender
 from otterrudder.fleet.points import reached
 from otterrudder.fleet.records import Keys, Live
-from otterrudder.fleet.state import Policy, Record, Standing
-from otterrudder.fleet.store import Store, StoreAway
+from otterrudder.fleet.state import Record
+from otterrudder.fleet.store import Store
 from otterrudder.net import clock
 from otterrudder.net.log import log
 
-STATE = "member"  # the file in the folder
-# ms from one hint to the next: a store that floods its watch is held back by its own window, and a read that
-# any hint leads to shows all that was written before it
-HINT_MS = 50.0
-WATCH_AGAIN_MS = 500.0  # ms until a watch that ended is begun again
-LEAVE_MS = 500.0  # ms that the way out may take: the name is free at once for the next life
-DOUBT_MS = 2000.0  # ms that an engine in doubt is stayed with: the one before it may be back by then
 FAILED_MS = 200.0  # ms until what failed is tried again: it must not spin
 NAP_MS = 1000.0  # ms of sleep at the most where nothing is due
 
 
-@dataclass(frozen=True, slots=True)
-class Orders:
-    """What the server is to do; each is called in the helm's turn, ahead of what arrives."""
-
-    take: Callable[[str], None]  # a policy's text is in force; "": none is
-    stand_aside: Callable[[bool], None]
-
-
 class Agent:
     def __init__(
         self,
@@ -65,8 +49,7 @@
         """`record`: what the folder holds, see `open_folder`; `facts`: how the server does, for trials."""
         self.facts, self.judge = facts, judge
         keys, epoch = Keys(fleet.name), secrets.token_hex(8)
-        self.timeout = fleet.timeout_ms
-        self.store, self.folder, self.orders = store, folder, orders
+        self.executor, self.order_sender = Executor(store, folder, fleet.timeout_ms), OrderSender(orders)
         place = record.folder if record else secrets.token_hex(8)
         self.member = Member(
             clock.monotonic(),
@@ -83,50 +66,29 @@
         )
         self.settler = Settler(keys, name)
         self.wake = anyio.Event()
-        self.is_writing = False  # to the folder
-        self.standing: Standing | None = None
-        self.taken: Policy | None = None
-        self.counts = {"asked": 0, "unanswered": 0, "hints": 0, "asides": 0, "watches_ended": 0}
-        self.away_since = 0.0  # when the store first did not answer; 0: it answers
-        self.leave_at = 0.0  # when an engine in doubt may next be left for another address
-        self.worst_ms = 0.0  # longest wait for an answer since it was last shown
+
+    @property
+    def folder(self) -> Folder | None:
+        return self.executor.folder
+
+    @property
+    def is_writing(self) -> bool:
+        """To the folder."""
+        return self.executor.is_writing
 
     # In the helm's turn.
 
     def pulse(self, now: float) -> None:
         """Ahead of what arrives: which policy is in force, and whether this server admits."""
         member = self.member
-        if self.taken is not member.known:
-            self.taken = member.known
-            self.orders.take(member.known.text)
-            log.info(
-                "policy in force",
-                version=member.known.version,
-                digest=member.known.digest,
-                change=member.known.change,
-            )
-        standing = member.standing(now)
-        if standing is self.standing:
-            return
-        before, self.standing = self.standing, standing
-        if before is None or before.admits is not standing.admits:
-            self.orders.stand_aside(not standing.admits)
-            self.counts["asides"] += not standing.admits
-        log.info(
-            "fleet standing",
-            now=standing.name.lower(),
-            before=before.name.lower() if before else "",
-            admits=standing.admits,
-            version=member.known.version,
-            why=member.why or standing.value,
-        )
+        self.order_sender.send(member.known, member.standing(now), member.why)
 
     # Its own tasks.
 
     async def run(self) -> None:
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._watch)
+                group.start_soon(self.executor.watch, self.member.keys.head, self._hinted)
                 while True:
                     self.wake = anyio.Event()
                     now = clock.monotonic()
@@ -142,13 +104,12 @@
                         await self.wake.wait()
         finally:
             with anyio.CancelScope(shield=True), anyio.move_on_after(LEAVE_MS / 1000):
-                await self._leave()
+                await self.executor.leave(self.member.lease)
 
     def shown(self) -> dict[str, object]:
         """For the control socket."""
         member, now = self.member, clock.monotonic()
         standing = member.standing(now)
-        worst, self.worst_ms = self.worst_ms, 0.0
         return dict(
             fleet=member.keys.fleet,
             name=member.name,
@@ -165,8 +126,8 @@
             leader=member.is_leader,
             absent=member.rules.absent,
             lease_left_ms=round(max(member.lease_until - now, 0.0), 1),
-            worst_answer_ms=round(worst, 1),
-            counts=self.counts,
+            worst_answer_ms=round(self.executor.take_worst_ms(), 1),
+            counts=self.executor.counts | {"asides": self.order_sender.asides},
         )
 
     def _settler_effects(self, now: float) -> list[Effect]:
@@ -192,7 +153,7 @@
         outcome = await self._outcome(effect)
         reached(f"after {name}")
         now = clock.monotonic()
-        self.worst_ms = max(self.worst_ms, now - sent)
+        self.executor.worst_ms = max(self.executor.worst_ms, now - sent)
         if effect.lane is Lane.SETTLE:
             if isinstance(effect, Commit):
                 self.member.hint()
@@ -202,42 +163,17 @@
                 await self._play(more, now)
             return
         self.member.completed(now, effect, sent, outcome)
-        if self.member.doubt and now >= self.leave_at:
-            self.leave_at = now + DOUBT_MS
-            log.warning("the store is not believed", why=self.member.doubt)
-            await self.store.leave()
+        if self.member.doubt:
+            await self.executor.doubt(now, self.member.doubt)
 
     async def _outcome(self, effect: Effect) -> Outcome:
-        self.counts["asked"] += 1
-        try:
-            if isinstance(effect, Save):
-                self.is_writing = True
-                return await in_thread(functools.partial(self._save, effect))
-            if isinstance(effect, Judge):
-                return await anyio.to_thread.run_sync(self._judge, effect.text)
-            outcome = await self._ask(effect)
-        except Exception as why:  # whatever a library raises is no answer, and its lane must be free again
-            self.counts["unanswered"] += 1
-            if not isinstance(why, StoreAway):
-                log.exception("a request to the store failed")
-            if not self.away_since:
-                self.away_since = clock.monotonic()
-                log.warning("the store does not answer", why=str(why))
-            return None
-
-        if self.away_since:
-            log.info("the store answers again", after_ms=round(clock.monotonic() - self.away_since))
-            self.away_since = 0.0
-        return outcome
+        if isinstance(effect, Judge):
+            return await anyio.to_thread.run_sync(self._judge, effect.text)
+        return await self.executor.outcome(effect)
 
-    async def _ask(self, effect: Request) -> Outcome:
-        if isinstance(effect, Read):
-            return await self.store.read(effect.names, self.timeout)
-        if isinstance(effect, Lease):
-            return await self.store.lease(effect.span_ms, self.timeout)
-        if isinstance(effect, Renew):
-            return await self.store.renew(effect.lease, self.timeout)
-        return await self.store.commit(effect.compares, effect.writes, self.timeout)
+    def _hinted(self) -> None:
+        self.member.hint()
+        self.wake.set()
 
     def _judge(self, text: str) -> str:
         """In a thread: a policy of hundreds of names would hold up the loop for tens of ms."""
@@ -247,48 +183,6 @@
             log.exception("a policy could not be judged")
             return f"{self.member.name}: {type(why).__name__}: {why}"
 
-    def _save(self, effect: Save) -> bool:
-        """In a thread: it blocks until the disk has it."""
-        try:
-            assert self.folder
-            self.folder.write(STATE, msgspec.json.encode(effect.record))
-        except OSError as why:
-            log.error("the fleet's folder can't be written", why=str(why))
-            return False
-        finally:
-            self.is_writing = False
-        return True
-
-    async def _watch(self) -> None:
-        """Hints; whoever misses one reads a little later by itself."""
-        while True:
-            try:
-                async for _ in self.store.watch(self.member.keys.head):
-                    self.counts["hints"] += 1
-                    self.member.hint()
-                    self.wake.set()
-                    await anyio.sleep(HINT_MS / 1000)
-            except StoreAway:
-                self.counts["watches_ended"] += 1
-            except Exception:  # whatever a library raises ends a watch, and never the server
-                self.counts["watches_ended"] += 1
-                log.exception("a watch failed")
-            await anyio.sleep(WATCH_AGAIN_MS / 1000)
-
-    async def _leave(self) -> None:
-        """The lease is given back, so that the next life need not wait for it to lapse."""
-        try:
-            with contextlib.suppress(Exception):  # the name is free when the lease lapses, then
-                if self.member.lease:
-                    await self.store.revoke(self.member.lease, LEAVE_MS)
-            with contextlib.suppress(Exception):
-                await self.store.close()
-        finally:
-            # A write that is still under way could put its state over the next life's: the lock goes with the
-            # process then.
-            if self.folder and not self.is_writing:
-                self.folder.close()
-
 
 def open_folder(fleet: Fleet, name: str) -> tuple[Folder | None, Record | None]:
     """The folder, taken, and what it holds; Busy and OSError say why not. A record that is torn or another
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -10,6 +10,15 @@
 import msgspec
 
 from otterrudder.files import convert, load_toml
+from otterrudder.fleet.cell.configuration import (
+    SERVER_LEASE_MS,
+    BadRelay,
+    RelayRole,
+    RelayTable,
+    check_relays,
+    check_server_lease,
+    role_of,
+)
 from otterrudder.fleet.member import POLL_SHARE
 from otterrudder.fleet.records import NAME_MOST, Absent
 from otterrudder.fleet.state import Rules
@@ -43,6 +52,9 @@
     cert: Path | None
     key: Path | None
     store_id: int = 0  # of the only engine that is believed; 0: the first that is heard
+    relays: tuple[str, ...] = ()  # a server's: it is of a cell; in the order in which they are tried
+    server_lease_ms: float = SERVER_LEASE_MS  # of a server of a cell
+    relay: RelayRole | None = None  # the file is a relay's
 
     @property
     def timeout_ms(self) -> float:
@@ -59,7 +71,7 @@
 class _Fleet(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     version: int
     fleet: str
-    store: list[str]
+    store: list[str] = []
     absent: Absent = "wait"
     start: Literal["wait", "folder"] = "wait"
     bound_ms: float = 2000.0
@@ -68,6 +80,9 @@
     zone: str = ""
     store_id: str = ""
     tls: _Tls | None = None
+    relays: list[str] = []
+    server_lease_ms: float = SERVER_LEASE_MS
+    relay: RelayTable | None = None
 
 
 def read_fleet(path: str | Path) -> Fleet:
@@ -89,8 +104,11 @@
         raise bad("version", f"this program reads {VERSION}, not {told.version}")
     if not told.fleet or "/" in told.fleet or len(told.fleet) > NAME_MOST:
         raise bad("fleet", f"a name without a slash is wanted, not {told.fleet!r}")
-    if not 1 <= len(told.store) <= STORES_MOST:
-        raise bad("store", f"from 1 to {STORES_MOST} addresses are wanted, not {len(told.store)}")
+    least_stores = 0 if told.relays else 1  # a server of a cell asks its relay alone
+    if not least_stores <= len(told.store) <= STORES_MOST:
+        raise bad(
+            "store", f"from {least_stores} to {STORES_MOST} addresses are wanted, not {len(told.store)}"
+        )
     if not BOUND_LEAST_MS <= told.bound_ms <= BOUND_MOST_MS:
         raise bad("bound_ms", f"{told.bound_ms:g} is not from {BOUND_LEAST_MS:g} to {BOUND_MOST_MS:g}")
     if not LEASE_LEAST_MS <= told.lease_ms <= LEASE_MOST_MS or told.lease_ms % 1000:
@@ -98,7 +116,15 @@
             "lease_ms",
             f"{told.lease_ms:g} is not whole seconds from {LEASE_LEAST_MS:g} to " f"{LEASE_MOST_MS:g}",
         )
-    if told.absent == "wait" and not told.folder:
+    is_of_cell = bool(told.relays or told.relay)
+    if is_of_cell:
+        try:
+            role = _cell_part(told)
+        except BadRelay as trouble:
+            raise BadFleet(f"{path.name}: {trouble}") from None
+    else:
+        role = None
+    if told.absent == "wait" and not (told.folder or is_of_cell):
         raise bad(
             "folder",
             'absent = "wait" needs one: a restart that has forgotten its vote could admit '
@@ -116,7 +142,8 @@
         store_id = -1
     if not 0 <= store_id < 2**64:
         raise bad("store_id", f"the engine's cluster id in hex is wanted, not {told.store_id!r}")
-    folder = (path.parent / told.folder) if told.folder else None
+    lasting = told.relay.folder if told.relay else told.folder
+    folder = (path.parent / lasting) if lasting else None
     tls = told.tls
     if tls and (tls.cert is None) != (tls.key is None):
         raise bad("tls", "cert and key go together")
@@ -128,11 +155,39 @@
     return Fleet(
         told.fleet,
         stores,
-        Rules(told.absent, told.bound_ms, told.lease_ms, told.start == "folder"),
+        Rules(
+            told.absent,
+            told.bound_ms,
+            told.lease_ms,
+            told.start == "folder",
+            is_shared=role is not None and role.is_shared,
+        ),
         folder,
         told.zone,
         beside / tls.ca if tls else None,
         beside / tls.cert if tls and tls.cert else None,
         beside / tls.key if tls and tls.key else None,
         store_id,
+        tuple(told.relays),
+        told.server_lease_ms,
+        role,
     )
+
+
+def _cell_part(told: _Fleet) -> RelayRole | None:
+    """The relay's role, None in a server's file; BadRelay names the key."""
+    if told.relays and told.relay:
+        raise BadRelay("relays: a server's file has them, and this one has a relay's table [relay]")
+    if told.folder:
+        raise BadRelay(
+            "folder: a relay's is in its table [relay]"
+            if told.relay
+            else "folder: a server with relays keeps nothing that must outlive it"
+        )
+    if told.start == "folder" and not (told.relay and told.relay.folder):
+        raise BadRelay(
+            'start: "folder" needs one: a server with relays, or several relays of a cell, have none'
+        )
+    check_server_lease(told.server_lease_ms, told.bound_ms)
+    check_relays("relays", told.relays)
+    return role_of(told.relay, told.absent) if told.relay else None
