Fleet: a relay's process on the wire, and a server that serves under its lease

Cause: the parts of agreement by cells were pure, and no process used them. A relay and its servers speak TLS, with certificates on both sides, where the file has ca, cert and key; that is not tried yet.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from otterrudder.cli.common import give_up, named_in, tables_in
+from otterrudder.cli.relay import relay
 from otterrudder.fleet.change import (
     Refused,
     count,
@@ -118,6 +119,9 @@
     """A fleet of servers: who is of it, and the one policy in force."""
 
 
+fleet.add_command(relay)
+
+
 @fleet.command()
 @FILE
 @AS_JSON
--- /dev/null
+++ b/otterrudder/fleet/cell/client.py
@@ -0,0 +1,78 @@
+"""A server's stream to its relay. Nothing here decides; `agent.py` carries messages to the participant."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import grpc
+
+from otterrudder.fleet.cell.messages import RelayMessage, ServerMessage, decode_from_relay, encode
+from otterrudder.fleet.cell.wire import SESSION, open_channel
+from otterrudder.fleet.configuration import Fleet
+
+OUTGOING_MOST = 16  # messages that wait for the relay to read them
+CLOSE_S = 0.5  # s that the closing of a channel may take
+
+
+class StreamEnded(Exception):
+    """The stream is over, and why."""
+
+
+class RelayStream:
+    """One stream, from its opening to its end."""
+
+    def __init__(self, fleet: Fleet, relay: str) -> None:
+        self._fleet, self.relay = fleet, relay
+        self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
+        self._call: Any = None
+
+    @contextlib.asynccontextmanager
+    async def opened(self) -> AsyncIterator[None]:
+        """The stream is open inside, and its channel closed after. StreamEnded: the relay can't be
+        reached."""
+        channel = open_channel(self._fleet, self.relay)
+        try:
+            self._call = channel.stream_stream(SESSION)()
+            try:
+                await self._call.wait_for_connection()
+            except grpc.RpcError as why:
+                raise StreamEnded(_reason(why)) from None
+            yield
+        finally:
+            if self._call:
+                self._call.cancel()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_S):
+                await channel.close(None)
+
+    def send(self, message: ServerMessage) -> None:
+        """Never waits. StreamEnded: the relay reads too slowly."""
+        if self._outgoing.qsize() >= OUTGOING_MOST:
+            raise StreamEnded(f"{OUTGOING_MOST} messages wait to be read")
+        self._outgoing.put_nowait(encode(message))
+
+    async def write_queued(self) -> None:
+        """Writes what is sent; ends by StreamEnded."""
+        while True:
+            data = await self._outgoing.get()
+            try:
+                await self._call.write(data)
+            except (grpc.RpcError, asyncio.InvalidStateError) as why:
+                raise StreamEnded(_reason(why)) from None
+
+    async def receive(self) -> RelayMessage:
+        """The next message. StreamEnded; BadMessage: the relay is not to be talked to."""
+        try:
+            data = await self._call.read()
+            if data is grpc.aio.EOF:
+                raise StreamEnded(await self._call.details() or "the relay ended the stream")
+        except grpc.RpcError as why:
+            raise StreamEnded(_reason(why)) from None
+        return decode_from_relay(data)
+
+
+def _reason(why: Exception) -> str:
+    if isinstance(why, grpc.aio.AioRpcError):
+        return f"{why.code().name.lower()}: {why.details()}"
+    return str(why) or type(why).__name__
--- /dev/null
+++ b/otterrudder/fleet/cell/peers.py
@@ -0,0 +1,43 @@
+"""Requests for consent to the other relays of a cell, each with a deadline."""
+
+from typing import Any
+
+import grpc
+
+from otterrudder.fleet.cell.consent import ASK_EVERY_SHARE, CONSENT_MS, PeerRequest
+from otterrudder.fleet.cell.messages import BadMessage, Consent, decode_from_peer, encode
+from otterrudder.fleet.cell.wire import CONSENT, open_channel
+from otterrudder.fleet.configuration import Fleet
+
+PEER_TIMEOUT_MS = CONSENT_MS * ASK_EVERY_SHARE  # by then the next request is due
+
+
+class Peers:
+    """A channel to each relay that was asked; `close` ends them."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._channels: dict[str, Any] = {}
+
+    async def ask(self, request: PeerRequest) -> Consent | None:
+        """None: no answer came, or it is none."""
+        call = self._channel(request.peer).unary_unary(CONSENT)(
+            encode(request.message), timeout=PEER_TIMEOUT_MS / 1000
+        )
+        try:
+            answer = decode_from_peer(await call)
+        except (grpc.RpcError, BadMessage):
+            return None
+        finally:
+            call.cancel()
+        return answer if isinstance(answer, Consent) else None
+
+    async def close(self) -> None:
+        for channel in self._channels.values():
+            await channel.close(None)
+        self._channels.clear()
+
+    def _channel(self, peer: str) -> Any:
+        if peer not in self._channels:
+            self._channels[peer] = open_channel(self._fleet, peer)
+        return self._channels[peer]
--- /dev/null
+++ b/otterrudder/fleet/cell/wire.py
@@ -0,0 +1,80 @@
+"""How the messages of cells travel: methods, sizes and options of gRPC, with TLS where the file has it.
+
+The methods are registered by name and carry bytes of `messages.py`; there is no generated code."""
+
+from typing import Any
+
+import grpc
+
+from otterrudder.fleet.cell.configuration import RelayRole
+from otterrudder.fleet.configuration import Fleet
+from otterrudder.fleet.records import TEXT_MOST
+
+SERVICE = "otterrudder.fleet.Relay"
+SESSION = f"/{SERVICE}/Session"  # a stream both ways between a server and a relay
+CONSENT = f"/{SERVICE}/Consent"  # one request and its answer between two relays of a cell
+FRAME_SPARE = 16 * 1024  # bytes of a message beside the policy's text
+RELAY_MESSAGE_MOST = TEXT_MOST + FRAME_SPARE  # bytes of a message to a server
+SERVER_MESSAGE_MOST = 16 * 1024  # bytes of a message to a relay: none carries a text
+UNUSED_CONNECTION_MS = 5000  # ms that a connection without a stream is kept
+KEEPALIVE_MS = 10_000
+KEEPALIVE_TIMEOUT_MS = 2000
+
+_COMMON_OPTIONS = [
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+]
+SERVER_OPTIONS = [
+    *_COMMON_OPTIONS,
+    ("grpc.max_receive_message_length", SERVER_MESSAGE_MOST),
+    ("grpc.max_connection_idle_ms", UNUSED_CONNECTION_MS),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+    ("grpc.so_reuseport", 0),  # an address that is taken is an error, not a share of its connections
+]
+CHANNEL_OPTIONS = [
+    *_COMMON_OPTIONS,
+    ("grpc.max_receive_message_length", RELAY_MESSAGE_MOST),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+]
+
+
+def open_channel(fleet: Fleet, relay: str) -> Any:
+    """A channel to a relay. Both sides show a certificate where the file has one."""
+    if fleet.ca is None:
+        return grpc.aio.insecure_channel(relay, options=CHANNEL_OPTIONS)
+    credentials = grpc.ssl_channel_credentials(
+        fleet.ca.read_bytes(),
+        fleet.key.read_bytes() if fleet.key else None,
+        fleet.cert.read_bytes() if fleet.cert else None,
+    )
+    return grpc.aio.secure_channel(relay, credentials, options=CHANNEL_OPTIONS)
+
+
+def make_server(fleet: Fleet, role: RelayRole, handler: Any, streams_most: int) -> Any:
+    """A server of gRPC, bound to the relay's address; OSError: it can't be."""
+    server = grpc.aio.server(
+        handlers=(handler,), options=SERVER_OPTIONS, maximum_concurrent_rpcs=streams_most
+    )
+    try:
+        port = _bind(server, fleet, role)
+    except RuntimeError as why:
+        raise OSError(f"{role.address}: {why}") from None
+    if not port:
+        raise OSError(f"{role.address}: it can't be listened on")
+    return server
+
+
+def _bind(server: Any, fleet: Fleet, role: RelayRole) -> int:
+    if not (fleet.ca and fleet.cert and fleet.key):
+        port: int = server.add_insecure_port(role.address)
+        return port
+    credentials = grpc.ssl_server_credentials(
+        [(fleet.key.read_bytes(), fleet.cert.read_bytes())],
+        root_certificates=fleet.ca.read_bytes(),
+        require_client_auth=True,
+    )
+    port = server.add_secure_port(role.address, credentials)
+    return port
--- a/otterrudder/fleet/configuration.py
+++ b/otterrudder/fleet/configuration.py
@@ -147,6 +147,8 @@
     tls = told.tls
     if tls and (tls.cert is None) != (tls.key is None):
         raise bad("tls", "cert and key go together")
+    if tls and not tls.cert and told.relay:
+        raise bad("tls", "a relay shows its servers a certificate: cert and key are wanted")
     beside = path.parent
     try:
         stores = tuple(address(text, "store") for text in told.store)
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -378,7 +378,15 @@
         # One that is no number would be null in the record, and unread the whole of it.
         figures = tuple(one for one in self.figures if one[0] in asked and math.isfinite(one[1]))
         return Live(
-            self.epoch, live.program, live.zone, version, self.known.digest, state, live.products, figures
+            self.epoch,
+            live.program,
+            live.zone,
+            version,
+            self.known.digest,
+            state,
+            live.products,
+            figures,
+            live.relay,
         )
 
     def _judge_effect(self) -> Effect | None:
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -110,6 +110,7 @@
     state: str = ""
     products: tuple[str, ...] = ()
     figures: tuple[tuple[str, float], ...] = ()  # that a trial asks for
+    relay: str = ""  # the address of the relay that leads, where the member is a cell
 
 
 class Vote(_Record, frozen=True):
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -5,7 +5,7 @@
 import resource
 import signal
 import zlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -26,7 +26,10 @@
 
 if TYPE_CHECKING:  # a server without levels does not carry them, nor one without a fleet the store's client
     from otterrudder.fleet.agent import Agent
+    from otterrudder.fleet.cell.agent import CellAgent
     from otterrudder.fleet.configuration import Fleet
+    from otterrudder.fleet.orders import Orders
+    from otterrudder.fleet.policy import Own
     from otterrudder.levels import Table
     from otterrudder.vrrp.gate import Order
     from otterrudder.vrrp.group import Groups
@@ -66,9 +69,12 @@
         from otterrudder.fleet.configuration import BadFleet, read_fleet
 
         try:
-            return read_fleet(self.fleet)
+            fleet = read_fleet(self.fleet)
         except BadFleet as trouble:
             raise BadConfiguration(str(trouble)) from None
+        if fleet.relay:
+            raise BadConfiguration(f"--fleet {self.fleet}: relay: this file is a relay's, not a server's")
+        return fleet
 
     def read_vrrp(self, settings: dict) -> "Groups | None":
         """The VRRP groups with their keys, None where there is no file; BadConfiguration says what is
@@ -219,14 +225,11 @@
     return speaker
 
 
-def _agent(fleet: "Fleet", told: dict, helm: Helm, spread: float) -> "Agent":
-    """The fleet's actor, its folder taken: what it orders goes to the core by the helm, ahead of what
-    arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
-    from otterrudder.durable import Busy
-    from otterrudder.fleet.agent import Agent, Orders, open_folder
-    from otterrudder.fleet.client import Client
+def _agent(fleet: "Fleet", told: dict, helm: Helm, spread: float) -> "Agent | CellAgent":
+    """The fleet's actor: what it orders goes to the core by the helm, ahead of what arrives.
+    BadConfiguration: the folder is another process's, or a file of keys can't be read."""
+    from otterrudder.fleet.orders import Orders
     from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
-    from otterrudder.fleet.records import Live
     from otterrudder.levels import Watch
 
     own = replace(own_of(told["settings"]), products=helm.core.products)
@@ -255,19 +258,33 @@
         parsed[text] = content
         return ""
 
+    orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
+    make = _cell_agent if fleet.relays else _member_agent
+    agent = make(fleet, told, helm, own, judge, orders)
+    helm.ahead.append(agent.pulse)
+    return agent
+
+
+def _member_agent(
+    fleet: "Fleet", told: dict, helm: Helm, own: "Own", judge: Callable[[str], str], orders: "Orders"
+) -> "Agent":
+    """A member of its own, with its folder taken."""
+    from otterrudder.durable import Busy
+    from otterrudder.fleet.agent import Agent, open_folder
+    from otterrudder.fleet.client import Client
+    from otterrudder.fleet.records import Live
+
     try:
         store = Client(fleet)
         folder, record = open_folder(fleet, told["name"])
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
-    orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
 
     def facts() -> dict[str, float]:
         return helm.core.rudder.facts() if helm.core.rudder else {}
 
     agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
-    helm.ahead.append(agent.pulse)
     log.info(
         "of a fleet",
         fleet=fleet.name,
@@ -280,6 +297,18 @@
     return agent
 
 
+def _cell_agent(
+    fleet: "Fleet", told: dict, helm: Helm, own: "Own", judge: Callable[[str], str], orders: "Orders"
+) -> "CellAgent":
+    """A server of a cell: its relay is a member in its place."""
+    from otterrudder.fleet.cell.agent import CellAgent
+    from otterrudder.fleet.cell.kind import kind_of
+
+    kind = kind_of(own)
+    log.info("of a cell", fleet=fleet.name, relays=fleet.relays, lease_ms=fleet.server_lease_ms, kind=kind)
+    return CellAgent(fleet, told["name"], kind, judge, orders)
+
+
 def _records(told: dict) -> tuple[str, int] | None:
     return address(told["records"]) if told.get("records") else None
 
