--- a/otterrudder/fleet/cell/service.py
+++ b/otterrudder/fleet/cell/service.py
@@ -132,6 +132,7 @@
             version=member.known.version,
             digest=member.known.digest,
             settles=member.is_leader,
+            store_lease_left_ms=_left(member.lease_until - now),
             authority_left_ms=_left(relay.authority_until(now) - now),
             consent_left_ms=_left(member.consent_until - now),
             consented_left_ms=_left(relay.promise.until - now),
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -75,7 +75,7 @@
     return f"# policy {number}\nversion = 1\n[levels]\n{table}"
 
 
-def _environment(told: dict[str, str], *halts: Path) -> dict[str, str]:
+def environment(told: dict[str, str], *halts: Path) -> dict[str, str]:
     """Of a child: what it is told, and the folders in which points are armed for it."""
     env = {name: value for name, value in os.environ.items() if name not in ("NODE_CONFIG", NAMED)}
     return env | told | ({NAMED: os.pathsep.join(map(str, halts))} if halts else {})
@@ -364,7 +364,7 @@
         }
         with (folder / "log.txt").open("ab") as log:
             return subprocess.Popen(
-                ["/bin/sh", "-c", line], cwd=ROOT, env=_environment(told, *halts), stderr=log
+                ["/bin/sh", "-c", line], cwd=ROOT, env=environment(told, *halts), stderr=log
             )
 
     def kill(self, place: Place) -> None:
@@ -533,7 +533,7 @@
 
     def ask(self, *words: str) -> subprocess.Popen[bytes]:
         """One of the operators' commands, begun."""
-        env = _environment({"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}, self.proposer_halts)
+        env = environment({"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}, self.proposer_halts)
         line = [sys.executable, "-m", "otterrudder", "fleet", *words]
         with (self.folder / "proposers.txt").open("ab") as log:
             child = subprocess.Popen(line, cwd=ROOT, env=env, stdout=log, stderr=log)
--- a/otterrudder/net/control.py
+++ b/otterrudder/net/control.py
@@ -122,9 +122,14 @@
 
 def ask(name: str, what: str) -> dict[str, object]:
     """What a running server says; OSError if none answers."""
+    return ask_at(path_of(name), what)
+
+
+def ask_at(path: Path, what: str) -> dict[str, object]:
+    """The same, by the socket's path."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
         sock.settimeout(PATIENCE_S)
-        sock.connect(str(path_of(name)))
+        sock.connect(str(path))
         sock.sendall(json.dumps({"v": VERSION, "ask": what}).encode() + b"\n")
         data = b""
         while more := sock.recv(65536):
