--- a/otterrudder/fleet/cell/agent.py
+++ b/otterrudder/fleet/cell/agent.py
@@ -41,7 +41,7 @@
         identity = Identity(fleet.name, name, secrets.token_hex(8), kind, fleet.zone)
         self.participant = Participant(clock.monotonic(), identity, fleet.relays, fleet.server_lease_ms)
         self.order_sender = OrderSender(orders)
-        self.counts = {"connected": 0, "ended": 0, "sent": 0, "received": 0, "checked": 0}
+        self.counts = {"connected": 0, "ended": 0, "sent": 0, "received": 0, "checks_begun": 0, "checked": 0}
         self._streams: dict[int, RelayStream] = {}
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._wake = anyio.Event()
@@ -150,6 +150,7 @@
     async def _check(self, effect: CheckText) -> None:
         """In a thread: a policy of hundreds of names would hold up the loop for tens of ms. A drain does not
         wait for it."""
+        self.counts["checks_begun"] += 1
         judge = functools.partial(self._judge, effect.text)
         trouble = await anyio.to_thread.run_sync(judge, abandon_on_cancel=True)
         self.counts["checked"] += 1
--- /dev/null
+++ b/tests/engine.py
@@ -0,0 +1,54 @@
+"""The store's stand-in as a process of its own, for tests that need an engine to ask."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from helpers import ROOT
+
+from otterrudder.fleet.client import Client
+from otterrudder.fleet.configuration import read_fleet
+
+
+class Engine:
+    def __init__(self, folder: Path, cluster: int = 0) -> None:
+        self.folder, self.port, self.cluster = folder, 0, cluster
+        self.start()
+
+    def start(self) -> None:
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "otterrudder.lab.processes.etcd",
+                str(self.port),
+                "--state",
+                str(self.folder / f"store-{self.cluster}"),
+                "--cluster",
+                f"{self.cluster:x}",
+            ],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        assert self.process.stdout
+        self.port = int(self.process.stdout.readline())
+
+    def tell(self, **fault: object) -> None:
+        assert self.process.stdin and self.process.stdout
+        self.process.stdin.write(json.dumps(fault).encode() + b"\n")
+        self.process.stdin.flush()
+        assert self.process.stdout.readline() == b"ok\n"
+
+    def stop(self) -> None:
+        assert self.process.stdin and self.process.stdout
+        self.process.stdin.close()
+        self.process.wait(10)
+        self.process.stdout.close()
+
+    def client(self) -> Client:
+        path = self.folder / "fleet.toml"
+        store = f'store = ["127.0.0.1:{self.port}"]'
+        path.write_text(f'version = 1\nfleet = "f"\n{store}\nabsent = "leave-out"\n')
+        return Client(read_fleet(path))
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -11,6 +11,7 @@
 
 import anyio
 import pytest
+from engine import Engine
 
 from otterrudder.durable import Busy, Folder
 from otterrudder.fleet.agent import Agent, Orders, open_folder
@@ -28,49 +29,6 @@
 TIMEOUT_MS = 1000.0  # longer than a loaded machine takes to make a channel
 
 
-class Engine:
-    def __init__(self, folder: Path, cluster: int = 0) -> None:
-        self.folder, self.port, self.cluster = folder, 0, cluster
-        self.start()
-
-    def start(self) -> None:
-        self.process = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "otterrudder.lab.processes.etcd",
-                str(self.port),
-                "--state",
-                str(self.folder / f"store-{self.cluster}"),
-                "--cluster",
-                f"{self.cluster:x}",
-            ],
-            cwd=ROOT,
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-        )
-        assert self.process.stdout
-        self.port = int(self.process.stdout.readline())
-
-    def tell(self, **fault: object) -> None:
-        assert self.process.stdin and self.process.stdout
-        self.process.stdin.write(json.dumps(fault).encode() + b"\n")
-        self.process.stdin.flush()
-        assert self.process.stdout.readline() == b"ok\n"
-
-    def stop(self) -> None:
-        assert self.process.stdin and self.process.stdout
-        self.process.stdin.close()
-        self.process.wait(10)
-        self.process.stdout.close()
-
-    def client(self) -> Client:
-        path = self.folder / "fleet.toml"
-        store = f'store = ["127.0.0.1:{self.port}"]'
-        path.write_text(f'version = 1\nfleet = "f"\n{store}\nabsent = "leave-out"\n')
-        return Client(read_fleet(path))
-
-
 @pytest.fixture
 def engine(tmp_path: Path) -> Iterator[Engine]:
     engine = Engine(tmp_path)
--- /dev/null
+++ b/tests/fleet/test_relay.py
@@ -0,0 +1,450 @@
+"""A relay's streams and a server's client on loopback: bounds, bad input, and who is ended by it."""
+
+import asyncio
+import contextlib
+import subprocess
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import anyio
+import grpc
+import pytest
+from engine import Engine
+
+from otterrudder.fleet.agent import open_folder
+from otterrudder.fleet.cell.agent import CellAgent
+from otterrudder.fleet.cell.kind import kind_of
+from otterrudder.fleet.cell.messages import (
+    AskConsent,
+    Consent,
+    InForce,
+    RefusalReason,
+    Refuse,
+    Register,
+    Renew,
+    decode_from_peer,
+    decode_from_relay,
+    encode,
+)
+from otterrudder.fleet.cell.participant import CheckText
+from otterrudder.fleet.cell.service import (
+    DESCRIPTORS_SPARE,
+    STREAMS_SPARE,
+    RelayService,
+    TooFewDescriptors,
+    check_descriptors,
+)
+from otterrudder.fleet.cell.streams import INCOMING_PER_S, MessageEncoder
+from otterrudder.fleet.cell.wire import CONSENT, SESSION, open_channel
+from otterrudder.fleet.change import propose, whole
+from otterrudder.fleet.client import Client
+from otterrudder.fleet.configuration import BadFleet, Fleet, read_fleet
+from otterrudder.fleet.orders import Orders
+from otterrudder.fleet.policy import Own
+from otterrudder.fleet.records import TEXT_MOST, Keys, View
+from otterrudder.interface import Tenant
+from otterrudder.lab.processes.link import free_port
+from otterrudder.net import clock
+
+WAIT_S = 8.0
+KIND = "k"
+
+
+@pytest.fixture
+def engine(tmp_path: Path) -> Iterator[Engine]:
+    engine = Engine(tmp_path)
+    yield engine
+    engine.stop()
+
+
+async def until(is_so: Callable[[], object]) -> None:
+    with anyio.fail_after(WAIT_S):
+        while not is_so():
+            await anyio.sleep(0.01)
+
+
+class Cells:
+    """Relays and servers in the test's own process, each cell of one relay with a folder."""
+
+    def __init__(self, engine: Engine, more: str = "") -> None:
+        self.engine, self.more = engine, more
+        self.addresses: list[str] = []
+
+    def file(self, name: str, text: str) -> Fleet:
+        path = self.engine.folder / f"{name}.toml"
+        store = f'store = ["127.0.0.1:{self.engine.port}"]'
+        path.write_text(f'version = 1\nfleet = "f"\n{store}\nbound_ms = 3000\n{text}\n{self.more}')
+        return read_fleet(path)
+
+    @contextlib.asynccontextmanager
+    async def relay(self, cell: str, sessions_most: int = 20) -> AsyncIterator[RelayService]:
+        """Once it leads, until the end of the block."""
+        address = f"127.0.0.1:{free_port()}"
+        own = f'[relay]\ncell = "{cell}"\naddress = "{address}"\nfolder = "state-{cell}"\n'
+        fleet = self.file(cell, f"{own}sessions_most = {sessions_most}")
+        assert fleet.relay
+        folder, record = open_folder(fleet, cell)
+        service = RelayService(fleet, fleet.relay, Client(fleet), folder, record)
+        service.listen()
+        self.addresses.append(address)
+        async with anyio.create_task_group() as group:
+            group.start_soon(service.run)
+            await until(lambda: service.relay.authority_until(clock.monotonic()) > clock.monotonic())
+            yield service
+            service.stop()
+
+    def server(self, name: str, judge: Callable[[str], str] = lambda text: "") -> CellAgent:
+        fleet = self.file(name, f"relays = {self.addresses}".replace("'", '"'))
+        return CellAgent(fleet, name, KIND, judge, Orders(lambda text: None, lambda is_aside: None))
+
+
+@contextlib.asynccontextmanager
+async def running(*agents: CellAgent) -> AsyncIterator[None]:
+    """Once all admit, until the end of the block."""
+    async with anyio.create_task_group() as group:
+        for agent in agents:
+            group.start_soon(agent.run)
+        for agent in agents:
+            await until(lambda agent=agent: admits(agent))
+        yield
+        group.cancel_scope.cancel()
+
+
+def admits(agent: CellAgent) -> bool:
+    return agent.participant.admits(clock.monotonic()) is not None
+
+
+@contextlib.asynccontextmanager
+async def raw_stream(service: RelayService) -> AsyncIterator[Any]:
+    """A stream that says what the test likes."""
+    channel = open_channel(service.fleet, service.role.address)
+    try:
+        yield channel.stream_stream(SESSION)()
+    finally:
+        await channel.close(None)
+
+
+def register(sequence: int = 1, **other: Any) -> Register:
+    told = dict(fleet="f", name="x", epoch="e", kind=KIND) | other
+    return Register(sequence, **told)
+
+
+async def next_of(stream: Any) -> Any:
+    with anyio.fail_after(WAIT_S):
+        return decode_from_relay(await stream.read())
+
+
+async def put_in_force(engine: Engine, text: str) -> None:
+    keys, client = Keys("f"), engine.client()
+    commit = propose(View(keys, await client.read(whole(keys), 1000.0)), "c", text, "", "", 0.0, 5000.0)
+    assert (await client.commit(commit.compares, commit.writes, 1000.0)).held
+    await client.close()
+
+
+def test_a_relay_that_is_full_says_so_and_the_server_goes_to_the_next(engine: Engine) -> None:
+    async def play() -> None:
+        cells = Cells(engine)
+        async with cells.relay("a", sessions_most=1) as first, cells.relay("b") as second:
+            one, other = cells.server("one"), cells.server("other")
+            async with running(one), running(other):
+                assert (one.participant.relay, other.participant.relay) == tuple(cells.addresses)
+                assert first.shown()["refused"] == {"full": 1}
+                assert (first.shown()["sessions"], second.shown()["sessions"]) == (1, 1)
+            async with raw_stream(first) as stream:
+                await until(lambda: not first.relay.sessions)
+                async with running(cells.server("again")):
+                    await stream.write(encode(register()))
+                    answer = await next_of(stream)
+                    assert isinstance(answer, Refuse) and answer.reason is RefusalReason.FULL
+                    assert answer.detail == f"{cells.addresses[0]} has its 1 sessions"
+
+    anyio.run(play)
+
+
+def test_what_is_no_message_ends_its_stream_alone_with_a_reason(engine: Engine) -> None:
+    async def play() -> None:
+        cells = Cells(engine)
+        async with cells.relay("a") as service:
+            agent = cells.server("one")
+            async with running(agent):
+                for garbage in (
+                    b"",
+                    b"\xc1" * 50,
+                    encode(Consent(1, "x", 1.0)),
+                    encode(register(name="x" * 200)),
+                ):
+                    async with raw_stream(service) as stream:
+                        await stream.write(garbage)
+                        with anyio.fail_after(WAIT_S):
+                            assert await stream.code() is grpc.StatusCode.INVALID_ARGUMENT
+                            assert await stream.details()
+                async with raw_stream(service) as stream:  # more than any message of a server has
+                    await stream.write(bytes(100_000))
+                    with anyio.fail_after(WAIT_S):
+                        assert await stream.code() is not grpc.StatusCode.OK
+                assert admits(agent) and agent.counts["ended"] == 0
+                assert service.shown()["streams_failed"] == {"invalid_argument": 4}
+                await until(lambda: len(service.relay.sessions) == service.shown()["streams"] == 1)
+
+    anyio.run(play)
+
+
+def test_an_unknown_protocol_another_fleet_and_a_renewal_before_all_are_refused(engine: Engine) -> None:
+    async def play() -> None:
+        cells = Cells(engine)
+        async with cells.relay("a") as service:
+            for message, reason in (
+                (register(protocol=99), RefusalReason.PROTOCOL),
+                (register(fleet="g"), RefusalReason.WRONG_FLEET),
+                (Renew(1, 0), RefusalReason.PROTOCOL),
+            ):
+                async with raw_stream(service) as stream:
+                    await stream.write(encode(message))
+                    answer = await next_of(stream)
+                    assert isinstance(answer, Refuse) and answer.reason is reason
+                    with anyio.fail_after(WAIT_S):
+                        assert await stream.read() is grpc.aio.EOF
+                        assert await stream.code() is grpc.StatusCode.OK
+
+    anyio.run(play)
+
+
+def test_a_server_that_floods_or_says_nothing_is_ended(
+    engine: Engine, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("otterrudder.fleet.cell.streams.REGISTER_S", 0.2)
+
+    async def play() -> None:
+        async with Cells(engine).relay("a") as service:
+            async with raw_stream(service) as stream:
+                with anyio.fail_after(WAIT_S):
+                    assert await stream.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+            async with raw_stream(service) as stream:
+                with anyio.fail_after(WAIT_S), contextlib.suppress(grpc.RpcError):
+                    await stream.write(encode(register()))
+                    for number in range(3 * INCOMING_PER_S):
+                        await stream.write(encode(Renew(number + 2, 0)))
+                        if number % 8 == 0:
+                            await stream.read()
+                with anyio.fail_after(WAIT_S):  # its own writes may fail before the status is read
+                    assert await stream.code() is not grpc.StatusCode.OK
+            assert service.shown()["streams_failed"] == {"deadline_exceeded": 1, "resource_exhausted": 1}
+
+    anyio.run(play)
+
+
+def test_a_slow_reader_is_ended_and_nothing_is_kept_for_it(engine: Engine) -> None:
+    """It does not read; texts of the largest size are sent to it until its queue is full."""
+
+    async def play() -> None:
+        cells = Cells(engine)
+        async with cells.relay("a") as service:
+            agent = cells.server("one")
+            async with running(agent), raw_stream(service) as stream:
+                await stream.write(encode(register()))
+                await until(lambda: len(service.relay.sessions) == 2)
+                slow = max(service._streams)
+                data = encode(InForce(1, "c", "d", "x" * TEXT_MOST))
+                for _ in range(200):
+                    if found := service._streams.get(slow):
+                        found.send(data)
+                        assert found._outgoing.qsize() <= 16
+                    await anyio.sleep(0)
+                await until(lambda: slow not in service._streams)
+                assert service.shown()["streams_failed"] == {"resource_exhausted": 1}
+                assert len(service.relay.sessions) == 1 and admits(agent)
+
+    anyio.run(play)
+
+
+def test_a_text_goes_to_all_servers_and_is_encoded_once(engine: Engine) -> None:
+    async def play() -> None:
+        cells = Cells(engine)
+        text = "version = 1\n#" + "x" * (TEXT_MOST - 20)
+        async with cells.relay("a") as service:
+            agents = [cells.server(f"n{number}") for number in range(3)]
+            async with running(*agents):
+                await put_in_force(engine, text)
+                await until(lambda: all(agent.participant.known.text == text for agent in agents))
+                assert all(admits(agent) for agent in agents)
+                # one server of the kind was asked, and each checked the text that it went over to
+                assert sum(agent.counts["checked"] for agent in agents) == 3
+                assert service.shown()["versions"]
+
+    anyio.run(play)
+    encoder = MessageEncoder()
+    first = encoder.encode(InForce(1, "c", "d", "text"))
+    assert encoder.encode(InForce(1, "c", "d", "text")) is first
+
+
+def test_a_frozen_server_stands_aside_in_its_first_turn_and_a_slow_check_holds_up_nothing(
+    engine: Engine,
+) -> None:
+    async def play() -> None:
+        cells = Cells(engine)
+        orders: list[object] = []
+
+        def judge(text: str) -> str:
+            time.sleep(1.0)
+            return ""
+
+        async with cells.relay("a"):
+            agent = cells.server("one", judge)
+            agent.order_sender.orders = Orders(orders.append, orders.append)
+            async with running(agent):
+                agent.pulse(clock.monotonic())
+                agent.pulse(clock.monotonic() + 60_000.0)
+                agent.pulse(clock.monotonic())
+                assert orders == ["", False, True, False]
+                await put_in_force(engine, "version = 1")
+                await until(lambda: agent.participant._check)
+                worst, before = 0.0, clock.monotonic()
+                while not agent.counts["checked"]:
+                    await anyio.sleep(0.005)
+                    now = clock.monotonic()
+                    worst, before = max(worst, now - before), now
+                assert worst < 400.0
+                await until(lambda: agent.participant.known.version == 1)
+                agent.participant._effects.append(CheckText("d", "another text"))
+                agent._wake.set()
+                await until(lambda: agent.counts["checks_begun"] == 2)
+                began = clock.monotonic()
+            assert clock.monotonic() - began < 900.0  # it ends without the thread that checks
+
+    anyio.run(play)
+
+
+def test_consent_between_relays_is_asked_for_by_name_and_garbage_is_no_request(engine: Engine) -> None:
+    async def play() -> None:
+        async with Cells(engine).relay("a") as service:
+            channel = open_channel(service.fleet, service.role.address)
+            call = channel.unary_unary(CONSENT)
+            ask = AskConsent(7, "f", "a", "somebody:1", ("somebody:1", service.role.address))
+            answer = decode_from_peer(await call(encode(ask), timeout=WAIT_S))
+            assert isinstance(answer, Consent) and answer.sequence == 7 and not answer.span_ms
+            assert answer.why == f"this relay knows other relays of the cell: {service.role.address}"
+            for garbage in (b"garbage", encode(answer)):
+                with pytest.raises(grpc.aio.AioRpcError) as failed:
+                    await call(garbage, timeout=WAIT_S)
+                assert failed.value.code() is grpc.StatusCode.INVALID_ARGUMENT
+            with pytest.raises(grpc.aio.AioRpcError) as failed:
+                await channel.unary_unary("/otterrudder.fleet.Relay/Nothing")(b"", timeout=WAIT_S)
+            assert failed.value.code() is grpc.StatusCode.UNIMPLEMENTED
+            await channel.close(None)
+
+    anyio.run(play)
+
+
+def test_with_certificates_both_sides_show_one(engine: Engine) -> None:
+    """The store's stand-in speaks no TLS, so the relay leads nothing here: what is seen is its refusal."""
+    make = "openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes -days 1".split()
+    names = ["-subj", "/CN=127.0.0.1", "-addext", "subjectAltName=IP:127.0.0.1"]
+    files = ["-keyout", str(engine.folder / "key"), "-out", str(engine.folder / "cert")]
+    subprocess.run([*make, *names, *files], check=True, capture_output=True)
+    tls = '[tls]\nca = "cert"\ncert = "cert"\nkey = "key"\n'
+
+    async def answer_of(service: RelayService, fleet: Fleet) -> Any:
+        channel = open_channel(fleet, service.role.address)
+        try:
+            stream = channel.stream_stream(SESSION)()
+            await stream.write(encode(register()))
+            return await next_of(stream)
+        finally:
+            await channel.close(None)
+
+    async def play() -> None:
+        cells = Cells(engine, tls)
+        address = f"127.0.0.1:{free_port()}"
+        fleet = cells.file("a", f'[relay]\ncell = "a"\naddress = "{address}"\nfolder = "state"\n')
+        assert fleet.relay
+        service = RelayService(fleet, fleet.relay, Client(fleet), *open_folder(fleet, "a"))
+        service.listen()
+        async with anyio.create_task_group() as group:
+            group.start_soon(service.run)
+            answer = await answer_of(service, fleet)
+            assert isinstance(answer, Refuse) and answer.reason is RefusalReason.NOT_LEADER
+            for other in (replace(fleet, cert=None, key=None), replace(fleet, ca=None)):
+                with pytest.raises((grpc.aio.AioRpcError, asyncio.InvalidStateError)):
+                    await answer_of(service, other)
+            service.stop()
+
+    anyio.run(play)
+
+
+def test_an_address_that_is_taken_and_too_few_descriptors_are_said(
+    engine: Engine, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with Cells(engine).relay("a") as service:
+            again = RelayService(service.fleet, service.role, Client(service.fleet), None, None)
+            with pytest.raises(OSError, match=service.role.address):
+                again.listen()
+
+    anyio.run(play)
+    monkeypatch.setattr("resource.getrlimit", lambda what: (1000, 4096))
+    check_descriptors(1000 - STREAMS_SPARE - DESCRIPTORS_SPARE)
+    with pytest.raises(TooFewDescriptors, match="relay.sessions_most: 1000 .* RLIMIT_NOFILE allows 1000"):
+        check_descriptors(1000)
+
+
+def test_a_kind_is_what_a_server_judges_by() -> None:
+    own = Own((), (Tenant("t", 0.5, 1.0),), 3)
+    assert kind_of(own) == kind_of(Own((), (Tenant("t", 0.5, 1.0),), 3))
+    others = [replace(own, servers=4), replace(own, tenants=()), replace(own, shares_below=False)]
+    kinds = [kind_of(own), kind_of(own, "another program"), *map(kind_of, others)]
+    assert len(set(kinds)) == len(kinds)
+
+
+RELAY = 'store = ["127.0.0.1:1"]\nbound_ms = 3000\n[relay]\ncell = "a"\naddress = "127.0.0.1:2"\n'
+SERVER = 'relays = ["127.0.0.1:2", "127.0.0.1:3"]\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (SERVER, "server_lease_ms: 3000 is not from 1000 to bound_ms, which is 2000"),
+        (SERVER + "server_lease_ms = 999", "server_lease_ms: 999 is not"),
+        (SERVER + 'bound_ms = 3000\nstart = "folder"', "start: "),
+        (SERVER + 'bound_ms = 3000\nfolder = "f"', "folder: a server with relays keeps nothing"),
+        ('bound_ms = 3000\nrelays = ["a"]', "relays: 'a' is no address and port"),
+        ('bound_ms = 3000\nrelays = ["a:0"]', "relays: 'a:0'"),
+        ('bound_ms = 3000\nrelays = ["a:1", "a:1"]', "relays: an address is there twice"),
+        ('bound_ms = 3000\nrelays = ["a:1"]\n[relay]\ncell = "a"\naddress = "a:1"', "relays: a server's"),
+        (RELAY, 'relay.folder: absent = "wait" with one relay needs one'),
+        (RELAY + 'candidates = ["127.0.0.1:3"]', "relay.candidates: this relay's own address"),
+        (RELAY + 'candidates = ["127.0.0.1:2", "127.0.0.1:3"]\nfolder = "f"', "relay.folder: the relays"),
+        (RELAY + 'folder = "f"\nsessions_most = 0', "relay.sessions_most: 0"),
+        (RELAY + 'folder = "f"\nother = 1', ".relay: Object contains unknown field `other`"),
+        (RELAY.replace('"a"', '"a/b"') + 'folder = "f"', "relay.cell"),
+        (RELAY.replace("127.0.0.1:2", "nowhere") + 'folder = "f"', "relay.address"),
+        ('folder = "g"\n' + RELAY + 'folder = "f"', "folder: a relay's is in its table [relay]"),
+        ('start = "folder"\n' + RELAY + 'candidates = ["127.0.0.1:2", "127.0.0.1:3"]', "start: "),
+        (RELAY + 'folder = "f"\n[tls]\nca = "c"', "tls: a relay shows"),
+        ("", "store: from 1 to 9"),
+    ],
+)
+def test_files_that_would_break_a_promise_are_refused_by_their_key(
+    tmp_path: Path, text: str, says: str
+) -> None:
+    path = tmp_path / "cells.toml"
+    path.write_text(f'version = 1\nfleet = "f"\n{text}\n')
+    with pytest.raises(BadFleet) as why:
+        read_fleet(path)
+    assert str(why.value).startswith(f"cells.toml: {says}"), why.value
+
+
+def test_files_of_cells_are_read_whole(tmp_path: Path) -> None:
+    path = tmp_path / "cells.toml"
+    path.write_text(f'version = 1\nfleet = "f"\nbound_ms = 3000\n{SERVER}')
+    server = read_fleet(path)
+    assert server.relays == ("127.0.0.1:2", "127.0.0.1:3") and not server.stores and not server.folder
+    path.write_text(f'version = 1\nfleet = "f"\n{RELAY}folder = "f"\n')
+    alone = read_fleet(path)
+    assert alone.folder == tmp_path / "f" and not alone.rules.is_shared
+    path.write_text(f'version = 1\nfleet = "f"\n{RELAY}candidates = ["127.0.0.1:3", "127.0.0.1:2"]\n')
+    shared = read_fleet(path)
+    assert shared.rules.is_shared and shared.relay
+    assert shared.relay.candidates == ("127.0.0.1:2", "127.0.0.1:3")
