--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -206,11 +206,11 @@
 
     def judgement(self, digest: str) -> str | None:
         """What is wrong with that text, as far as it was judged here; None: it was not."""
-        return self._judged[1] if self._judged[0] == digest else None
+        return self._texts.verdict(digest)
 
     def judge_again(self) -> None:
         """What was judged may no longer be so: no vote goes by it, and a pledge not sent is withdrawn."""
-        self._judged = ("", "")
+        self._texts = self._texts.without_verdict()
         if self.pledge and not self.vote_sent:
             self.pledge = None
 
@@ -365,7 +365,15 @@
         # One that is no number would be null in the record, and unread the whole of it.
         figures = tuple(one for one in self.figures if one[0] in asked and math.isfinite(one[1]))
         return Live(
-            self.epoch, live.program, live.zone, version, self.known.digest, state, live.products, figures
+            self.epoch,
+            live.program,
+            live.zone,
+            version,
+            self.known.digest,
+            state,
+            live.products,
+            figures,
+            live.relay,
         )
 
     def _judge_effect(self) -> Effect | None:
--- a/otterrudder/fleet/texts.py
+++ b/otterrudder/fleet/texts.py
@@ -37,3 +37,7 @@
         if trouble is None:
             return replace(self, judging=judging)
         return replace(self, judging=judging, judged=digest, trouble=trouble)
+
+    def without_verdict(self) -> "Texts":
+        """Nothing counts as judged."""
+        return replace(self, judged="", trouble="")
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -35,7 +35,10 @@
 
 if TYPE_CHECKING:  # a server without levels does not carry them, nor one without a fleet the store's client
     from otterrudder.fleet.agent import Agent
+    from otterrudder.fleet.cell.agent import CellAgent
     from otterrudder.fleet.configuration import Fleet
+    from otterrudder.fleet.orders import Orders
+    from otterrudder.fleet.policy import Own
     from otterrudder.levels import Table
     from otterrudder.vrrp.gate import Order
     from otterrudder.vrrp.group import Groups
@@ -81,9 +84,12 @@
         from otterrudder.fleet.configuration import BadFleet, read_fleet
 
         try:
-            return read_fleet(self.fleet)
+            fleet = read_fleet(self.fleet)
         except BadFleet as trouble:
             raise BadConfiguration(str(trouble)) from None
+        if fleet.relay:
+            raise BadConfiguration(f"--fleet {self.fleet}: relay: this file is a relay's, not a server's")
+        return fleet
 
     def read_vrrp(self, settings: dict[str, Any]) -> "Groups | None":
         """The VRRP groups with their keys, None where there is no file; BadConfiguration says what is
@@ -238,14 +244,13 @@
     return speaker
 
 
-def _agent(fleet: "Fleet", told: dict[str, Any], dispatcher: Dispatcher, spread: float) -> "Agent":
-    """The fleet's actor, its folder taken: what it orders goes to the core by the dispatcher, ahead of what
-    arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
-    from otterrudder.durable import Busy
-    from otterrudder.fleet.agent import Agent, Orders, open_folder
-    from otterrudder.fleet.client import Client
+def _agent(
+    fleet: "Fleet", told: dict[str, Any], dispatcher: Dispatcher, spread: float
+) -> "Agent | CellAgent":
+    """The fleet's actor: what it orders goes to the core by the dispatcher, ahead of what arrives.
+    BadConfiguration: the folder is another process's, or a file of keys can't be read."""
+    from otterrudder.fleet.orders import Orders
     from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
-    from otterrudder.fleet.records import Live
     from otterrudder.levels import LevelController
 
     own = replace(own_of(told["settings"]), products=dispatcher.core.products)
@@ -274,19 +279,38 @@
         parsed[text] = content
         return ""
 
+    orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
+    make = _cell_agent if fleet.relays else _member_agent
+    agent = make(fleet, told, dispatcher, own, judge, orders)
+    dispatcher.ahead.append(agent.pulse)
+    return agent
+
+
+def _member_agent(
+    fleet: "Fleet",
+    told: dict[str, Any],
+    dispatcher: Dispatcher,
+    own: "Own",
+    judge: Callable[[str], str],
+    orders: "Orders",
+) -> "Agent":
+    """A member of its own, with its folder taken."""
+    from otterrudder.durable import Busy
+    from otterrudder.fleet.agent import Agent, open_folder
+    from otterrudder.fleet.client import Client
+    from otterrudder.fleet.records import Live
+
     try:
         store = Client(fleet)
         folder, record = open_folder(fleet, told["name"])
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
-    orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
 
     def facts() -> dict[str, float]:
         return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
     agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
-    dispatcher.ahead.append(agent.pulse)
     log.info(
         "of a fleet",
         fleet=fleet.name,
@@ -299,6 +323,23 @@
     return agent
 
 
+def _cell_agent(
+    fleet: "Fleet",
+    told: dict[str, Any],
+    dispatcher: Dispatcher,
+    own: "Own",
+    judge: Callable[[str], str],
+    orders: "Orders",
+) -> "CellAgent":
+    """A server of a cell: its relay is a member in its place."""
+    from otterrudder.fleet.cell.agent import CellAgent
+    from otterrudder.fleet.cell.kind import kind_of
+
+    kind = kind_of(own)
+    log.info("of a cell", fleet=fleet.name, relays=fleet.relays, lease_ms=fleet.server_lease_ms, kind=kind)
+    return CellAgent(fleet, told["name"], kind, judge, orders)
+
+
 def _records(told: dict[str, Any]) -> tuple[str, int] | None:
     return address(told["records"]) if told.get("records") else None
 
