--- a/otterrudder/fleet/cell/agent.py
+++ b/otterrudder/fleet/cell/agent.py
@@ -3,7 +3,8 @@
 
 The interface is that of the plain member's agent (`fleet/agent.py`). The dispatcher's turn asks it first
 (`pulse`), so a process that was frozen finds out before its first admission after waking that its lease has
-ended. No transaction waits for a relay: streams have tasks of their own, and texts are checked in a thread."""
+ended. No transaction waits for a relay: streams have tasks of their own, and texts are checked in a
+thread."""
 
 import functools
 import secrets
