Cells: a relay that has consented does not take the cell over while its promise binds it

The relay now holds its registration back as long as its promise binds. The leader has its place again after each of five returns, and a server that is between two tries stands aside for 0.2 s at the most. Member has holds_back_until.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -184,7 +184,7 @@
         named = (identity.fleet, identity.cell, identity.address, identity.candidates)
         self.consents = Consents(now, *named)
         self.promise = Promise(now, *named)
-        self.member.abstains_until = self.promise.until
+        self._abstain()
         self.refused: dict[RefusalReason, int] = dict.fromkeys(RefusalReason, 0)
         self._led = False
         self._polled = 0  # the revision that made the change that the poll is about
@@ -260,7 +260,7 @@
         silence = now - self.member.answered_at
         is_heard = silence < self.member.rules.lease_ms * STORE_HEARD_SHARE
         consent = self.promise.answer(now, request, self.leads(), is_heard)
-        self.member.abstains_until = max(self.member.abstains_until, self.promise.until)
+        self._abstain()
         return consent
 
     def peer_answered(self, consent: Consent) -> None:
@@ -477,6 +477,12 @@
             for session in self.sessions.values():
                 self._push(now, session)
 
+    def _abstain(self) -> None:
+        """While the promise binds, this relay neither votes nor grants. Nor does it take the cell over, so
+        that the leader finds its place free once it hears the store again."""
+        self.member.abstains_until = max(self.member.abstains_until, self.promise.until)
+        self.member.holds_back_until = self.promise.until
+
     def _may_need_consent(self) -> bool:
         rules = self.member.rules
         return rules.is_shared and rules.absent == "wait" and self.leads()
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -69,6 +69,7 @@
         "folder",
         "fresh_at",
         "has_disk",
+        "holds_back_until",
         "head",
         "head_change",
         "joined",
@@ -125,6 +126,7 @@
         self.lease, self.lease_until = 0, -math.inf
         self.consent_until = -math.inf  # what the other processes that share the name have consented to
         self.abstains_until = -math.inf  # it does not vote before
+        self.holds_back_until = -math.inf  # it does not register before
         self.answered_at = -math.inf  # when the store last answered anything
         self.seen: Seen | None = None
         self.doubt = ""  # why the store is not believed
@@ -191,6 +193,8 @@
         times += [self._renew_at] if Lane.LEASE not in self._busy and self._may_lease() else []
         times += [-math.inf] if self._judge_effect() else []
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
+        if Lane.STORE not in self._busy and not self.registered and self._may_register():
+            times.append(max(self.holds_back_until, self._retry_at))
         if Lane.STORE not in self._busy and self.registered:
             times.append(max(self._tell_at, self._retry_at))
             if self._is_abstaining:
@@ -265,7 +269,7 @@
         if self._is_others(seen):
             return None
         if not self.registered:
-            return self._register(seen) if self.lease and not self._must_unsay() else None
+            return self._register(seen) if self._may_register() and now >= self.holds_back_until else None
         if vote := self._vote(now, seen):
             return vote
         if self._stale:  # a text is wanted
@@ -300,6 +304,10 @@
         """The folder says that changes wait for this name, and what is about to be registered ends that."""
         return self.has_disk and not self.waited and bool(self._saved and self._saved.waited)
 
+    def _may_register(self) -> bool:
+        is_free = self.seen is not None and not self._is_others(self.seen)
+        return is_free and self.lease > 0 and not self._stale and not self._must_unsay()
+
     def _is_others(self, seen: Seen) -> bool:
         return self._is_taken(seen) or self._is_foreign(seen)
 
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -716,6 +716,24 @@
     assert harness.admitted() == {"s": 0}
 
 
+def test_the_leader_comes_back_with_the_store() -> None:
+    """A relay that has consented does not take the cell over, for it could grant nothing with it. While the
+    leader registers again a server may be between two tries."""
+    harness = at_work()
+    leaders = [harness.leader(cell) for cell in ("east", "west")]
+    for _ in range(5):
+        harness.is_store_away = True
+        harness.run(20_000.0)
+        harness.is_store_away = False
+        aside = dict.fromkeys(harness.servers, 0.0)
+        for _ in range(100):
+            harness.run(100.0)
+            for name, version in harness.admitted().items():
+                aside[name] += 100.0 * (version is None)
+        assert max(aside.values()) <= 200.0
+        assert [harness.leader(cell) for cell in ("east", "west")] == leaders
+
+
 # The queue.
 
 
