Cells: what a server says is bounded, and a damaged question is not answered

A server checked the text it was asked about without comparing its digest, and kept the result under that name for the text in force. Each test failed before.

--- a/otterrudder/fleet/cell/messages.py
+++ b/otterrudder/fleet/cell/messages.py
@@ -117,6 +117,13 @@
     why: str = ""  # of a refusal
 
 
+# Characters of what servers say: a relay keeps it, or hands it on to the store.
+_BOUNDS: dict[type[_Message], dict[str, int]] = {
+    Register: dict.fromkeys(("fleet", "name", "epoch", "kind", "zone"), NAME_MOST),
+    Renew: {"standing": NAME_MOST},
+    Verdict: {"digest": NAME_MOST, "trouble": DETAIL_MOST},
+}
+
 ServerMessage = Register | Renew | Verdict
 RelayMessage = Grant | InForce | AskVerdict | Refuse
 PeerMessage = AskConsent | Consent
@@ -137,10 +144,9 @@
         message: ServerMessage = _FROM_SERVER.decode(data)
     except msgspec.MsgspecError as why:
         raise BadMessage(str(why)) from None
-    if isinstance(message, Register):
-        for field in ("fleet", "name", "epoch", "kind", "zone"):
-            if len(getattr(message, field)) > NAME_MOST:
-                raise BadMessage(f"{field}: more than {NAME_MOST} characters")
+    for field, most in _BOUNDS[type(message)].items():
+        if len(getattr(message, field)) > most:
+            raise BadMessage(f"{field}: more than {most} characters")
     return message
 
 
--- a/otterrudder/fleet/cell/participant.py
+++ b/otterrudder/fleet/cell/participant.py
@@ -22,6 +22,7 @@
 from dataclasses import dataclass
 
 from otterrudder.fleet.cell.messages import (
+    DETAIL_MOST,
     AskVerdict,
     Grant,
     InForce,
@@ -237,12 +238,13 @@
         elif isinstance(message, InForce):
             self._take_text(now, message)
         elif isinstance(message, AskVerdict):
-            self._take_question(message)
+            self._take_question(now, message)
         else:
             self._take_refusal(now, message)
 
     def checked(self, now: float, digest: str, trouble: str) -> None:
         """How a CheckText ended: what is wrong with the text here, "" if nothing."""
+        trouble = trouble[:DETAIL_MOST]
         self._check = None
         self._checked[digest] = trouble
         while len(self._checked) > TEXTS_MOST + 1:
@@ -316,7 +318,11 @@
         self._switch(now)
         self._check_next()
 
-    def _take_question(self, question: AskVerdict) -> None:
+    def _take_question(self, now: float, question: AskVerdict) -> None:
+        if digest_of(question.text) != question.digest:
+            self.doubt = f"{self.relay}: the text that it asks about is damaged"
+            self._leave(now)
+            return
         trouble = self._checked.get(question.digest)
         if trouble is not None:
             self._effects.append(SendToRelay(self.connection, Verdict(question.digest, trouble)))
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -9,8 +9,10 @@
 from otterrudder.fleet.cell.consent import CONSENT_MS, Consents, Promise
 from otterrudder.fleet.cell.kinds import ASK_AGAIN_MS, ASK_MOST_MS, VERDICTS_MOST, Candidate, Poll, Verdicts
 from otterrudder.fleet.cell.messages import (
+    NAME_MOST,
     AskConsent,
     AskVerdict,
+    BadMessage,
     Consent,
     Grant,
     InForce,
@@ -262,6 +264,14 @@
     assert len(server._checked) <= TEXTS_MOST + 1
 
 
+def test_a_damaged_question_is_not_answered() -> None:
+    server = participant()
+    connect(server)
+    server.received(0.0, 1, AskVerdict(digest_of("one"), "damaged"))
+    assert not [effect for effect in server.effects(0.0) if isinstance(effect, CheckText)]
+    assert server.relay == "b" and "damaged" in server.doubt
+
+
 # Messages.
 
 
@@ -280,6 +290,33 @@
         assert decode_from_peer(encode(message)) == message
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        encode(Grant(1, 1, "", 1.0)),
+        encode(registration(name="n" * (NAME_MOST + 1))),
+        encode(Verdict("d" * (NAME_MOST + 1))),
+        encode(Verdict("d", "x" * 100_000)),
+        encode(Renew(1, 1, "x" * 100_000)),
+    ],
+)
+def test_bytes_that_are_no_message_are_refused(data: bytes) -> None:
+    with pytest.raises(BadMessage):
+        decode_from_server(data)
+
+
+def test_a_long_reason_is_cut_to_what_a_relay_takes() -> None:
+    server = participant()
+    grant(server, 0.0, connect(server).sequence)
+    server.received(0.0, 1, AskVerdict(digest_of("one"), "one"))
+    server.effects(0.0)
+    server.checked(0.0, digest_of("one"), "x" * 100_000)
+    (verdict,) = sent(server.effects(0.0))
+    assert isinstance(verdict, Verdict) and decode_from_server(encode(verdict)) == verdict
+
+
 # Kinds.
 
 
