--- /dev/null
+++ b/otterrudder/lab/fleet/cloning.py
@@ -0,0 +1,69 @@
+"""Copies and keys of the states that model searches go through: a twin that goes its own way, and a value by
+which two states are told apart."""
+
+from collections import OrderedDict
+from typing import Any, TypeVar
+
+from otterrudder.fleet.cell.consent import Consents, Promise
+from otterrudder.fleet.cell.kinds import Poll, Verdicts, _Asked
+from otterrudder.fleet.cell.participant import Participant
+from otterrudder.fleet.cell.relay import Relay, Session
+from otterrudder.fleet.change import Settler
+from otterrudder.fleet.member import Member
+from otterrudder.fleet.records import View
+
+# What changes after it was made; everything else is a plain value and is shared.
+_MUTABLE = (Member, Settler, Relay, Session, Participant, Consents, Promise, Verdicts, Poll, _Asked)
+
+_PLAIN = frozenset({str, int, float, bool, type(None), tuple, frozenset})
+_ATTRIBUTES: dict[type, tuple[str, ...]] = {}
+
+_T = TypeVar("_T")
+
+
+def clone(value: _T) -> _T:
+    """Parts that are shared within it are shared within the twin."""
+    twin: _T = _clone(value, {})
+    return twin
+
+
+def freeze(value: Any) -> Any:
+    """A hashable value; equal for two states that behave alike from here on."""
+    if isinstance(value, View):
+        return ("view", value.snapshot.revision)
+    if names := _attributes(type(value)):
+        parts = tuple(freeze(getattr(value, name)) for name in names)
+        return (type(value).__name__, parts, freeze(getattr(value, "__dict__", None)))
+    if isinstance(value, dict):
+        return tuple((key, freeze(item)) for key, item in value.items())
+    if isinstance(value, list | tuple):
+        return tuple(freeze(item) for item in value)
+    return frozenset(value) if isinstance(value, set) else value
+
+
+def _clone(value: Any, twins: dict[int, Any]) -> Any:
+    if names := _attributes(type(value)):
+        if (known := twins.get(id(value))) is not None:
+            return known
+        twin = twins[id(value)] = object.__new__(type(value))
+        for name in names:
+            item = getattr(value, name)
+            setattr(twin, name, item if type(item) in _PLAIN else _clone(item, twins))
+        if hasattr(value, "__dict__"):  # a double's own
+            twin.__dict__.update(value.__dict__)
+        return twin
+    if isinstance(value, dict):
+        items = ((key, _clone(item, twins)) for key, item in value.items())
+        return OrderedDict(items) if isinstance(value, OrderedDict) else dict(items)
+    if isinstance(value, list):
+        return [_clone(item, twins) for item in value]
+    return set(value) if isinstance(value, set) else value
+
+
+def _attributes(kind: type) -> tuple[str, ...]:
+    """() for a plain value."""
+    if (names := _ATTRIBUTES.get(kind)) is None:
+        bases = kind.__mro__ if issubclass(kind, _MUTABLE) else ()
+        slots = [name for base in bases for name in getattr(base, "__slots__", ())]
+        names = _ATTRIBUTES[kind] = tuple(dict.fromkeys(slots))
+    return names
--- a/otterrudder/lab/fleet/model.py
+++ b/otterrudder/lab/fleet/model.py
@@ -14,6 +14,8 @@
 from otterrudder.fleet.records import Keys, PolicyHead, View, decode
 from otterrudder.fleet.state import Record, Rules, Standing
 from otterrudder.fleet.store import Put
+from otterrudder.lab.fleet.cloning import clone
+from otterrudder.lab.fleet.ledger import Committed, wrong_admission, wrong_commit
 from otterrudder.lab.keyspace import KeySpace
 
 KEYS = Keys("f")
@@ -86,7 +88,7 @@
     pending: dict[str, Commit] = field(default_factory=dict)  # by who computed it and has not sent it yet
     proposed: int = 0
     now: float = 0.0
-    committed: dict[int, tuple[str, float]] = field(default_factory=dict)  # version: change, when
+    committed: dict[int, Committed] = field(default_factory=dict)  # by version
     spent: int = 0  # faults so far
     trail: tuple[str, ...] = ()
     bug: str = ""  # of the books: something that must never be written was
@@ -205,17 +207,8 @@
     def _note(self, head: PolicyHead, before: View) -> None:
         """A version is in force from now on: all must have said yes to it, or been left out by their own
         rule."""
-        if head.version in self.committed:
-            self.bug = f"version {head.version} was committed twice"
-        if not before.change or before.change.id != head.change:
-            self.bug = f"version {head.version} was committed and is not the change that was open"
-        for name, roster in before.rosters.items():
-            vote = before.votes.get(name)
-            if vote and not vote.yes:
-                self.bug = f"version {head.version} was committed against the no of {name}"
-            elif not vote and (roster.absent == "wait" or name in before.lives):
-                self.bug = f"version {head.version} was committed without the vote of {name}"
-        self.committed[head.version] = (head.change, self.now)
+        self.bug = wrong_commit(head, before, self.committed) or self.bug
+        self.committed[head.version] = Committed(head.change, self.now)
 
     def answer(self, flight: Flight) -> None:
         """An answer reaches the life that asked, if it lives and is not frozen."""
@@ -266,18 +259,8 @@
 
     def _wrong(self, host: Host, version: int) -> str:
         assert host.member
-        if version and version not in self.committed:
-            return "it was never committed"
-        if version and self.committed[version][0] != host.member.known.change:
-            return f"it is not what was committed, but {host.member.known.change}"
-        if version + 1 not in self.committed:
-            return ""
-        change, at = self.committed[version + 1]
-        if host.started > at:
-            return f"{change} was committed before it started"
-        if self.now - at > self.variant.rules.bound_ms:
-            return f"{change} has been in force for {(self.now - at) / 1000:g} s"
-        return ""
+        change, bound_ms = host.member.known.change, self.variant.rules.bound_ms
+        return wrong_admission(version, change, host.started, self.now, bound_ms, self.committed)
 
     def in_peace(self) -> str:
         """From here on with everything delivered, everybody up, and one that settles: "" if all come to admit
@@ -382,20 +365,12 @@
         return sum(at < host.started for _, at in self.committed.values())
 
 
-def clone(member: Member) -> Member:
-    twin = object.__new__(type(member))
-    for name in Member.__slots__:
-        setattr(twin, name, getattr(member, name))
-    if hasattr(member, "__dict__"):  # a double's own
-        twin.__dict__.update(member.__dict__)
-    return twin
-
-
 _IS_TIME = {
     "fresh_at": -1,
     "lease_until": 1,
     "consent_until": 1,
     "abstains_until": 1,
+    "holds_back_until": 1,
     "_read_at": -1,
     "_retry_at": 1,
     "_renew_at": 1,
