--- a/otterrudder/fleet/queue.py
+++ b/otterrudder/fleet/queue.py
@@ -91,7 +91,8 @@
         Compare(key, "modified", view.snapshot.modified(key)),
     )
     if entry.base and entry.base != in_force.digest:
-        return _drop(view, entry, compares)
+        why = f"it was made from policy {entry.base[:12]}, which is not in force at its turn"
+        return _end("drop", view, entry, compares, why)
     trial = None
     version = in_force.version + 1
     if entry.conditions:
@@ -108,15 +109,15 @@
         if entry.id == ident:
             key = view.keys.queued(ident)
             compares = (Compare(key, "modified", view.snapshot.modified(key)),)
-            return Commit("unqueue", compares, (Delete(key),), Lane.SETTLE)
+            return _end("unqueue", view, entry, compares, "withdrawn before its turn")
     raise QueueRefused("it does not wait")
 
 
-def _drop(view: View, entry: Queued, compares: tuple[Compare, ...]) -> Commit:
+def _end(what: str, view: View, entry: Queued, compares: tuple[Compare, ...], why: str) -> Commit:
+    """It leaves the queue unopened, and whoever follows it finds its end."""
     keys = view.keys
-    why = f"it was made from policy {entry.base[:12]}, which is not in force at its turn"
     end = Settled(entry.id, 0, entry.digest, False, why, entry.author, entry.note)
     ends = [*view.settled, end][-SETTLED_MOST:]
     compares = (*compares, Compare(keys.settled, "modified", view.snapshot.modified(keys.settled)))
     writes = (Put(keys.settled, msgspec.json.encode(ends)), Delete(keys.queued(entry.id)))
-    return Commit("drop", compares, writes, Lane.SETTLE)
+    return Commit(what, compares, writes, Lane.SETTLE)
--- a/tests/fleet/test_relay_processes.py
+++ b/tests/fleet/test_relay_processes.py
@@ -131,8 +131,10 @@
                 rig.plain.remove(place.number)
                 await move(rig, place, 2 + place.number)
             await changes(rig, 4)
-            status = rig.ask("status", "--json")
+            status = rig.ask("status")
             assert await rig.ended(status, WAIT_S) == 0
+            told = (tmp_path / "proposers.txt").read_text()
+            assert f"cell, led by {(await the_leader(rig, 'z')).address}" in told
             for place in rig.places:
                 rig.plain.add(place.number)
                 await move(rig, place, 5 + place.number)
