Types: a configuration is a struct, not a dict

Fields were looked up by name in what the file held, all over net.serve and the commands. check_configuration hands on what it has checked; the whole file is still kept, so that a reload names whatever else has changed in it.

--- a/otterrudder/cli/fleet.py
+++ b/otterrudder/cli/fleet.py
@@ -545,7 +545,7 @@
     """Against this machine's configuration where there is one; else by the names that the file itself has."""
     try:
         if config := os.environ.get(CONFIGURATION_VARIABLE):
-            own = own_of(read_configuration(config)["settings"])
+            own = own_of(read_configuration(config).settings)
         else:
             told = tomllib.loads(text)
             named = [c for lv in tables_in(told.get("levels"), "level") for c in tables_in(lv, "cut")]
--- a/otterrudder/cli/levels.py
+++ b/otterrudder/cli/levels.py
@@ -117,7 +117,7 @@
     path = config or os.environ.get(CONFIGURATION_VARIABLE)
     if path:
         try:
-            settings = read_configuration(path)["settings"]
+            settings = read_configuration(path).settings
         except BadConfiguration as trouble:
             give_up(trouble)
         return products_of(settings), tenants_of(settings)
--- a/otterrudder/cli/migrate.py
+++ b/otterrudder/cli/migrate.py
@@ -79,7 +79,7 @@
     if not out and not dry_run:
         give_up("migrate: name the new file with --out, or ask for --dry-run")
     try:
-        told = check_configuration(decode_file(old), old)
+        told = check_configuration(decode_file(old), old).document
         known = decode_file(shape) if shape else {}
         if not isinstance(known, dict):
             give_up(f"{shape}: an object of settings is wanted")
@@ -87,7 +87,7 @@
         new = check_configuration(told | {"settings": settings}, f"{old}, migrated")
     except BadConfiguration as trouble:
         give_up(trouble)
-    if not new.get("records"):
+    if not new.records:
         left.append("records: the old file names no address; the shared dependency's has to be added")
     for title, lines in (("restated", restated), ("not carried over", left)):
         click.echo(f"{title}: {len(lines)}")
@@ -97,7 +97,7 @@
         click.echo("nothing was written")
         return
     try:
-        _write(Path(out), json.dumps(new, indent=1) + "\n")
+        _write(Path(out), json.dumps(new.document, indent=1) + "\n")
     except OSError as trouble:
         give_up(f"cannot write {out}: {trouble.strerror}")
     click.echo(f"written: {out}")
--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -2,7 +2,6 @@
 
 import os
 import sys
-from typing import Any
 
 import click
 
@@ -14,6 +13,7 @@
     LEVELS_VARIABLE,
     VRRP_VARIABLE,
     BadConfiguration,
+    Configuration,
     read_configuration,
 )
 from otterrudder.net import serve as server
@@ -44,7 +44,7 @@
 )
 
 
-def configuration() -> tuple[dict[str, Any], str | None]:
+def named_configuration() -> tuple[Configuration, str | None]:
     """The configuration that NODE_CONFIG names, and its path; ends the process if it is no good."""
     path = os.environ.get(CONFIGURATION_VARIABLE)
     try:
@@ -59,10 +59,10 @@
 @FLEET
 def serve(levels: str | None, vrrp: str | None, fleet: str | None) -> None:
     """Serve until SIGTERM, then drain and end. SIGHUP takes new addresses and levels from their files."""
-    told, path = configuration()
-    log.set_up(told["name"])
+    configuration, path = named_configuration()
+    log.set_up(configuration.name)
     try:
-        sys.exit(server.run(told, server.Files(path, levels, vrrp, fleet)))
+        sys.exit(server.run(configuration, server.Files(path, levels, vrrp, fleet)))
     except BadConfiguration as trouble:
         give_up(trouble)
 
@@ -73,18 +73,18 @@
 @FLEET
 def check(levels: str | None, vrrp: str | None, fleet: str | None) -> None:
     """Say what is wrong with the configuration (and the other files, if given), if anything."""
-    told, path = configuration()
+    configuration, path = named_configuration()
     try:
         files = server.Files(path, levels, vrrp, fleet)
-        table, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
+        table, groups = files.read_levels(configuration.settings), files.read_vrrp(configuration.settings)
         of = files.read_fleet()
     except BadConfiguration as trouble:
         give_up(trouble)
     click.echo(
-        f"{told['name']}: the configuration is good: {len(told['settings']['classes'])} products"
+        f"{configuration.name}: the configuration is good: {len(configuration.settings['classes'])} products"
         + (f", {len(table.rungs)} levels" if table else "")
         + (f", {len(groups.groups)} VRRP groups" if groups else "")
         + (f", of the fleet {of.name}" if of else "")
     )
-    for line in server.unsaid(told["settings"]):
-        click.echo(f"{told['name']}: {line}")
+    for line in server.unsaid(configuration.settings):
+        click.echo(f"{configuration.name}: {line}")
--- a/otterrudder/cli/vrrp.py
+++ b/otterrudder/cli/vrrp.py
@@ -81,7 +81,7 @@
 
 def _known(told: dict[str, object]) -> tuple[list[Product], list[Tenant]]:
     if path := os.environ.get(CONFIGURATION_VARIABLE):
-        settings = read_configuration(path)["settings"]
+        settings = read_configuration(path).settings
         return products_of(settings), tenants_of(settings)
     return named_in(tables_in(told, "group"))
 
--- a/otterrudder/configuration.py
+++ b/otterrudder/configuration.py
@@ -24,8 +24,10 @@
     """What is wrong, in one line."""
 
 
-class _Limits(msgspec.Struct):
-    sockets: _Above0
+class ProcessLimits(msgspec.Struct, frozen=True):
+    """What the platform leaves to this process."""
+
+    sockets: _Above0  # open descriptors
     memory_mb: _Above0
 
 
@@ -102,13 +104,28 @@
     registry: str
     seed: Annotated[str, msgspec.Meta(pattern="^[0-9a-fA-F]+$")]
     stop_ms: _Above0
-    limits: _Limits
+    limits: ProcessLimits
     settings: _Settings
     records: str | None = None
 
 
-def read_configuration(path: str | None) -> dict[str, Any]:
-    """The whole configuration as the file has it; BadConfiguration names the file and the field."""
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """A checked configuration. Addresses are `host:port`; the settings are as the file has them: boot.py."""
+
+    name: str
+    listen: str
+    runtime: str
+    records: str | None
+    registry: str
+    seed: int
+    stop_ms: float  # from the notice to leave to the end of the process
+    limits: ProcessLimits
+    settings: dict[str, Any]
+    document: dict[str, Any]  # the whole file, with names that this server does not know
+
+
+def read_configuration(path: str | None) -> Configuration:
+    """The whole configuration; BadConfiguration names the file and the field."""
     if not path:
         raise BadConfiguration(f"{CONFIGURATION_VARIABLE} is not set: it names the configuration file")
     return check_configuration(decode_file(path), path)
@@ -124,8 +141,8 @@
         raise BadConfiguration(f"the configuration {path} is not JSON: {trouble}") from None
 
 
-def check_configuration(told: Any, path: str) -> dict[str, Any]:
-    """The same, if it is a configuration that a server could start with."""
+def check_configuration(told: Any, path: str) -> Configuration:
+    """What a file told, if it is a configuration that a server could start with."""
     try:
         checked = msgspec.convert(told, _Configuration)
         for name in ("listen", *MOVABLE):
@@ -140,7 +157,18 @@
         raise BadConfiguration(f"the configuration {path}: settings: {trouble}") from None
     except BadConfiguration as trouble:
         raise BadConfiguration(f"the configuration {path}: {trouble}") from None
-    return dict(told)
+    return Configuration(
+        name=checked.name,
+        listen=checked.listen,
+        runtime=checked.runtime,
+        records=checked.records,
+        registry=checked.registry,
+        seed=int(checked.seed, 16),
+        stop_ms=checked.stop_ms,
+        limits=checked.limits,
+        settings=told["settings"],
+        document=told,
+    )
 
 
 def address(text: str, name: str = "address") -> tuple[str, int]:
--- a/otterrudder/lab/processes/double.py
+++ b/otterrudder/lab/processes/double.py
@@ -160,5 +160,5 @@
     FAULTS[sys.argv[1]]()
     files = serve.Files.from_environment()
     configuration = read_configuration(files.configuration)
-    log.set_up(configuration["name"])
+    log.set_up(configuration.name)
     sys.exit(serve.run(configuration, files))
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import msgspec
 
 from otterrudder import __version__, clock
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
@@ -20,6 +21,7 @@
     MOVABLE,
     VRRP_VARIABLE,
     BadConfiguration,
+    Configuration,
     address,
     read_configuration,
 )
@@ -108,13 +110,13 @@
     ] * omits
 
 
-def run(told: dict[str, Any], files: Files) -> int:
+def run(configuration: Configuration, files: Files) -> int:
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
-    levels, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
+    levels, groups = files.read_levels(configuration.settings), files.read_vrrp(configuration.settings)
     fleet = files.read_fleet()
     try:
-        anyio.run(_serve, told, files, levels, groups, fleet)
+        anyio.run(_serve, configuration, files, levels, groups, fleet)
     except OSError as trouble:  # before anything is served: the address is taken, or not ours
         log.error("cannot start", why=str(trouble))
         return 1
@@ -122,27 +124,31 @@
 
 
 async def _serve(
-    told: dict[str, Any], files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
+    configuration: Configuration,
+    files: Files,
+    levels: "Table | None",
+    groups: "Groups | None",
+    fleet: "Fleet | None",
 ) -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
-        await _live(told, files, levels, groups, fleet, signals)
+        await _live(configuration, files, levels, groups, fleet, signals)
 
 
 async def _live(
-    told: dict[str, Any],
+    configuration: Configuration,
     files: Files,
     levels: "Table | None",
     groups: "Groups | None",
     fleet: "Fleet | None",
     signals: AsyncIterator[signal.Signals],
 ) -> None:
-    settings, seed = told["settings"], int(told["seed"], 16)
+    settings, seed = configuration.settings, configuration.seed
     products = [replace(product, omit_value=0.0) for product in products_of(settings)]  # see `unsaid`
     # A reference outlives its window by an expiry, see core.py.
     kept = [p for p in products if p.effect is Effect.REFERENCED]
     stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
-    refs_most = told["limits"]["memory_mb"] * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
+    refs_most = configuration.limits.memory_mb * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
 
     def make(now: float, warm: bool, up_ms: float) -> Rudder:
         return boot(
@@ -160,7 +166,7 @@
 
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     # A fleet shares one table: each server's own lag keeps them from leaving a level together.
-    spread = zlib.crc32(f"{told['name']}/levels".encode()) / 2**32
+    spread = zlib.crc32(f"{configuration.name}/levels".encode()) / 2**32
     controller = None
     if levels:
         from otterrudder.levels import LevelController
@@ -168,17 +174,17 @@
         controller = LevelController(levels, spread)
     the_core = core.Core(make, products, gauge_names(settings), controller)
     dispatcher = Dispatcher(the_core)
-    runtime = Runtime(dispatcher, address(told["runtime"]))
+    runtime = Runtime(dispatcher, address(configuration.runtime))
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    sockets_most = int(told["limits"]["sockets"])
+    sockets_most = int(configuration.limits.sockets)
     sockets_most = sockets_most if allowed == resource.RLIM_INFINITY else min(sockets_most, allowed)
-    records = Records(dispatcher, _records(told), sockets_most)
-    gateways = Gateways(dispatcher, address(told["listen"]), sockets_most - records.most, tenants)
-    registry = Registry(told["name"], address(told["registry"]))
+    records = Records(dispatcher, _records(configuration), sockets_most)
+    gateways = Gateways(dispatcher, address(configuration.listen), sockets_most - records.most, tenants)
+    registry = Registry(configuration.name, address(configuration.registry))
     dispatcher.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
     speaker = _speaker(groups, dispatcher, runtime, records, registry) if groups else None
-    agent = _agent(fleet, told, dispatcher, spread) if fleet else None
-    log.info("listening", address=told["listen"], pid=os.getpid())
+    agent = _agent(fleet, configuration, dispatcher, spread) if fleet else None
+    log.info("listening", address=configuration.listen, pid=os.getpid())
     if levels and controller:
         names = [rung.name for rung in levels.rungs]
         log.info("levels", service=controller.name, shadow=controller.is_shadow, of=names)
@@ -200,8 +206,10 @@
                 answers["vrrp"] = speaker.shown
             if agent:
                 answers["fleet"] = agent.shown
-            group.start_soon(Control(told["name"], answers).run)
-        group.start_soon(_watch, signals, told, files, dispatcher, runtime, records, registry, speaker)
+            group.start_soon(Control(configuration.name, answers).run)
+        group.start_soon(
+            _watch, signals, configuration, files, dispatcher, runtime, records, registry, speaker
+        )
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
@@ -238,7 +246,7 @@
     return speaker
 
 
-def _agent(fleet: "Fleet", told: dict[str, Any], dispatcher: Dispatcher, spread: float) -> "Agent":
+def _agent(fleet: "Fleet", configuration: Configuration, dispatcher: Dispatcher, spread: float) -> "Agent":
     """The fleet's actor, its folder taken: what it orders goes to the core by the dispatcher, ahead of what
     arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
     from otterrudder.durable import Busy
@@ -248,7 +256,7 @@
     from otterrudder.fleet.records import Live
     from otterrudder.levels import LevelController
 
-    own = replace(own_of(told["settings"]), products=dispatcher.core.products)
+    own = replace(own_of(configuration.settings), products=dispatcher.core.products)
     parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
     def take(text: str) -> None:
@@ -269,14 +277,14 @@
         try:
             content = parse(text, own)
         except BadPolicy as trouble:
-            return f"{told['name']}: {trouble}"
+            return f"{configuration.name}: {trouble}"
         parsed.clear()
         parsed[text] = content
         return ""
 
     try:
         store = Client(fleet)
-        folder, record = open_folder(fleet, told["name"])
+        folder, record = open_folder(fleet, configuration.name)
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
@@ -285,7 +293,7 @@
     def facts() -> dict[str, float]:
         return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
-    agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
+    agent = Agent(fleet, store, configuration.name, live, judge, orders, folder, record, facts)
     dispatcher.ahead.append(agent.pulse)
     log.info(
         "of a fleet",
@@ -299,13 +307,13 @@
     return agent
 
 
-def _records(told: dict[str, Any]) -> tuple[str, int] | None:
-    return address(told["records"]) if told.get("records") else None
+def _records(configuration: Configuration) -> tuple[str, int] | None:
+    return address(configuration.records) if configuration.records else None
 
 
 async def _watch(
     signals: AsyncIterator[signal.Signals],
-    told: dict[str, Any],
+    configuration: Configuration,
     files: Files,
     dispatcher: Dispatcher,
     runtime: Runtime,
@@ -316,17 +324,17 @@
     async for number in _heard(signals):
         if number == signal.SIGHUP:
             try:
-                told = _reload(told, files, runtime, records, registry)
-                _reload_levels(told, files, dispatcher)
+                configuration = _reload(configuration, files, runtime, records, registry)
+                _reload_levels(configuration, files, dispatcher)
                 if speaker:
-                    _reload_keys(told, files, speaker)
+                    _reload_keys(configuration, files, speaker)
             except Exception:  # a file that nobody thought of must not end what is served
                 log.exception("reload failed")
             continue
         if speaker:  # priority 0 first, so that another takes over while this one drains
             speaker.retire()
         registry.draining = True
-        dispatcher.post(dispatcher.core.retire, told["stop_ms"])
+        dispatcher.post(dispatcher.core.retire, configuration.stop_ms)
 
 
 async def _heard(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
@@ -337,42 +345,49 @@
 
 
 def _reload(
-    told: dict[str, Any], files: Files, runtime: Runtime, records: Records, registry: Registry
-) -> dict[str, Any]:
+    configuration: Configuration, files: Files, runtime: Runtime, records: Records, registry: Registry
+) -> Configuration:
     """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
     try:
         new = read_configuration(files.configuration)
     except BadConfiguration as trouble:
         log.error("configuration not taken", why=str(trouble))
-        return told
-    moved = [name for name in MOVABLE if new.get(name) != told.get(name)]
-    fixed = {name for name in told.keys() | new.keys() if new.get(name) != told.get(name)} - {*MOVABLE}
+        return configuration
+    before, after = configuration.document, new.document
+    changed = {name for name in before.keys() | after.keys() if after.get(name) != before.get(name)}
+    moved, fixed = [name for name in MOVABLE if name in changed], changed - {*MOVABLE}
     if "runtime" in moved:
-        runtime.move(address(new["runtime"]))
+        runtime.move(address(new.runtime))
     if "records" in moved:
         records.move(_records(new))
     if "registry" in moved:
-        registry.address = address(new["registry"])
+        registry.address = address(new.registry)
     log.info("configuration taken", moved=moved)
     if fixed:
         log.warning("a restart is needed for what else has changed", names=sorted(fixed))
-    return told | {name: new.get(name) for name in MOVABLE}
+    return msgspec.structs.replace(
+        configuration,
+        runtime=new.runtime,
+        records=new.records,
+        registry=new.registry,
+        document=before | {name: after.get(name) for name in MOVABLE},
+    )
 
 
-def _reload_keys(told: dict[str, Any], files: Files, speaker: "Speaker") -> None:
+def _reload_keys(configuration: Configuration, files: Files, speaker: "Speaker") -> None:
     """Other keys for VRRP; groups are settled at the start."""
     try:
-        if groups := files.read_vrrp(told["settings"]):
+        if groups := files.read_vrrp(configuration.settings):
             speaker.take_keys(groups.keys)
             log.info("vrrp keys taken", keys=sorted(groups.keys.by_number), signs=groups.keys.signs)
     except BadConfiguration as trouble:
         log.error("vrrp keys not taken", why=str(trouble))
 
 
-def _reload_levels(told: dict[str, Any], files: Files, dispatcher: Dispatcher) -> None:
+def _reload_levels(configuration: Configuration, files: Files, dispatcher: Dispatcher) -> None:
     """Takes the table of levels anew; whether there are levels at all is settled at the start."""
     try:
-        if table := files.read_levels(told["settings"]):
+        if table := files.read_levels(configuration.settings):
             dispatcher.post(dispatcher.core.take_levels, table)
     except BadConfiguration as trouble:
         log.error("levels not taken", why=str(trouble))
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -100,7 +100,7 @@
     before = old.read_bytes()
     done = migrated(str(old), "--out", str(new))
     assert done.returncode == 0, done.stderr
-    told = read_configuration(str(new))
+    told = read_configuration(str(new)).document
     rudder = boot(0.0, 1, 7, told["settings"])
     assert rudder.may_stop and rudder.calls.shared and not rudder.signals.marks and not rudder.signals.kind
     assert told["settings"]["classes"][1]["effect"] == "unsafe"
@@ -130,7 +130,7 @@
     shape.write_text(json.dumps({"servers": 300, "familyInfo": {"callsOut": 0.4, "say": "min_rank"}}))
     done = migrated(str(old), "--out", str(tmp_path / "new.json"), "--shape", str(shape))
     assert done.returncode == 0 and "familyInfo.callsOut" not in done.stdout
-    told = read_configuration(str(tmp_path / "new.json"))["settings"]
+    told = read_configuration(str(tmp_path / "new.json")).settings
     info = told["familyInfo"]
     assert (told["servers"], info["callsOut"], info["say"]) == (300, 0.4, "min_rank")
 
