--- a/otterrudder/cli/serve.py
+++ b/otterrudder/cli/serve.py
@@ -86,5 +86,5 @@
         + (f", {len(groups.groups)} VRRP groups" if groups else "")
         + (f", of the fleet {of.name}" if of else "")
     )
-    for line in server.unsaid(configuration.settings):
+    for line in server.unsupported_settings(configuration.settings):
         click.echo(f"{configuration.name}: {line}")
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -100,7 +100,7 @@
             raise BadConfiguration(str(trouble)) from None
 
 
-def unsaid(settings: dict[str, Any]) -> list[str]:
+def unsupported_settings(settings: dict[str, Any]) -> list[str]:
     """What the settings allow and the runtime's protocol has no word for: a line that is no command ends the
     link, so the server keeps it off."""
     why = "the runtime's protocol has no word for it, so it is kept off"
@@ -144,7 +144,9 @@
     signals: AsyncIterator[signal.Signals],
 ) -> None:
     settings, seed = configuration.settings, configuration.seed
-    products = [replace(product, omit_value=0.0) for product in products_of(settings)]  # see `unsaid`
+    products = [
+        replace(product, omit_value=0.0) for product in products_of(settings)
+    ]  # see `unsupported_settings`
     # A reference outlives its window by an expiry, see core.py.
     kept = [p for p in products if p.effect is Effect.REFERENCED]
     stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
