--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -210,7 +210,7 @@
                 answers["fleet"] = agent.shown
             group.start_soon(Control(configuration.name, answers).run)
         group.start_soon(
-            _watch, signals, configuration, files, dispatcher, runtime, records, registry, speaker
+            _handle_signals, signals, configuration, files, dispatcher, runtime, records, registry, speaker
         )
         await gateways.run(group)
         group.cancel_scope.cancel()
@@ -313,7 +313,7 @@
     return address(configuration.records) if configuration.records else None
 
 
-async def _watch(
+async def _handle_signals(
     signals: AsyncIterator[signal.Signals],
     configuration: Configuration,
     files: Files,
@@ -323,7 +323,7 @@
     registry: Registry,
     speaker: "Speaker | None",
 ) -> None:
-    async for number in _heard(signals):
+    async for number in _signals_and_early_sighup(signals):
         if number == signal.SIGHUP:
             try:
                 configuration = _reload(configuration, files, runtime, records, registry)
@@ -339,7 +339,7 @@
         dispatcher.post(dispatcher.core.retire, configuration.stop_ms)
 
 
-async def _heard(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
+async def _signals_and_early_sighup(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
     if early.came():
         yield signal.SIGHUP
     async for number in signals:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -465,7 +465,7 @@
         parts: list = [Mock(), Mock(), Mock()]
         rig.dispatcher.post(the_core.begin, True, 60_000.0)
         rig.dispatcher.post(the_core.linked)
-        await serve._watch(
+        await serve._handle_signals(
             terminated(), Mock(stop_ms=1500.0), serve.Files(None), rig.dispatcher, *parts, None
         )
         over = anyio.Event()
