--- a/otterrudder/__main__.py
+++ b/otterrudder/__main__.py
@@ -2,11 +2,11 @@
 
 import sys
 
-from otterrudder.net import early
+from otterrudder.net import early_sighup
 
 if __name__ == "__main__":
     if sys.argv[1:2] in ([], ["serve"]):
-        early.hold()
+        early_sighup.hold()
     from otterrudder.cli import main
 
     main(prog_name="otterrudder")
--- a/otterrudder/net/early.py
+++ b/otterrudder/net/early_sighup.py
@@ -5,14 +5,14 @@
 
 import signal
 
-_came: list[int] = []
+_held: list[int] = []
 
 
 def hold() -> None:
     """From now on SIGHUP is remembered, and ends nothing."""
-    signal.signal(signal.SIGHUP, lambda number, _: _came.append(number))
+    signal.signal(signal.SIGHUP, lambda number, _: _held.append(number))
 
 
-def came() -> bool:
+def has_come() -> bool:
     """Whether one came since `hold`: the file may have changed since it was read."""
-    return bool(_came)
+    return bool(_held)
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -28,7 +28,7 @@
 from otterrudder.interface import Effect
 from otterrudder.log import log
 from otterrudder.logic import Rudder
-from otterrudder.net import core, early
+from otterrudder.net import core, early_sighup
 from otterrudder.net.dispatcher import Dispatcher
 from otterrudder.net.gateways import Gateways
 from otterrudder.net.records import Records
@@ -340,7 +340,7 @@
 
 
 async def _signals_and_early_sighup(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
-    if early.came():
+    if early_sighup.has_come():
         yield signal.SIGHUP
     async for number in signals:
         yield number
