--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -12,8 +12,9 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))  # pyperf's workers start in an environment of their own
 
+from otterrudder.files import load_toml  # noqa: E402
 from otterrudder.interface import Outcome  # noqa: E402
-from otterrudder.lab.site import Site, load_toml, site_of  # noqa: E402
+from otterrudder.lab.site import BadInput, Site, site_of  # noqa: E402
 from otterrudder.levels import LevelController, Table, read  # noqa: E402
 from otterrudder.net.core import Core  # noqa: E402
 
@@ -63,7 +64,7 @@
 
 
 def main() -> None:
-    site = site_of(load_toml(ROOT / "experiments/sites/intake.toml"), "intake.toml")
+    site = site_of(load_toml(ROOT / "experiments/sites/intake.toml", BadInput), "intake.toml")
     table = read(ROOT / "deploy/levels.toml", site.products, site.tenants)
     runner = pyperf.Runner()
     for name, start in TABLE_OF.items():
