net.serve: the life of a server in shorter functions

_live made products, the Rudder's factory, the bound of descriptors and the control socket in one piece of over eighty lines; each has a function with a name now. Order and values are as they were.

--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -25,7 +25,7 @@
     address,
     read_configuration,
 )
-from otterrudder.interface import Effect
+from otterrudder.interface import Effect, Product
 from otterrudder.log import log
 from otterrudder.logic import Rudder
 from otterrudder.net import core, early_sighup
@@ -39,6 +39,7 @@
     from otterrudder.fleet.agent import Agent
     from otterrudder.fleet.configuration import Fleet
     from otterrudder.levels import Table
+    from otterrudder.net.control import Control
     from otterrudder.vrrp.gate import Order
     from otterrudder.vrrp.group import Groups
     from otterrudder.vrrp.speaker import Speaker
@@ -143,29 +144,8 @@
     fleet: "Fleet | None",
     signals: AsyncIterator[signal.Signals],
 ) -> None:
-    settings, seed = configuration.settings, configuration.seed
-    products = [
-        replace(product, omit_value=0.0) for product in products_of(settings)
-    ]  # see `unsupported_settings`
-    # A reference outlives its window by an expiry, see core.py.
-    kept = [p for p in products if p.effect is Effect.REFERENCED]
-    stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
-    refs_most = configuration.limits.memory_mb * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
-
-    def make(now: float, warm: bool, up_ms: float) -> Rudder:
-        return boot(
-            now,
-            settings.get("me") or 0,
-            seed,
-            settings,
-            fresh=not warm,
-            up_ms=up_ms,
-            products=products,
-            may_stop=False,
-            ref_kb=0.0,
-            refs_most=refs_most,
-        )  # results lie here, not in the runtime's memory
-
+    settings = configuration.settings
+    products = _served_products(settings)
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     # A fleet shares one table: each server's own lag keeps them from leaving a level together.
     spread = zlib.crc32(f"{configuration.name}/levels".encode()) / 2**32
@@ -174,12 +154,12 @@
         from otterrudder.levels import LevelController
 
         controller = LevelController(levels, spread)
-    the_core = core.Core(make, products, gauge_names(settings), controller)
+    the_core = core.Core(
+        _rudder_factory(configuration, products), products, gauge_names(settings), controller
+    )
     dispatcher = Dispatcher(the_core)
     runtime = Runtime(dispatcher, address(configuration.runtime))
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    sockets_most = int(configuration.limits.sockets)
-    sockets_most = sockets_most if allowed == resource.RLIM_INFINITY else min(sockets_most, allowed)
+    sockets_most = _sockets_most(configuration)
     records = Records(dispatcher, _records(configuration), sockets_most)
     gateways = Gateways(dispatcher, address(configuration.listen), sockets_most - records.most, tenants)
     registry = Registry(configuration.name, address(configuration.registry))
@@ -201,14 +181,7 @@
         if agent:
             group.start_soon(agent.run)
         if speaker or agent:
-            from otterrudder.net.control import Control
-
-            answers: dict[str, Callable[[], object]] = {}
-            if speaker:
-                answers["vrrp"] = speaker.shown
-            if agent:
-                answers["fleet"] = agent.shown
-            group.start_soon(Control(configuration.name, answers).run)
+            group.start_soon(_control(configuration.name, speaker, agent).run)
         group.start_soon(
             _handle_signals, signals, configuration, files, dispatcher, runtime, records, registry, speaker
         )
@@ -217,6 +190,56 @@
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
+def _served_products(settings: dict[str, Any]) -> list[Product]:
+    """The products as they can be served here, see `unsupported_settings`."""
+    return [replace(product, omit_value=0.0) for product in products_of(settings)]
+
+
+def _rudder_factory(
+    configuration: Configuration, products: list[Product]
+) -> Callable[[float, bool, float], Rudder]:
+    """What makes the Rudder once the runtime has said how it stands: by the time, warmth and ms up."""
+    # A reference outlives its window by an expiry, see core.py.
+    kept = [p for p in products if p.effect is Effect.REFERENCED]
+    stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
+    refs_most = configuration.limits.memory_mb * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
+
+    def make(now: float, warm: bool, up_ms: float) -> Rudder:
+        return boot(
+            now,
+            configuration.settings.get("me") or 0,
+            configuration.seed,
+            configuration.settings,
+            fresh=not warm,
+            up_ms=up_ms,
+            products=products,
+            may_stop=False,
+            ref_kb=0.0,  # results lie here, not in the runtime's memory
+            refs_most=refs_most,
+        )
+
+    return make
+
+
+def _sockets_most(configuration: Configuration) -> int:
+    """Descriptors that this process may open: as the platform says, within the limit of the system."""
+    told = int(configuration.limits.sockets)
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if allowed == resource.RLIM_INFINITY else min(told, allowed)
+
+
+def _control(name: str, speaker: "Speaker | None", agent: "Agent | None") -> "Control":
+    """The operators' local socket, which answers for the parts that are there."""
+    from otterrudder.net.control import Control
+
+    answers: dict[str, Callable[[], object]] = {}
+    if speaker:
+        answers["vrrp"] = speaker.shown
+    if agent:
+        answers["fleet"] = agent.shown
+    return Control(name, answers)
+
+
 def _speaker(
     groups: "Groups", dispatcher: Dispatcher, runtime: Runtime, records: Records, registry: Registry
 ) -> "Speaker":
