--- a/otterrudder/net/lines.py
+++ b/otterrudder/net/lines.py
@@ -23,10 +23,12 @@
 
 
 def runtime_body(words: Words) -> bool:
+    """Whether a body follows this line of the runtime."""
     return (words[0] == "end" and len(words) == 6) or (words[0] == "wants" and len(words) == 4)
 
 
 def records_body(words: Words) -> bool:
+    """Whether a body follows this line of the records service."""
     return len(words) == 3 and words[1] == "DONE"
 
 
@@ -61,14 +63,17 @@
 
 
 def natural(word: str) -> int:
+    """A whole number from 0; ProtocolError if the word is none."""
     if not (word.isascii() and word.isdigit() and len(word) < 16):
         raise ProtocolError(f"{word[:20]!r} is no whole number")
     return int(word)
 
 
-def say(*words: object) -> list[bytes]:
+def encode(*words: object) -> list[bytes]:
+    """A line of these words."""
     return [" ".join(map(str, words)).encode() + b"\r\n"]
 
 
-def say_body(body: bytes, *words: object) -> list[bytes]:
+def encode_with_body(body: bytes, *words: object) -> list[bytes]:
+    """A line of these words and the body's length, and the body behind it."""
     return [f"{' '.join(map(str, words))} {len(body)}\r\n".encode(), body, b"\r\n"]
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -44,7 +44,7 @@
     def give_up(self, call: str) -> None:
         del self.calls[call]
         if self.stream and self.calls:  # else its close says the same
-            self.stream.send(lines.say("UNOP", call))
+            self.stream.send(lines.encode("UNOP", call))
         self.spend("a call on it was given up")  # its reply may be on the way
 
     def spend(self, why: str) -> None:
@@ -133,7 +133,7 @@
             link = self._link(call, self.address, self.group) if self.address and self.group else None
             if link:
                 self.on[call] = link
-                link.take(call, lines.say_body(rest[2], "OP", call, max(math.ceil(rest[1]), 1)))
+                link.take(call, lines.encode_with_body(rest[2], "OP", call, max(math.ceil(rest[1]), 1)))
             else:  # it never ran: the module may try again
                 self.dispatcher.post(self.dispatcher.core.replied, call, Outcome.UNREACHED, of=call)
         elif link := self.on.pop(call, None):
--- a/otterrudder/net/runtime.py
+++ b/otterrudder/net/runtime.py
@@ -48,9 +48,9 @@
         if self.replaying or self.leaving:
             return
         self.stream.send(
-            lines.say_body(rest[-1], word, *rest[:-1])
+            lines.encode_with_body(rest[-1], word, *rest[:-1])
             if word in ("start", "give")
-            else lines.say(word, *rest)
+            else lines.encode(word, *rest)
         )
 
     async def run(self) -> None:
@@ -77,7 +77,7 @@
     async def _serve(self, stream: sockets.Stream) -> bool:
         """Whether it ended because the address is another now."""
         self.stream, self.replaying, self.leaving = stream, True, ""
-        stream.send(lines.say("sync", self.last))
+        stream.send(lines.encode("sync", self.last))
         try:
             why = await stream.serve()
             if why == MOVED:
@@ -95,7 +95,7 @@
         stream = self.stream
         if stream and stream is self.left and not self.leaving:
             self.leaving = str(tag)
-            stream.send(lines.say("gauges", tag))
+            stream.send(lines.encode("gauges", tag))
             self.group.start_soon(self._end_late, stream)
 
     async def _end_late(self, stream: sockets.Stream) -> None:
@@ -142,7 +142,7 @@
             warm, up_ms = words[1] == "hot", float(words[2])
             # Not before: a runtime that is not up yet refuses the question, and the replay would never end.
             assert self.stream  # that it was heard on
-            self.stream.send(lines.say("gauges", REPLAYED))
+            self.stream.send(lines.encode("gauges", REPLAYED))
             born = clock.monotonic() - up_ms
             if self.born is None:
                 log.info("runtime is up", warm=warm, up_ms=up_ms)
