--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import msgspec
 
 from otterrudder import __version__, clock
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
@@ -20,13 +21,14 @@
     MOVABLE,
     VRRP_VARIABLE,
     BadConfiguration,
+    Configuration,
     address,
     read_configuration,
 )
-from otterrudder.interface import Effect
+from otterrudder.interface import Effect, Product
 from otterrudder.log import log
 from otterrudder.logic import Rudder
-from otterrudder.net import core, early
+from otterrudder.net import core, early_sighup
 from otterrudder.net.dispatcher import Dispatcher
 from otterrudder.net.gateways import Gateways
 from otterrudder.net.records import Records
@@ -40,6 +42,7 @@
     from otterrudder.fleet.orders import Orders
     from otterrudder.fleet.policy import Own
     from otterrudder.levels import Table
+    from otterrudder.net.control import Control
     from otterrudder.vrrp.gate import Order
     from otterrudder.vrrp.group import Groups
     from otterrudder.vrrp.speaker import Speaker
@@ -104,7 +107,7 @@
             raise BadConfiguration(str(trouble)) from None
 
 
-def unsaid(settings: dict[str, Any]) -> list[str]:
+def unsupported_settings(settings: dict[str, Any]) -> list[str]:
     """What the settings allow and the runtime's protocol has no word for: a line that is no command ends the
     link, so the server keeps it off."""
     why = "the runtime's protocol has no word for it, so it is kept off"
@@ -114,13 +117,13 @@
     ] * omits
 
 
-def run(told: dict[str, Any], files: Files) -> int:
+def run(configuration: Configuration, files: Files) -> int:
     """Serves until the drain is over or SIGTERM comes before the runtime is up. BadConfiguration comes
     before that."""
-    levels, groups = files.read_levels(told["settings"]), files.read_vrrp(told["settings"])
+    levels, groups = files.read_levels(configuration.settings), files.read_vrrp(configuration.settings)
     fleet = files.read_fleet()
     try:
-        anyio.run(_serve, told, files, levels, groups, fleet)
+        anyio.run(_serve, configuration, files, levels, groups, fleet)
     except OSError as trouble:  # before anything is served: the address is taken, or not ours
         log.error("cannot start", why=str(trouble))
         return 1
@@ -128,63 +131,48 @@
 
 
 async def _serve(
-    told: dict[str, Any], files: Files, levels: "Table | None", groups: "Groups | None", fleet: "Fleet | None"
+    configuration: Configuration,
+    files: Files,
+    levels: "Table | None",
+    groups: "Groups | None",
+    fleet: "Fleet | None",
 ) -> None:
     heard = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*heard) as signals:  # before anybody can connect
-        await _live(told, files, levels, groups, fleet, signals)
+        await _live(configuration, files, levels, groups, fleet, signals)
 
 
 async def _live(
-    told: dict[str, Any],
+    configuration: Configuration,
     files: Files,
     levels: "Table | None",
     groups: "Groups | None",
     fleet: "Fleet | None",
     signals: AsyncIterator[signal.Signals],
 ) -> None:
-    settings, seed = told["settings"], int(told["seed"], 16)
-    products = [replace(product, omit_value=0.0) for product in products_of(settings)]  # see `unsaid`
-    # A reference outlives its window by an expiry, see core.py.
-    kept = [p for p in products if p.effect is Effect.REFERENCED]
-    stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
-    refs_most = told["limits"]["memory_mb"] * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
-
-    def make(now: float, warm: bool, up_ms: float) -> Rudder:
-        return boot(
-            now,
-            settings.get("me") or 0,
-            seed,
-            settings,
-            fresh=not warm,
-            up_ms=up_ms,
-            products=products,
-            may_stop=False,
-            ref_kb=0.0,
-            refs_most=refs_most,
-        )  # results lie here, not in the runtime's memory
-
+    settings = configuration.settings
+    products = _served_products(settings)
     tenants = {tenant.name: n for n, tenant in enumerate(tenants_of(settings))}
     # A fleet shares one table: each server's own lag keeps them from leaving a level together.
-    spread = zlib.crc32(f"{told['name']}/levels".encode()) / 2**32
+    spread = zlib.crc32(f"{configuration.name}/levels".encode()) / 2**32
     controller = None
     if levels:
         from otterrudder.levels import LevelController
 
         controller = LevelController(levels, spread)
-    the_core = core.Core(make, products, gauge_names(settings), controller)
+    the_core = core.Core(
+        _rudder_factory(configuration, products), products, gauge_names(settings), controller
+    )
     dispatcher = Dispatcher(the_core)
-    runtime = Runtime(dispatcher, address(told["runtime"]))
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    sockets_most = int(told["limits"]["sockets"])
-    sockets_most = sockets_most if allowed == resource.RLIM_INFINITY else min(sockets_most, allowed)
-    records = Records(dispatcher, _records(told), sockets_most)
-    gateways = Gateways(dispatcher, address(told["listen"]), sockets_most - records.most, tenants)
-    registry = Registry(told["name"], address(told["registry"]))
+    runtime = Runtime(dispatcher, address(configuration.runtime))
+    sockets_most = _sockets_most(configuration)
+    records = Records(dispatcher, _records(configuration), sockets_most)
+    gateways = Gateways(dispatcher, address(configuration.listen), sockets_most - records.most, tenants)
+    registry = Registry(configuration.name, address(configuration.registry))
     dispatcher.addresses |= {core.RUNTIME: runtime, core.RECORDS: records, core.GATEWAYS: gateways}
     speaker = _speaker(groups, dispatcher, runtime, records, registry) if groups else None
-    agent = _agent(fleet, told, dispatcher, spread) if fleet else None
-    log.info("listening", address=told["listen"], pid=os.getpid())
+    agent = _agent(fleet, configuration, dispatcher, spread) if fleet else None
+    log.info("listening", address=configuration.listen, pid=os.getpid())
     if levels and controller:
         names = [rung.name for rung in levels.rungs]
         log.info("levels", service=controller.name, shadow=controller.is_shadow, of=names)
@@ -199,20 +187,65 @@
         if agent:
             group.start_soon(agent.run)
         if speaker or agent:
-            from otterrudder.net.control import Control
-
-            answers: dict[str, Callable[[], object]] = {}
-            if speaker:
-                answers["vrrp"] = speaker.shown
-            if agent:
-                answers["fleet"] = agent.shown
-            group.start_soon(Control(told["name"], answers).run)
-        group.start_soon(_watch, signals, told, files, dispatcher, runtime, records, registry, speaker)
+            group.start_soon(_control(configuration.name, speaker, agent).run)
+        group.start_soon(
+            _handle_signals, signals, configuration, files, dispatcher, runtime, records, registry, speaker
+        )
         await gateways.run(group)
         group.cancel_scope.cancel()
     log.info("left", unanswered=sum(not txn.answered for txn in the_core.txns.values()))
 
 
+def _served_products(settings: dict[str, Any]) -> list[Product]:
+    """The products as they can be served here, see `unsupported_settings`."""
+    return [replace(product, omit_value=0.0) for product in products_of(settings)]
+
+
+def _rudder_factory(
+    configuration: Configuration, products: list[Product]
+) -> Callable[[float, bool, float], Rudder]:
+    """What makes the Rudder once the runtime has said how it stands: by the time, warmth and ms up."""
+    # A reference outlives its window by an expiry, see core.py.
+    kept = [p for p in products if p.effect is Effect.REFERENCED]
+    stays = [1 + p.expiry_ms / (p.window_ms or p.expiry_ms) for p in kept]
+    refs_most = configuration.limits.memory_mb * 1e6 * RESULTS_SHARE / RESULT_BYTES / max(stays, default=1.0)
+
+    def make(now: float, warm: bool, up_ms: float) -> Rudder:
+        return boot(
+            now,
+            configuration.settings.get("me") or 0,
+            configuration.seed,
+            configuration.settings,
+            fresh=not warm,
+            up_ms=up_ms,
+            products=products,
+            may_stop=False,
+            ref_kb=0.0,  # results lie here, not in the runtime's memory
+            refs_most=refs_most,
+        )
+
+    return make
+
+
+def _sockets_most(configuration: Configuration) -> int:
+    """Descriptors that this process may open: as the platform says, within the limit of the system."""
+    told = int(configuration.limits.sockets)
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if allowed == resource.RLIM_INFINITY else min(told, allowed)
+
+
+def _control(name: str, speaker: "Speaker | None", agent: "Agent | CellAgent | None") -> "Control":
+    """The operators' local socket, which answers for the parts that are there."""
+    from otterrudder.net.control import Control
+
+    answers: dict[str, Callable[[], object]] = {}
+    if speaker:
+        answers["vrrp"] = speaker.shown
+    if agent:
+        answers["fleet"] = agent.shown
+    return Control(name, answers)
+
+
 def _speaker(
     groups: "Groups", dispatcher: Dispatcher, runtime: Runtime, records: Records, registry: Registry
 ) -> "Speaker":
@@ -245,7 +278,7 @@
 
 
 def _agent(
-    fleet: "Fleet", told: dict[str, Any], dispatcher: Dispatcher, spread: float
+    fleet: "Fleet", configuration: Configuration, dispatcher: Dispatcher, spread: float
 ) -> "Agent | CellAgent":
     """The fleet's actor: what it orders goes to the core by the dispatcher, ahead of what arrives.
     BadConfiguration: the folder is another process's, or a file of keys can't be read."""
@@ -253,7 +286,7 @@
     from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
     from otterrudder.levels import LevelController
 
-    own = replace(own_of(told["settings"]), products=dispatcher.core.products)
+    own = replace(own_of(configuration.settings), products=dispatcher.core.products)
     parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
     def take(text: str) -> None:
@@ -274,21 +307,21 @@
         try:
             content = parse(text, own)
         except BadPolicy as trouble:
-            return f"{told['name']}: {trouble}"
+            return f"{configuration.name}: {trouble}"
         parsed.clear()
         parsed[text] = content
         return ""
 
     orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
     make = _cell_agent if fleet.relays else _member_agent
-    agent = make(fleet, told, dispatcher, own, judge, orders)
+    agent = make(fleet, configuration, dispatcher, own, judge, orders)
     dispatcher.ahead.append(agent.pulse)
     return agent
 
 
 def _member_agent(
     fleet: "Fleet",
-    told: dict[str, Any],
+    configuration: Configuration,
     dispatcher: Dispatcher,
     own: "Own",
     judge: Callable[[str], str],
@@ -302,7 +335,7 @@
 
     try:
         store = Client(fleet)
-        folder, record = open_folder(fleet, told["name"])
+        folder, record = open_folder(fleet, configuration.name)
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
     live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
@@ -310,7 +343,7 @@
     def facts() -> dict[str, float]:
         return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
-    agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
+    agent = Agent(fleet, store, configuration.name, live, judge, orders, folder, record, facts)
     log.info(
         "of a fleet",
         fleet=fleet.name,
@@ -325,7 +358,7 @@
 
 def _cell_agent(
     fleet: "Fleet",
-    told: dict[str, Any],
+    configuration: Configuration,
     dispatcher: Dispatcher,
     own: "Own",
     judge: Callable[[str], str],
@@ -337,16 +370,16 @@
 
     kind = kind_of(own)
     log.info("of a cell", fleet=fleet.name, relays=fleet.relays, lease_ms=fleet.server_lease_ms, kind=kind)
-    return CellAgent(fleet, told["name"], kind, judge, orders)
+    return CellAgent(fleet, configuration.name, kind, judge, orders)
 
 
-def _records(told: dict[str, Any]) -> tuple[str, int] | None:
-    return address(told["records"]) if told.get("records") else None
+def _records(configuration: Configuration) -> tuple[str, int] | None:
+    return address(configuration.records) if configuration.records else None
 
 
-async def _watch(
+async def _handle_signals(
     signals: AsyncIterator[signal.Signals],
-    told: dict[str, Any],
+    configuration: Configuration,
     files: Files,
     dispatcher: Dispatcher,
     runtime: Runtime,
@@ -354,66 +387,73 @@
     registry: Registry,
     speaker: "Speaker | None",
 ) -> None:
-    async for number in _heard(signals):
+    async for number in _signals_and_early_sighup(signals):
         if number == signal.SIGHUP:
             try:
-                told = _reload(told, files, runtime, records, registry)
-                _reload_levels(told, files, dispatcher)
+                configuration = _reload(configuration, files, runtime, records, registry)
+                _reload_levels(configuration, files, dispatcher)
                 if speaker:
-                    _reload_keys(told, files, speaker)
+                    _reload_keys(configuration, files, speaker)
             except Exception:  # a file that nobody thought of must not end what is served
                 log.exception("reload failed")
             continue
         if speaker:  # priority 0 first, so that another takes over while this one drains
             speaker.retire()
         registry.draining = True
-        dispatcher.post(dispatcher.core.retire, told["stop_ms"])
+        dispatcher.post(dispatcher.core.retire, configuration.stop_ms)
 
 
-async def _heard(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
-    if early.came():
+async def _signals_and_early_sighup(signals: AsyncIterator[signal.Signals]) -> AsyncIterator[signal.Signals]:
+    if early_sighup.has_come():
         yield signal.SIGHUP
     async for number in signals:
         yield number
 
 
 def _reload(
-    told: dict[str, Any], files: Files, runtime: Runtime, records: Records, registry: Registry
-) -> dict[str, Any]:
+    configuration: Configuration, files: Files, runtime: Runtime, records: Records, registry: Registry
+) -> Configuration:
     """Takes new addresses from the configuration file; one that is no good leaves the old in force."""
     try:
         new = read_configuration(files.configuration)
     except BadConfiguration as trouble:
         log.error("configuration not taken", why=str(trouble))
-        return told
-    moved = [name for name in MOVABLE if new.get(name) != told.get(name)]
-    fixed = {name for name in told.keys() | new.keys() if new.get(name) != told.get(name)} - {*MOVABLE}
+        return configuration
+    before, after = configuration.document, new.document
+    changed = {name for name in before.keys() | after.keys() if after.get(name) != before.get(name)}
+    moved, fixed = [name for name in MOVABLE if name in changed], changed - {*MOVABLE}
     if "runtime" in moved:
-        runtime.move(address(new["runtime"]))
+        runtime.move(address(new.runtime))
     if "records" in moved:
         records.move(_records(new))
     if "registry" in moved:
-        registry.address = address(new["registry"])
+        registry.address = address(new.registry)
     log.info("configuration taken", moved=moved)
     if fixed:
         log.warning("a restart is needed for what else has changed", names=sorted(fixed))
-    return told | {name: new.get(name) for name in MOVABLE}
+    return msgspec.structs.replace(
+        configuration,
+        runtime=new.runtime,
+        records=new.records,
+        registry=new.registry,
+        document=before | {name: after.get(name) for name in MOVABLE},
+    )
 
 
-def _reload_keys(told: dict[str, Any], files: Files, speaker: "Speaker") -> None:
+def _reload_keys(configuration: Configuration, files: Files, speaker: "Speaker") -> None:
     """Other keys for VRRP; groups are settled at the start."""
     try:
-        if groups := files.read_vrrp(told["settings"]):
+        if groups := files.read_vrrp(configuration.settings):
             speaker.take_keys(groups.keys)
             log.info("vrrp keys taken", keys=sorted(groups.keys.by_number), signs=groups.keys.signs)
     except BadConfiguration as trouble:
         log.error("vrrp keys not taken", why=str(trouble))
 
 
-def _reload_levels(told: dict[str, Any], files: Files, dispatcher: Dispatcher) -> None:
+def _reload_levels(configuration: Configuration, files: Files, dispatcher: Dispatcher) -> None:
     """Takes the table of levels anew; whether there are levels at all is settled at the start."""
     try:
-        if table := files.read_levels(told["settings"]):
+        if table := files.read_levels(configuration.settings):
             dispatcher.post(dispatcher.core.take_levels, table)
     except BadConfiguration as trouble:
         log.error("levels not taken", why=str(trouble))
