Fleet: a member whose first answer is another engine's does not fall over

A member that had read nothing yet, and whose first read was answered by an engine that it does not believe, came to an assertion between two reads: its process would have ended. It now waits for the next read. Found by the search of cells; trail: the store is copied; B is committed; an older copy answers; both relays die; one starts; time goes on by 0.5 s. Members alone have it too: the model of members steps by a second, on which the next read lies.

--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -656,6 +656,17 @@
     assert [message.sequence for message in grants] == [5]
 
 
+def test_a_relay_that_starts_where_another_engine_answers_waits() -> None:
+    harness = Harness()
+    identity = CellIdentity(FLEET, "east", "a", ("a", "b"))
+    relay = Relay(0.0, identity, "a.1", RULES, cluster=harness.space.cluster + 1)
+    (read,) = [effect for effect in relay.effects(0.0) if isinstance(effect, Read)]
+    relay.completed(0.0, read, 0.0, harness.space.answer(0.0, read))
+    for now in range(0, 1500, 100):
+        assert not [effect for effect in relay.effects(float(now)) if isinstance(effect, Read)]
+    assert relay.member.why.startswith("another engine answers") and relay.due() == 1500.0
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
