--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -42,6 +42,19 @@
     sys.exit(0 if searched(walks, seed, depth, workers, click.echo) else 1)
 
 
+@lab.command("cell-search")
+@click.option("--walks", type=click.IntRange(1), default=200, show_default=True, help="By variant.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--depth", type=click.IntRange(0, 6), default=0, help="Every order to this depth as well.")
+@click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
+def cell_search(walks: int, seed: int, depth: int, workers: int | None) -> None:
+    """Search what may happen to cells of a few relays and servers; exits with 1 if a promise breaks or a
+    fault that was put in is not found."""
+    from otterrudder.lab.fleet.cell_report import cells_searched
+
+    sys.exit(0 if cells_searched(walks, seed, depth, workers, click.echo) else 1)
+
+
 @lab.command("fleet-simulation")
 @click.option("--servers", type=click.IntRange(2, 1000), default=200, show_default=True)
 @click.option("--plans", type=click.IntRange(1), default=100, show_default=True, help="Of faults, by rule.")
--- /dev/null
+++ b/otterrudder/lab/fleet/cell_faults.py
@@ -0,0 +1,207 @@
+"""Faults that are put in, and where each shows: the search has to find every one of them."""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from otterrudder.fleet.cell.participant import Participant
+from otterrudder.fleet.cell.relay import Relay, RelayLimits
+from otterrudder.lab.fleet.cell_doubles import (
+    AsksNoKinds,
+    AsksTooLate,
+    BelievesAnyStore,
+    BelievesOneConsent,
+    ChecksNoDigest,
+    ConsentsWhileItLeads,
+    ConsentUnderLeaveOut,
+    CountsFromTheAnswer,
+    ForgetsClosedStreams,
+    ForgetsItsConsent,
+    ForgetsTheQueue,
+    GoesBack,
+    GoesOnUnderTheOld,
+    GrantsLapsed,
+    GrantsLongerThanTheBound,
+    GrantsPastItsAuthority,
+    GrantsThoughItConsented,
+    GrantsToNewServersAtOnce,
+    KeepsItsJudgement,
+    OpensAnyBase,
+    OpensTwo,
+    RemembersNoNo,
+    SleepsThrough,
+    TakesAnyText,
+    TakesOverAtOnce,
+    VotesThoughItConsented,
+)
+from otterrudder.lab.fleet.cell_model import RULES, CellStage, CellVariant
+
+
+@dataclass(frozen=True, slots=True)
+class CellHunt:
+    """Where a fault shows: the world's parts, and a story from a stage that drawn walks come to too rarely
+    (`~`: an event that the sound part may not come to). Without a story walks find it."""
+
+    variant: CellVariant
+    stage: CellStage = CellStage.CALM
+    story: tuple[str, ...] = ()
+
+
+def _quiet(steps: int) -> tuple[str, ...]:
+    return ("all is delivered", "time goes on") * steps
+
+
+_PROPOSED = ("B reads", "B: propose")
+_NEW_SERVER = (
+    "s1 dies",
+    "r00.1 count",
+    "r00.1 commit",
+    "time goes on",
+    "s1 starts",
+    "r00 to s1: opened",
+    "s1 to r00: Register",
+    "~r00 to s1: InForce",
+    "~s1 has checked",
+    "~r00 to s1: Grant",
+)
+_LATE_GRANT = (
+    "time goes on",
+    "s0 to r00: Renew",
+    *_PROPOSED,
+    "r00.1 read",
+    "r00.1 read",
+    "r00 to s1: AskVerdict",
+    "s1 has checked",
+    "~s1 to r00: Renew",
+    "s1 to r00: Verdict",
+    "r00.1 vote",
+    "r00.1 count",
+    "r00.1 commit",
+    "time goes on",
+    "r00 to s0: Grant",
+    *("time goes on",) * 5,
+)
+_SLOW_CHECK = (
+    "r00.1 read",
+    *(("~s0 to r00: Renew", "~r00 to s0: InForce", "~r00 to s0: Grant", "time goes on") * 8),
+)
+_SET_BACK = (
+    "time goes on",
+    "time goes on",
+    "s0 to r00: Renew",
+    "r00 to s0: older version",
+    "r00 to s0: Grant",
+)
+_DAMAGED = ("r00.1 read", "r00 to s0: damaged text", "r00 to s0: InForce", "~s0 has checked")
+_STANDBY_CUT_OFF = ("r00 is not heard", "r01 is not heard", *_quiet(14), *_PROPOSED, *_quiet(8))
+_LEADER_CUT_OFF = ("r00 is not heard", "r00 to r01: cut", *_quiet(14), *_PROPOSED, *_quiet(8))
+_TWO_LEAD = (
+    "r00 is not heard",
+    *_quiet(16),
+    *_PROPOSED,
+    *_quiet(5),
+    "the store is away",
+    "r01 to r00: cut",
+    *_quiet(6),
+    "r01 to r00: healed",
+    "r01 answers r00",
+    "~r01 to s0: opened",
+    "~s0 to r01: Register",
+    "~r01 to s0: Refuse",
+    "~time goes on",
+    "~r00 to s0: opened",
+    "~s0 to r00: Register",
+)
+_RESTARTED = (
+    "r00 is not heard",
+    "r01 dies",
+    "the store is back",
+    "r01 starts",
+    "s0 to r00: breaks",
+    *_quiet(3),
+)
+_SAME_TEXT = (
+    "s2 dies",
+    *_quiet(8),
+    *_PROPOSED,
+    *_quiet(3),
+    "s2 starts",
+    *_quiet(3),
+    "C reads",
+    "C: queue",
+    *_quiet(4),
+)
+_OLD_COPY = (
+    "the store is copied",
+    *_PROPOSED,
+    *_quiet(3),
+    "an older copy answers",
+    "r00 dies",
+    "r01 dies",
+    "r00 starts",
+    *_quiet(20),
+)
+
+
+def _of_relay(relay: type[Relay], **parts: Any) -> CellHunt:
+    return CellHunt(CellVariant(relay=relay, **parts))
+
+
+def _of_server(participant: type[Participant], **parts: Any) -> CellHunt:
+    return CellHunt(CellVariant(participant=participant, **parts))
+
+
+# A step of time falls between this bound and the end of a lease that was counted from a late answer.
+_TIGHT = replace(RULES, bound_ms=2900.0)
+_LEAVE_OUT = replace(RULES, absent="leave-out")
+FAULTS: dict[str, CellHunt] = {
+    "grants past its authority": _of_relay(GrantsPastItsAuthority),
+    "grants for longer than the bound": _of_relay(GrantsLongerThanTheBound),
+    "grants to new servers at once": CellHunt(
+        CellVariant(relay=GrantsToNewServersAtOnce), CellStage.VOTED, _NEW_SERVER
+    ),
+    "counts a lease from the answer": CellHunt(
+        CellVariant(
+            participant=CountsFromTheAnswer, rules=_TIGHT, limits=RelayLimits(span_ms=_TIGHT.bound_ms)
+        ),
+        CellStage.CALM,
+        _LATE_GRANT,
+    ),
+    "frozen, goes by a stale clock": _of_server(SleepsThrough),
+    "goes on under the old version": CellHunt(
+        CellVariant(participant=GoesOnUnderTheOld), CellStage.COMMITTED, _SLOW_CHECK
+    ),
+    "goes back a version": CellHunt(CellVariant(participant=GoesBack), CellStage.CALM, _SET_BACK),
+    "takes a text unchecked": _of_server(TakesAnyText, servers=3, has_odd_kind=True),
+    "takes a damaged text": CellHunt(CellVariant(participant=ChecksNoDigest), CellStage.COMMITTED, _DAMAGED),
+    "believes one consent of two": CellHunt(
+        CellVariant(relay=BelievesOneConsent, relays=3), CellStage.CALM, _STANDBY_CUT_OFF
+    ),
+    "consents while it leads": CellHunt(CellVariant(relay=ConsentsWhileItLeads), CellStage.CALM, _TWO_LEAD),
+    "forgets its consent in a restart": CellHunt(
+        CellVariant(relay=ForgetsItsConsent), CellStage.CONSENTED, _RESTARTED
+    ),
+    "votes though it has consented": _of_relay(VotesThoughItConsented),
+    "grants though it has consented": _of_relay(GrantsThoughItConsented),
+    "consent under leave-out": CellHunt(
+        CellVariant(relay=ConsentUnderLeaveOut, rules=_LEAVE_OUT, cells=2, servers=3),
+        CellStage.CALM,
+        _STANDBY_CUT_OFF,
+    ),
+    "grants without a lease": CellHunt(CellVariant(relay=GrantsLapsed), CellStage.CALM, _LEADER_CUT_OFF),
+    "asks for consent too late": _of_relay(AsksTooLate),
+    "asks no kinds": _of_relay(AsksNoKinds),
+    "remembers no no": _of_relay(RemembersNoNo, has_odd_kind=True),
+    "keeps its judgement": CellHunt(
+        CellVariant(relay=KeepsItsJudgement, cells=2, servers=4, has_odd_kind=True),
+        CellStage.CALM,
+        _SAME_TEXT,
+    ),
+    "forgets closed streams": _of_relay(ForgetsClosedStreams),
+    "takes over at once": _of_relay(TakesOverAtOnce),
+    "believes any store": CellHunt(
+        CellVariant(relay=BelievesAnyStore, has_copies=True), CellStage.CALM, _OLD_COPY
+    ),
+    "opens two changes": _of_relay(OpensTwo),
+    "opens a change from any base": _of_relay(OpensAnyBase, has_based_changes=True),
+    "forgets the queue": _of_relay(ForgetsTheQueue),
+}
--- a/otterrudder/lab/fleet/report.py
+++ b/otterrudder/lab/fleet/report.py
@@ -5,9 +5,10 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 
+from otterrudder.lab.fleet.explore import Found
 from otterrudder.lab.fleet.faults import FAULTS, SOUND
 from otterrudder.lab.fleet.model import Stage
-from otterrudder.lab.fleet.search import Found, hunt, search, walk
+from otterrudder.lab.fleet.search import hunt, search, walk
 from otterrudder.lab.fleet.simulation import Result, play
 
 LENGTH = 60  # events of a drawn walk
--- a/otterrudder/lab/fleet/search.py
+++ b/otterrudder/lab/fleet/search.py
@@ -1,15 +1,14 @@
-"""Every order of events of a small fleet to a stated depth, and long orders drawn from a seed.
-
-The search stops at the first world in which a promise does not hold and tells the events that led to it.
-Each world that is reached is checked; every
-`PEACE_EVERY`th is left in peace as well, to see that it comes to agree."""
+"""The model of a fleet's members searched: every order of events to a stated depth, and long orders drawn
+from a seed."""
 
 import math
 import random
-from collections import deque
-from dataclasses import dataclass, replace
+from collections.abc import Iterator
+from dataclasses import replace
 
 from otterrudder.fleet.member import Member
+from otterrudder.lab.fleet import explore
+from otterrudder.lab.fleet.explore import Found, Step
 from otterrudder.lab.fleet.faults import Hunt
 from otterrudder.lab.fleet.model import Apart, Stage, Variant, World, following, staged
 
@@ -40,15 +39,6 @@
     "register",
     "read",
 )
-PEACE_EVERY = 64  # worlds from one that is left in peace to the next: that costs as much as a hundred others
-
-
-@dataclass(frozen=True, slots=True)
-class Found:
-    worlds: int
-    depth: int
-    broken: str = ""
-    trail: tuple[str, ...] = ()
 
 
 def search(
@@ -59,27 +49,12 @@
     stage: Stage = Stage.CALM,
     story: tuple[str, ...] = (),
 ) -> Found:
-    """Breadth first from a change that has come so far, and from the end of a story, if one is told; so that
-    what is found is as short as it can be."""
-    first = told(staged(variant, stage), story)
-    if trouble := first.broken():
-        return Found(1, 0, trouble, first.trail)
-    depth += len(first.trail)
-    seen, todo = {hash(first.key())}, deque([first])
-    deepest = len(first.trail)
-    while todo and depth > len(first.trail) and len(seen) < worlds_most:
-        world = todo.popleft()
-        for then in following(world, faults_most):
-            key = hash(then.key())
-            if key in seen:
-                continue
-            seen.add(key)
-            deepest = len(then.trail)
-            if trouble := then.broken() or (then.in_peace() if len(seen) % PEACE_EVERY == 0 else ""):
-                return Found(len(seen), deepest, trouble, then.trail)
-            if deepest < depth:  # those at the depth itself are looked at, and need not be kept
-                todo.append(then)
-    return Found(len(seen), deepest)
+    """Breadth first from a change that has come so far, and from the end of a story, if one is told."""
+
+    def then(world: World) -> Iterator[World]:
+        return following(world, faults_most)
+
+    return explore.breadth_first(told(staged(variant, stage), story), then, depth, worlds_most)
 
 
 def walk(variant: Variant, seed: int, walks: int, length: int, faults_most: int) -> Found:
@@ -92,20 +67,23 @@
             world = staged(variant, chance.choice(list(Stage)))
         except Apart as why:
             return Found(count, 0, str(why))
-        spend = chance.randint(1, faults_most)
-        leanings = {kind: math.exp(chance.uniform(-2.5, 1.5)) for kind in KINDS}
-        for _ in range(length):
-            choices = list(following(world, spend))
-            weights = [_weight(then.trail[-1], leanings) for then in choices]
-            world = chance.choices(choices, weights)[0]
-            count += 1
-            if trouble := world.broken():
-                return Found(count, len(world.trail), trouble, world.trail)
-        if trouble := world.in_peace():
-            return Found(count, len(world.trail), trouble, world.trail)
+        found = _walk_from(world, chance, length, faults_most)
+        count += found.worlds
+        if found.broken:
+            return Found(count, found.depth, found.broken, found.trail)
     return Found(count, length)
 
 
+def _walk_from(world: World, chance: random.Random, length: int, faults_most: int) -> Found:
+    spend = chance.randint(1, faults_most)
+    leanings = {kind: math.exp(chance.uniform(-2.5, 1.5)) for kind in KINDS}
+
+    def weight(event: str) -> float:
+        return next((leaning for kind, leaning in leanings.items() if kind in event), 1.0)
+
+    return explore.wander(world, lambda world: _steps(world, spend), weight, chance, length)
+
+
 def hunt(what: Hunt, walks: int = 600, member: type[Member] | None = None) -> Found:
     """Looks for a fault where it shows; with `member`, whether another one goes that way unharmed."""
     variant = replace(what.variant, member=member) if member else what.variant
@@ -115,19 +93,9 @@
 
 
 def told(world: World, story: tuple[str, ...]) -> World:
-    """The world that these events lead to, each named by how its label starts; with ~, passed over where it
-    can't follow."""
-    for event in story:
-        name = event.removeprefix("~")
-        then = next((w for w in following(world, len(story)) if w.trail[-1].startswith(name)), None)
-        if then is None and name != event:
-            continue
-        if then is None:
-            can = sorted(w.trail[-1] for w in following(world, len(story)))
-            raise ValueError(f"{event!r} can't follow {world.trail}: {can}")
-        world = then
-    return world
-
-
-def _weight(event: str, leanings: dict[str, float]) -> float:
-    return next((leaning for kind, leaning in leanings.items() if kind in event), 1.0)
+    """The world that these events lead to."""
+    return explore.told(world, lambda world: _steps(world, len(story)), story)
+
+
+def _steps(world: World, faults_most: int) -> list[Step[World]]:
+    return [Step(then.trail[-1], then) for then in following(world, faults_most)]
