--- a/otterrudder/lab/fleet/cell_doubles.py
+++ b/otterrudder/lab/fleet/cell_doubles.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from otterrudder.fleet.cell.consent import Consents, Promise
+from otterrudder.fleet.cell.consent import BELIEVED_SHARE, Consents, Promise
 from otterrudder.fleet.cell.kinds import Poll, Verdicts
 from otterrudder.fleet.cell.messages import AskConsent, Consent, Grant, InForce, RelayMessage
 from otterrudder.fleet.cell.participant import Participant
@@ -82,6 +82,18 @@
         super().received(now, connection, message)
 
 
+class BelievesTheWholeSpan(Participant):
+    """Takes its clock and the relay's for one."""
+
+    def _extend(self, version: int, until: float) -> None:
+        sent = until - self._span * BELIEVED_SHARE
+        super()._extend(version, sent + self._span)
+
+    def _take_grant(self, now: float, grant: Grant) -> None:
+        self._span = grant.span_ms
+        super()._take_grant(now, grant)
+
+
 class SleepsThrough(Participant):
     """Goes by what was so when it last did something: a frozen one wakes and admits."""
 
--- a/otterrudder/lab/fleet/cell_events.py
+++ b/otterrudder/lab/fleet/cell_events.py
@@ -12,6 +12,7 @@
 from otterrudder.lab.fleet.cell_model import (
     DEADLINE_MS,
     LONG_STEP_MS,
+    SHORT_STEP_MS,
     CellWorld,
     Control,
     PeerFlight,
@@ -40,6 +41,7 @@
     found = [
         Event("time goes on", _pass_time),
         Event("long time goes on", _pass_long_time),
+        Event("little time goes on", _pass_little_time),
         Event("all is delivered", _deliver_all),
     ]
     found += _of_store_flights(world, may_harm)
@@ -72,6 +74,10 @@
     world.pass_time()
 
 
+def _pass_little_time(world: CellWorld) -> None:
+    world.pass_time(SHORT_STEP_MS)
+
+
 def _pass_long_time(world: CellWorld) -> None:
     world.pass_time(LONG_STEP_MS)
 
@@ -282,6 +288,8 @@
             continue
         if may_harm:
             yield Event(f"{host.address} dies", partial(_stop_relay, n), 1)
+            if not host.is_frozen:
+                yield Event(f"{host.address} leaves", partial(_leave, n), 1)
         if host.is_frozen:
             yield Event(f"{host.address} wakes", partial(_thaw_relay, n))
             yield Event(f"{host.address} wakes and hears first", partial(_thaw_hearing, n))
@@ -317,6 +325,18 @@
     world.stop_relay(n)
 
 
+def _leave(n: int, world: CellWorld) -> None:
+    """It sends its servers away, gives its lease back and ends."""
+    host = world.relays[n]
+    assert host.relay
+    host.relay.leave(world.clock(host))
+    world.settle_down()
+    lease = host.relay.member.lease
+    if lease and not (world.is_store_away or host.is_mute):
+        world.store.revoke(lease)
+    world.stop_relay(n)
+
+
 def _freeze_relay(n: int, world: CellWorld) -> None:
     world.relays[n].is_frozen = True
 
