Fleet: a settler does not ask for the leadership in a row while its member has not read

A settler that came forward and was refused came forward again at once, as often as the store answered, for as long as its member's own reads were held up (2 s at the most): it looked at what the member had seen before. One that was taken did so as well until the member had read. Found by the search of cells (three relays: r00 cut off from the store while r01 takes the cell and the leadership; r00 hears again): in peace it never rests.

--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -340,9 +340,10 @@
         age = now - self._seen_since
         self._at = now + self._pause(age)
         ended, self._ended = self._ended, None
-        if isinstance(outcome, Done):
-            self._at = now
-            if outcome.held and ended and isinstance(effect, Commit):
+        if isinstance(outcome, Done) and isinstance(effect, Commit):
+            # Whether it leads now, its member knows once it has read.
+            self._at = now + COUNT_MS if effect.what == "lead" else now
+            if outcome.held and ended:
                 return self._follow(now, ended, effect, outcome)
         if not isinstance(outcome, Snapshot):
             return None
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -55,7 +55,7 @@
 from otterrudder.fleet.records import QUEUE_MOST, Queued, digest_of
 from otterrudder.fleet.records import encode as encode_record
 from otterrudder.fleet.state import Rules, Standing
-from otterrudder.fleet.store import Put
+from otterrudder.fleet.store import Done, Put
 
 # A server's part.
 
@@ -916,3 +916,14 @@
     leader.member._retry_at = harness.now + 1000.0  # its own reads are held up
     harness.run(900.0)
     assert len(reads) <= 900.0 / COUNT_MS + 4  # hints: of the change, of two votes
+
+
+@pytest.mark.parametrize("held", [True, False])
+def test_a_settler_does_not_ask_for_the_leadership_in_a_row(held: bool) -> None:
+    """Whether it leads its member says, once it has read."""
+    settler, now = Settler(KEYS, "east", keeps_leadership=True), 0.0
+    while not (lead := settler.effects(now, "", False, False, 1, 1)):
+        now = settler.due()
+    assert isinstance(lead, Commit) and lead.what == "lead"
+    assert settler.completed(now, lead, Done(held, 9, 1)) is None
+    assert settler.due() >= now + COUNT_MS
