--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -55,7 +55,7 @@
 from otterrudder.fleet.records import QUEUE_MOST, Queued, digest_of
 from otterrudder.fleet.records import encode as encode_record
 from otterrudder.fleet.state import Rules, Standing
-from otterrudder.fleet.store import Put
+from otterrudder.fleet.store import Done, Put
 
 # A server's part.
 
@@ -656,6 +656,17 @@
     assert [message.sequence for message in grants] == [5]
 
 
+def test_a_relay_that_starts_where_another_engine_answers_waits() -> None:
+    harness = Harness()
+    identity = CellIdentity(FLEET, "east", "a", ("a", "b"))
+    relay = Relay(0.0, identity, "a.1", RULES, cluster=harness.space.cluster + 1)
+    (read,) = [effect for effect in relay.effects(0.0) if isinstance(effect, Read)]
+    relay.completed(0.0, read, 0.0, harness.space.answer(0.0, read))
+    for now in range(0, 1500, 100):
+        assert not [effect for effect in relay.effects(float(now)) if isinstance(effect, Read)]
+    assert relay.member.why.startswith("another engine answers") and relay.due() == 1500.0
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
@@ -905,3 +916,14 @@
     leader.member._retry_at = harness.now + 1000.0  # its own reads are held up
     harness.run(900.0)
     assert len(reads) <= 900.0 / COUNT_MS + 4  # hints: of the change, of two votes
+
+
+@pytest.mark.parametrize("held", [True, False])
+def test_a_settler_does_not_ask_for_the_leadership_in_a_row(held: bool) -> None:
+    """Whether it leads its member says, once it has read."""
+    settler, now = Settler(KEYS, "east", keeps_leadership=True), 0.0
+    while not (lead := settler.effects(now, "", False, False, 1, 1)):
+        now = settler.due()
+    assert isinstance(lead, Commit) and lead.what == "lead"
+    assert settler.completed(now, lead, Done(held, 9, 1)) is None
+    assert settler.due() >= now + COUNT_MS
