--- a/otterrudder/cli/levels.py
+++ b/otterrudder/cli/levels.py
@@ -76,7 +76,7 @@
             moves += 1
             why = ", ".join(f"{r.fact} {r.value:.3g} ({r.bound:g})" for r in move.readings)
             when = f"{(at - first) / 1000:9.1f} s"
-            click.echo(f"{when}  {move.left} -> {move.entered}  {move.why.value}: {why}")
+            click.echo(f"{when}  {move.left} -> {move.entered}  {move.reason.value}: {why}")
     whole = sum(spent.values()) or 1.0
     shares = ", ".join(f"{name} {ms / whole:.1%}" for name, ms in spent.items())
     click.echo(f"{moves} transitions in {whole / 1000:.0f} s; {shares}")
--- a/otterrudder/levels/controller.py
+++ b/otterrudder/levels/controller.py
@@ -59,7 +59,7 @@
     def _update(self, move: Move | None, now: float) -> LevelUpdate | None:
         if move is None:
             return None
-        told: dict[str, object] = dict(left=move.left, entered=move.entered, why=move.why.value)
+        told: dict[str, object] = dict(left=move.left, entered=move.entered, why=move.reason.value)
         for reading in move.readings:
             told[reading.fact] = round(reading.value, 3)
             told[f"{reading.fact}_bound"] = reading.bound
--- a/otterrudder/levels/ladder.py
+++ b/otterrudder/levels/ladder.py
@@ -27,7 +27,7 @@
 FULL = "full"  # the name of full service
 
 
-class Why(Enum):
+class Reason(Enum):
     """What moved the ladder."""
 
     ENTRY = "entry"  # the next rung's conditions to enter
@@ -85,7 +85,7 @@
     at: float
     left: str
     entered: str
-    why: Why
+    reason: Reason
     readings: tuple[Reading, ...]
     stay_ms: float  # the least stay now, damping included
     damped: float  # the factor in it
@@ -169,12 +169,12 @@
         self._windows.add(now, facts)
         self._note_calm(now)
         if readings := self._wants_up(now):
-            return self._go(now, self.position + 1, Why.ENTRY, readings)
+            return self._go(now, self.position + 1, Reason.ENTRY, readings)
         if self.position:
             if readings := self._may_leave(now, self._stay.calm_since, self._rung.stay_ms, asked=True):
-                return self._go(now, self.position - 1, Why.EXIT, readings)
+                return self._go(now, self.position - 1, Reason.EXIT, readings)
             if readings := self._may_leave(now, self._stay.trial_since, self._rung.trial_ms, asked=False):
-                return self._go(now, self.position - 1, Why.TRIAL, readings)
+                return self._go(now, self.position - 1, Reason.TRIAL, readings)
         return None
 
     def replace(self, rungs: tuple[Rung, ...], damping: Damping, now: float) -> Move | None:
@@ -194,7 +194,7 @@
             self._stay.since, self._stay.factor = now, self._factor(self.name)
         if self.relief == before:
             return None
-        return self._move(now, left, Why.TABLE, (), up=False)
+        return self._move(now, left, Reason.TABLE, (), up=False)
 
     @property
     def _rung(self) -> Rung:
@@ -261,7 +261,7 @@
             if asked or bound.fact not in ASKED
         )
 
-    def _go(self, now: float, position: int, why: Why, readings: tuple[Reading, ...]) -> Move:
+    def _go(self, now: float, position: int, reason: Reason, readings: tuple[Reading, ...]) -> Move:
         left, up = self.name, position > self.position
         if not up:
             self._history[left].left_at = now
@@ -272,7 +272,7 @@
                 gone = int((now - history.left_at) / self.damping.forget_ms)
                 history.returns = max(history.returns - gone, 0) if gone else history.returns + 1
         self._stay = _Stay(since=now, factor=self._factor(self.name))
-        return self._move(now, left, why, readings, up)
+        return self._move(now, left, reason, readings, up)
 
     def _factor(self, name: str) -> float:
         if name not in self._history:
@@ -281,6 +281,6 @@
         damped: float = min(self.damping.times ** min(self._history[name].returns, 64), self.damping.most)
         return damped * spread
 
-    def _move(self, now: float, left: str, why: Why, readings: tuple[Reading, ...], up: bool) -> Move:
+    def _move(self, now: float, left: str, reason: Reason, readings: tuple[Reading, ...], up: bool) -> Move:
         relief = self.relief
-        return Move(now, left, self.name, why, readings, relief.stay_ms, self._stay.factor, relief, up)
+        return Move(now, left, self.name, reason, readings, relief.stay_ms, self._stay.factor, relief, up)
--- a/tests/levels/test_ladder.py
+++ b/tests/levels/test_ladder.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from otterrudder.interface import Relief
-from otterrudder.levels import Bound, Damping, Ladder, Rung, Why
+from otterrudder.levels import Bound, Damping, Ladder, Reason, Rung
 from otterrudder.levels.window import BUCKETS, Window
 
 TICK = 40.0
@@ -106,7 +106,7 @@
 def test_in_is_quicker_than_out() -> None:
     on = ladder(1)
     moves = play(on, [(10_000.0, LOUD), (30_000.0, CALM)])
-    assert [move.why for move in moves] == [Why.ENTRY, Why.EXIT]
+    assert [move.reason for move in moves] == [Reason.ENTRY, Reason.EXIT]
     assert moves[0].at <= 1100.0 and 2700.0 < moves[1].at - 10_000.0 <= 3500.0
     assert [reading.fact for reading in moves[0].readings] == ["pressure"]
     assert {reading.fact for reading in moves[1].readings} == {"pressure", "demand"}
@@ -117,7 +117,7 @@
     on = ladder(1)
     shed = {"pressure": 0.0, "demand": 1.3}
     moves = play(on, [(5000.0, LOUD), (60_000.0, shed)])
-    assert [move.why for move in moves] == [Why.ENTRY, Why.TRIAL]
+    assert [move.reason for move in moves] == [Reason.ENTRY, Reason.TRIAL]
     assert moves[1].at - moves[0].at >= 30_000.0
 
 
@@ -155,7 +155,7 @@
     assert on.replace(on.rungs, Damping(), 7000.0) is None and on.stayed(7000.0) < 3000.0
     assert play(on, [(900.0, LOUD)], at=7000.0) == []  # windows began anew
     move = on.replace((rung(9), rung(2)), Damping(), 8000.0)
-    assert move and (move.left, move.entered, move.why) == ("l3", "l2", Why.TABLE)
+    assert move and (move.left, move.entered, move.reason) == ("l3", "l2", Reason.TABLE)
     move = on.replace((rung(7),), Damping(), 9000.0)
     assert move and move.entered == "l7"
     assert [m.entered for m in play(on, [(60_000.0, CALM)], at=9000.0)] == ["full"]
