Rename: the dispatcher's ahead is before_turn

What is played at the head of each turn: VRRP's speaker and the fleet's agent. Nothing else is changed.

--- a/otterrudder/net/dispatcher.py
+++ b/otterrudder/net/dispatcher.py
@@ -46,7 +46,7 @@
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
         self.statistics = _LoopStatistics()
-        self.ahead: list[Callable[[float], None]] = []  # what may not wait for a turn: it is played first
+        self.before_turn: list[Callable[[float], None]] = []  # played at the head of each turn
 
     def post(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
         """Puts a call of the core into the mailbox; `of` names the txn that is voided if it fails."""
@@ -73,7 +73,7 @@
     def turn(self) -> None:
         """One batch of the core: the time, all mail, what is due, and what the core then sends."""
         now = clock.monotonic()
-        for pulse in self.ahead:
+        for pulse in self.before_turn:
             self._try(pulse, now)
         urgent, self.urgent = self.urgent, []
         arrivals, self.arrivals = self.arrivals, []
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -267,7 +267,7 @@
     speaker.changed = changed
     speaker.bind()
     registry.draining = True
-    dispatcher.ahead.append(speaker.pulse)
+    dispatcher.before_turn.append(speaker.pulse)
     return speaker
 
 
@@ -319,7 +319,7 @@
         return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
     agent = Agent(fleet, store, configuration.name, live, judge, orders, folder, record, facts)
-    dispatcher.ahead.append(agent.pulse)
+    dispatcher.before_turn.append(agent.pulse)
     log.info(
         "of a fleet",
         fleet=fleet.name,
