--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -273,7 +273,7 @@
     speaker.changed = changed
     speaker.bind()
     registry.draining = True
-    dispatcher.ahead.append(speaker.pulse)
+    dispatcher.before_turn.append(speaker.pulse)
     return speaker
 
 
@@ -315,7 +315,7 @@
     orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
     make = _cell_agent if fleet.relays else _member_agent
     agent = make(fleet, configuration, dispatcher, own, judge, orders)
-    dispatcher.ahead.append(agent.pulse)
+    dispatcher.before_turn.append(agent.pulse)
     return agent
 
 
