Capacity: slopes of today's parts by size, with laws fitted and stretched

Cause: the users have named a size (8,200 servers, 320,000 routes, 1.1 million tenants, 0.8 changes a second), and nothing told which part of today's text carries it, or by how much it falls short.

Change: `python -m benchmarks.capacity [--row NAME] [--quick] [--json]` plays each part at four sizes or more, fits a line and a power law to relative errors, takes the one with the smaller residual, and prints what that comes to at the users' size, how far it was stretched, the limit and a verdict. Rows: decisions, server on sockets, connections, levels, configuration, policy, the fleet's member, the list, the store. CPU by process time, memory by tracemalloc or resident set: the machine is shared.

--- /dev/null
+++ b/benchmarks/capacity/decisions.py
@@ -0,0 +1,118 @@
+"""The server's decisions: a txn, a tick, a build and a session, by products and tenants."""
+
+from benchmarks.capacity import size
+from benchmarks.capacity.inputs import rudder_of, settings_of
+from benchmarks.capacity.limits import ADDED_US, CHANGE, CONTROL_MB, TICK_US
+from benchmarks.capacity.measure import PROCESS_TIME, TRACED, cpu_s, memory_of
+from benchmarks.capacity.slope import Series, Slope
+from otterrudder.interface import Outcome, Relief
+from otterrudder.logic import Rudder
+
+SIZES = (10, 100, 1_000, 10_000, 100_000)
+SIZES_QUICK = (10, 40, 160, 640)
+BOTH = (5_000, 20_000, 80_000, size.ROUTES)  # products; the last is the users' size itself
+BOTH_QUICK = (25, 50, 100, 200)
+SESSIONS = (5_000, 10_000, 20_000, 40_000)
+SESSIONS_QUICK = (50, 100, 200, 400)
+TXNS = 4_000
+RINGS = 2_000
+TRIES = 5
+FEW = 10  # of what is not varied
+
+
+def play_txns(rudder: Rudder, txns: int, products: int, tenants: int, first: int = 1) -> None:
+    """So many txns, one in hand at a time, each product and tenant in turn; each is a session of its own."""
+    for n in range(first, first + txns):
+        rudder.at(n * 2.0)
+        rudder.arrive(n, n % products, tenant=n % tenants, key=n, kb=20.0, left_ms=2000.0)
+        rudder.done()
+        rudder.finished(n, Outcome.OK)
+        rudder.done()
+
+
+def play_rings(rudder: Rudder, rings: int) -> None:
+    for _ in range(rings):
+        rudder.at(rudder.now + 40.0)
+        rudder.ring(0.2, 1.0)
+        rudder.done()
+
+
+def txn_us(products: int, tenants: int, txns: int, relief: Relief | None = None) -> float:
+    rudder = rudder_of(settings_of(products, tenants))
+    if relief:
+        rudder.reduce(relief)
+    starts = iter(range(1, 1 << 40, txns))
+
+    def act() -> None:
+        play_txns(rudder, txns, products, tenants, next(starts))
+
+    act()
+    return cpu_s(act, TRIES) / txns * 1e6
+
+
+def tick_us(products: int, tenants: int, rings: int) -> float:
+    rudder = rudder_of(settings_of(products, tenants))
+    play_txns(rudder, rings, products, tenants)
+    return cpu_s(lambda: play_rings(rudder, rings), TRIES) / rings * 1e6
+
+
+def build_s(products: int, tenants: int) -> float:
+    settings = settings_of(products, tenants)
+    return cpu_s(lambda: rudder_of(settings), 2)
+
+
+def build_mb(products: int, tenants: int) -> float:
+    settings = settings_of(products, tenants)
+    return memory_of(lambda: rudder_of(settings)).kept_mb
+
+
+def session_mb(sessions: int) -> float:
+    """Of the table of sessions: what a Rudder holds more by once so many txns have settled."""
+    settings = settings_of(10, 10)
+
+    def held() -> Rudder:
+        rudder = rudder_of(settings)
+        for n in range(1, sessions + 1):  # at one moment, so that none lapses
+            rudder.arrive(n, n % 10, tenant=n % 10, key=n, kb=20.0, left_ms=2000.0)
+            rudder.finished(n, Outcome.OK)
+            rudder.done()
+        rudder.at(5_000.0)  # what was due for each txn is over
+        assert len(rudder.sessions.table) == sessions
+        return rudder
+
+    return memory_of(held).kept_mb
+
+
+def decisions(quick: bool) -> list[Slope]:
+    sizes, txns, rings = (SIZES_QUICK, 20, 20) if quick else (SIZES, TXNS, RINGS)
+    found: list[Slope] = []
+    for name, target in (("products", size.ROUTES), ("tenants", size.TENANTS)):
+        pairs = [(n, FEW) if name == "products" else (FEW, n) for n in sizes]
+        series = Series("decisions", f"{name}, with {FEW} of the other", sizes, target)
+        txn, tick = [txn_us(*pair, txns) for pair in pairs], [tick_us(*pair, rings) for pair in pairs]
+        series.add(f"txn by {name}", "arrival to done, us", PROCESS_TIME, txn, ADDED_US)
+        series.add(f"tick by {name}", "a tick, us", PROCESS_TIME, tick, TICK_US)
+        found += series.slopes
+    return [
+        *found,
+        *_builds(BOTH_QUICK if quick else BOTH),
+        *_sessions(SESSIONS_QUICK if quick else SESSIONS),
+    ]
+
+
+def _builds(sizes: tuple[int, ...]) -> list[Slope]:
+    """With products and tenants in the users' proportion."""
+    pairs = [(n, round(n * size.TENANTS / size.ROUTES)) for n in sizes]
+    series = Series("decisions", "products, with 3.4 tenants each", sizes, size.ROUTES)
+    seconds, kept = [build_s(*pair) for pair in pairs], [build_mb(*pair) for pair in pairs]
+    series.add("build", "a Rudder's build, s", PROCESS_TIME, seconds, CHANGE)
+    series.add("memory", "a Rudder's memory, MB", TRACED, kept, CONTROL_MB)
+    return series.slopes
+
+
+def _sessions(sizes: tuple[int, ...]) -> list[Slope]:
+    series = Series("decisions", "sessions", sizes, size.SESSIONS)
+    series.add(
+        "sessions", "memory with established sessions, MB", TRACED, list(map(session_mb, sizes)), CONTROL_MB
+    )
+    return series.slopes
--- /dev/null
+++ b/benchmarks/capacity/inputs.py
@@ -0,0 +1,64 @@
+"""Settings and texts of any size, as operators would write them."""
+
+import json
+from typing import Any
+
+from otterrudder.boot import boot
+from otterrudder.lab.processes.standins import SETTINGS
+from otterrudder.logic import Rudder
+
+TENANT_PER_S = 5.0  # txns a second that each tenant is entitled to, in the whole fleet
+
+
+def settings_of(products: int, tenants: int) -> dict[str, Any]:
+    """The platform's settings with so many classes and tenants."""
+    classes = [
+        {"name": f"route-{n}", "effect": "safe", "worth": 1, "promiseUs": 2e6, "hardLimitUs": 4e6}
+        for n in range(products)
+    ]
+    realms = [
+        {"name": f"tenant-{n}", "share": 1.0 / tenants, "allowancePerS": TENANT_PER_S} for n in range(tenants)
+    ]
+    return dict(SETTINGS) | {"classes": classes, "realms": realms}
+
+
+def configuration_text(products: int, tenants: int) -> str:
+    told = {
+        "name": "n1",
+        "listen": "127.0.0.1:1",
+        "runtime": "127.0.0.1:2",
+        "registry": "127.0.0.1:3",
+        "seed": "1",
+        "stop_ms": 2000,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "settings": settings_of(products, tenants),
+    }
+    return json.dumps(told)
+
+
+def rudder_of(settings: dict[str, Any]) -> Rudder:
+    return boot(0.0, 1, 7, settings)
+
+
+def policy_text(tenants: int) -> str:
+    """A policy that says what each tenant is entitled to."""
+    lines = ["version = 1"]
+    for n in range(tenants):
+        lines += [f"[tenants.tenant-{n}]", f"per_s = {TENANT_PER_S}"]
+    return "\n".join(lines) + "\n"
+
+
+def levels_text(products: int) -> str:
+    """A table with two levels, each of which names every product."""
+    names = json.dumps([f"route-{n}" for n in range(products)])
+    parts = ["version = 1"]
+    for name, cut, entry_busy, exit_busy in (("one", "spare", 0.9, 0.5), ("two", "decline", 0.95, 0.6)):
+        parts += [
+            "[[level]]",
+            f'name = "{name}"',
+            "least_stay_s = 5.0",
+            f"entry = {{ for_s = 5.0, busy = {entry_busy} }}",
+            f"exit = {{ for_s = 10.0, busy = {exit_busy} }}",
+            f'cut = [{{ do = "{cut}", products = {names} }}]',
+        ]
+    return "\n".join(parts) + "\n"
--- /dev/null
+++ b/benchmarks/capacity/store.py
@@ -0,0 +1,65 @@
+"""What a change costs the store by members, in simulated time: requests and events of the fleet as it is."""
+
+from dataclasses import dataclass
+
+from benchmarks.capacity import size
+from benchmarks.capacity.limits import CHANGE_MS, ENGINE_READS, ENGINE_WRITES
+from benchmarks.capacity.slope import Series, Slope
+from otterrudder.fleet.member import Rules
+from otterrudder.lab.fleet.hours import BEGIN_MS, END_MS, Hours
+
+MEMBERS = (50, 100, 200, 400, 800)
+MEMBERS_QUICK = (2, 4, 8, 16)
+SEED = 1
+COUNTED_S = (END_MS - BEGIN_MS) / 1000
+METHOD = "count in simulated time"
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Of a change beyond what goes on without it, and of the time without one."""
+
+    reads: int
+    writes: int
+    events: int
+    calm_per_s: float  # reads and renewals while nothing changes
+    switch_ms: float  # from the commit to the last switch
+
+
+class Calm(Hours):
+    """The same fleet, and nobody proposes anything."""
+
+    def _propose(self) -> None:
+        return
+
+
+def cost_of(members: int) -> Cost:
+    calm, changed = Calm(members, SEED, Rules(), 0), Hours(members, SEED, Rules(), 0)
+    calm.play()
+    result = changed.play()
+    assert result.committed and result.agreed and result.breaches == 0
+    return Cost(
+        changed.counts["reads"] - calm.counts["reads"],
+        changed.counts["writes"] - calm.counts["writes"],
+        changed.counts["hints"] - calm.counts["hints"],
+        (calm.counts["reads"] + calm.counts["renewals"]) / COUNTED_S,
+        result.last_switch_ms,
+    )
+
+
+def store(quick: bool) -> list[Slope]:
+    sizes = MEMBERS_QUICK if quick else MEMBERS
+    costs, rate = [cost_of(n) for n in sizes], size.CHANGE_PER_S
+    reads = [c.reads * rate + c.calm_per_s for c in costs]
+    series = Series("store", "members", sizes, size.SERVERS)
+    series.add("reads", "reads a change", METHOD, [c.reads for c in costs])
+    series.add("writes", "writes a change", METHOD, [c.writes for c in costs])
+    series.add("events", "watch events a change", METHOD, [c.events for c in costs])
+    series.add("calm", "reads and renewals a second, nothing changing", METHOD, [c.calm_per_s for c in costs])
+    series.add("switch", "commit to last switch, ms", METHOD, [c.switch_ms for c in costs], CHANGE_MS)
+    series.add("reads a second", "reads a second at 0.8 changes a second", METHOD, reads, ENGINE_READS)
+    writes = [c.writes * rate for c in costs]
+    series.add("writes a second", "writes a second at 0.8 changes a second", METHOD, writes, ENGINE_WRITES)
+    events = [c.events * rate for c in costs]
+    series.add("events a second", "watch events a second at 0.8 changes a second", METHOD, events)
+    return series.slopes
--- /dev/null
+++ b/benchmarks/capacity/tables.py
@@ -0,0 +1,111 @@
+"""What a server reads: the levels' table, its configuration, a fleet's policy."""
+
+import tempfile
+from functools import partial
+from pathlib import Path
+
+from benchmarks.capacity import size
+from benchmarks.capacity.decisions import FEW, txn_us
+from benchmarks.capacity.inputs import configuration_text, levels_text, policy_text, settings_of
+from benchmarks.capacity.limits import (
+    ADDED_US,
+    CHANGE,
+    CONTROL_BYTES,
+    CONTROL_DAY_S,
+    CONTROL_MB,
+    TEXT,
+)
+from benchmarks.capacity.measure import MB, PROCESS_TIME, TRACED, cpu_s, memory_of
+from benchmarks.capacity.slope import Series, Slope
+from otterrudder.boot import products_of, tenants_of
+from otterrudder.fleet.policy import own_of
+from otterrudder.fleet.policy import parse as parse_policy
+from otterrudder.levels import Table
+from otterrudder.levels.table import parse as parse_levels
+from otterrudder.net.configuration import read_configuration
+
+TABLE_SIZES = (500, 1_000, 2_000, 4_000, 8_000)
+CONFIGURATION_SIZES = (1_000, 3_000, 10_000, 30_000, 100_000)
+POLICY_SIZES = (1_000, 3_000, 10_000, 30_000, 100_000)
+SIZES_QUICK = (20, 40, 80, 160)
+TXNS = 4_000
+
+
+def _table(products: int, tenants: int) -> Table:
+    settings = settings_of(products, tenants)
+    return parse_levels(levels_text(products), products_of(settings), tenants_of(settings))
+
+
+def _levels_of(name: str, sizes: tuple[int, ...], target: int) -> list[Slope]:
+    """Parse time and memory by products or tenants."""
+    seconds, kept = [], []
+    for n in sizes:
+        products, tenants = (n, FEW) if name == "products" else (FEW, n)
+        settings, text = settings_of(products, tenants), levels_text(products)
+        read = partial(parse_levels, text, products_of(settings), tenants_of(settings))
+        seconds.append(cpu_s(read, 2))
+        kept.append(memory_of(read).kept_mb)
+    series = Series("levels", f"{name}, with {FEW} of the other", sizes, target)
+    series.add(f"parse by {name}", "reading a table of two levels, s", PROCESS_TIME, seconds, CHANGE)
+    series.add(f"memory by {name}", "what a table keeps, MB", TRACED, kept, CONTROL_MB)
+    return series.slopes
+
+
+def levels(quick: bool) -> list[Slope]:
+    sizes, txns = (SIZES_QUICK, 20) if quick else (TABLE_SIZES, TXNS)
+    found = [*_levels_of("products", sizes, size.ROUTES), *_levels_of("tenants", sizes, size.TENANTS)]
+    txn = [txn_us(n, FEW, txns, _table(n, FEW).rungs[0].relief) for n in sizes]
+    series = Series("levels", f"products, with {FEW} tenants", sizes, size.ROUTES)
+    series.add("txn by products", "arrival to done with a level in force, us", PROCESS_TIME, txn, ADDED_US)
+    return [*found, *series.slopes]
+
+
+def _configuration_of(name: str, sizes: tuple[int, ...], target: int) -> list[Slope]:
+    seconds, peak, kept, text = [], [], [], []
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        read = partial(read_configuration, str(path))
+        for n in sizes:
+            path.write_text(configuration_text(*((n, FEW) if name == "classes" else (FEW, n))))
+            seconds.append(cpu_s(read, 2))
+            memory = memory_of(read)
+            peak.append(memory.peak_mb)
+            kept.append(memory.kept_mb)
+            text.append(path.stat().st_size / MB)
+    series = Series("configuration", f"{name}, with {FEW} of the other", sizes, target)
+    series.add(f"time by {name}", "reading it, s", PROCESS_TIME, seconds, CHANGE)
+    series.add(f"peak by {name}", "most memory while it is read, MB", TRACED, peak, CONTROL_MB)
+    series.add(f"kept by {name}", "memory that stays, MB", TRACED, kept, CONTROL_MB)
+    series.add(f"text by {name}", "the file, MB", "bytes", text)
+    return series.slopes
+
+
+def configuration(quick: bool) -> list[Slope]:
+    """A server's settings, from the file to what it starts with."""
+    sizes = SIZES_QUICK if quick else CONFIGURATION_SIZES
+    by_classes = _configuration_of("classes", sizes, size.ROUTES)
+    return [*by_classes, *_configuration_of("tenants", sizes, size.TENANTS)]
+
+
+def policy(quick: bool) -> list[Slope]:
+    """A policy that names each tenant, as each server parses it once for each change."""
+    sizes = SIZES_QUICK if quick else POLICY_SIZES
+    seconds, kept, peak, text_bytes = [], [], [], []
+    for n in sizes:
+        text = policy_text(n)
+        read = partial(parse_policy, text, own_of(settings_of(FEW, n)))
+        seconds.append(cpu_s(read))
+        memory = memory_of(read)
+        kept.append(memory.kept_mb)
+        peak.append(memory.peak_mb)
+        text_bytes.append(float(len(text)))
+    a_day = [s * size.CHANGES_A_DAY for s in seconds]
+    a_second = [count * size.CHANGE_PER_S for count in text_bytes]
+    series = Series("policy", "tenants", sizes, size.TENANTS)
+    series.add("parse", "judging one change, s", PROCESS_TIME, seconds, CHANGE)
+    series.add("day", "judging 69,000 changes a day, s", PROCESS_TIME, a_day, CONTROL_DAY_S)
+    series.add("peak", "most memory while it is judged, MB", TRACED, peak, CONTROL_MB)
+    series.add("kept", "memory that stays, MB", TRACED, kept, CONTROL_MB)
+    series.add("text", "the text, bytes", "bytes", text_bytes, TEXT)
+    series.add("bytes", "the text at 0.8 changes a second, bytes a second", "bytes", a_second, CONTROL_BYTES)
+    return series.slopes
--- /dev/null
+++ b/tests/test_capacity_benchmarks.py
@@ -0,0 +1,139 @@
+"""The capacity benchmarks: laws are found again in figures made by them, and each row runs. Times are not
+tested."""
+
+import json
+import math
+import random
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from benchmarks.capacity import size
+from benchmarks.capacity.__main__ import main
+from benchmarks.capacity.laws import TooFewSizes, fit
+from benchmarks.capacity.rows import ROWS
+from benchmarks.capacity.slope import Limit, Series, Slope
+from benchmarks.capacity.sockets import held_up_to, replayed_p99_ms
+
+SIZES = (10.0, 100.0, 1_000.0, 10_000.0, 100_000.0)
+COUNTS = {  # at the users' size
+    "policy/text": size.TENANTS * len("[tenants.tenant-100000]\nper_s = 5.0\n"),
+    "listing/bytes": size.SERVERS * 2 * (len("BEAT n00000 ready") + 28),
+    "store/events": size.SERVERS * 3,
+    "decisions/memory": 250.0,
+}
+NOISE = 0.02  # relative, at the most
+
+
+def noisy(figure: float, chance: random.Random) -> float:
+    return figure * (1 + chance.uniform(-NOISE, NOISE))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_line_is_found_again(seed: int) -> None:
+    chance = random.Random(seed)
+    found = fit(SIZES, [noisy(5.0 + 0.02 * n, chance) for n in SIZES])
+    assert found.taken.kind == "linear"
+    assert found.taken.second == pytest.approx(0.02, rel=3 * NOISE)
+    assert found.taken.at(1e6) == pytest.approx(20_005.0, rel=3 * NOISE)
+    assert found.taken.rms <= NOISE and found.taken.worst <= 2 * NOISE
+    assert found.other and found.other.kind == "power" and found.other.rms > found.taken.rms
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_power_law_is_found_again(seed: int) -> None:
+    chance = random.Random(seed)
+    found = fit(SIZES, [noisy(0.3 * n**1.7, chance) for n in SIZES])
+    assert found.taken.kind == "power"
+    assert found.taken.second == pytest.approx(1.7, abs=NOISE)
+    assert found.taken.first == pytest.approx(0.3, rel=5 * NOISE)
+    assert found.taken.rms <= NOISE
+    assert found.other and found.other.kind == "linear" and found.other.rms > found.taken.rms
+
+
+def test_the_residual_is_relative() -> None:
+    sizes, figures = (1.0, 2.0, 3.0, 4.0), (1.0, 1.0, 1.0, 1.5)
+    assert fit(sizes, (2.0, 4.0, 6.0, 8.0)).taken.rms == pytest.approx(0.0, abs=1e-9)
+    law = fit(sizes, figures).taken
+    residuals = [abs(law.at(n) - y) / y for n, y in zip(sizes, figures, strict=True)]
+    assert law.worst == pytest.approx(max(residuals))
+    assert law.rms == pytest.approx(math.sqrt(sum(r * r for r in residuals) / 4))
+
+
+def test_no_power_law_where_a_figure_is_nothing() -> None:
+    found = fit(SIZES, (0.0, 0.0, 1.0, 10.0, 100.0))
+    assert found.taken.kind == "linear" and found.other is None
+
+
+@pytest.mark.parametrize(
+    "sizes, figures",
+    [
+        ((1.0, 2.0, 3.0), (1.0, 2.0, 3.0)),
+        ((1.0, 2.0, 3.0, 3.0), (1.0, 2.0, 3.0, 3.0)),
+        ((1.0, 2.0, 3.0, 4.0), (1.0, 2.0, 3.0)),
+    ],
+)
+def test_fewer_than_four_sizes_are_refused(sizes: tuple[float, ...], figures: tuple[float, ...]) -> None:
+    with pytest.raises(TooFewSizes):
+        fit(sizes, figures)
+
+
+def slope_of(figures: list[float], target: float, limit: Limit | None = None) -> Slope:
+    series = Series("row", "things", (1.0, 2.0, 3.0, 4.0), target)
+    series.add("name", "what", "method", figures, limit)
+    return series.slopes[0]
+
+
+def test_verdicts() -> None:
+    grows = [1.0, 2.0, 3.0, 4.0]
+    assert slope_of(grows, 40.0).verdict == "no limit named"
+    assert slope_of(grows, 40.0, Limit(20.0, "")).verdict == "does not carry, by a factor of 2"
+    assert slope_of(grows, 40.0, Limit(400.0, "")).verdict == "carries, with 10 times to spare"
+    assert slope_of(grows, 40.0, Limit(42.0, "")).verdict == "carries, with nothing to spare"
+    assert slope_of(grows, 40.0).stretch == 10.0
+
+
+def test_what_was_played_is_not_worked_out_and_no_cost_falls_beyond_it() -> None:
+    bent = [1.0, 2.0, 3.0, 5.0]
+    assert slope_of(bent, 4.0).at_target == 5.0
+    assert slope_of([4.0, 3.0, 2.0, 1.0], 100.0).at_target == 1.0
+
+
+def test_held_up_to_ends_at_the_first_rate_that_is_late() -> None:
+    assert held_up_to([50.0, 100.0, 150.0], [1.0, 1.6, 1.0]) == 50.0
+    assert held_up_to([50.0], [1.6]) == 0.0
+
+
+def test_the_replay_adds_the_own_time_and_the_waits() -> None:
+    calm = replayed_p99_ms(0.01, 1000.0, 300)  # nobody meets anybody
+    assert calm == pytest.approx(1.0)
+    assert replayed_p99_ms(800.0, 1000.0, 3000) > 2 * calm
+
+
+def check_counts(told: list[dict[str, Any]]) -> None:
+    """Figures that no clock is in."""
+    for one in told:
+        if one["name"] in COUNTS:
+            assert one["at_target"] == pytest.approx(COUNTS[one["name"]], rel=0.2), one["name"]
+
+
+@pytest.mark.parametrize("row", ROWS)
+def test_each_row_runs(row: str) -> None:
+    result = CliRunner().invoke(main, ["--row", row, "--quick", "--json"])
+    assert result.exit_code == 0, result.output
+    told = [json.loads(line) for line in result.output.splitlines()]
+    assert told
+    check_counts(told)
+    for one in told:
+        assert one["name"].startswith(f"{row}/")
+        assert len(set(one["sizes"])) >= 4 and len(one["figures"]) == len(one["sizes"])
+        assert all(math.isfinite(figure) for figure in one["figures"])
+        assert one["fit"]["taken"]["kind"] in ("linear", "power") and one["verdict"]
+
+
+def test_text_output_names_law_residual_stretch_and_verdict() -> None:
+    result = CliRunner().invoke(main, ["--row", "store", "--quick"])
+    assert result.exit_code == 0
+    for word in ("played", "law", "residual rms", "stretched", "limit", "verdict"):
+        assert word in result.output
