--- a/benchmarks/capacity/store.py
+++ b/benchmarks/capacity/store.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from benchmarks.capacity import size
-from benchmarks.capacity.limits import CHANGE_MS, ENGINE_READS, ENGINE_WRITES
+from benchmarks.capacity.limits import CHANGE_MS, ENGINE_READS, ENGINE_WRITES, TURN_MS
 from benchmarks.capacity.slope import Series, Slope
 from otterrudder.fleet.member import Rules
 from otterrudder.lab.fleet.hours import BEGIN_MS, END_MS, Hours
@@ -11,6 +11,7 @@
 MEMBERS = (50, 100, 200, 400, 800)
 MEMBERS_QUICK = (2, 4, 8, 16)
 SEED = 1
+COME_MS = 1500.0  # by which all have come: they start within 500 ms
 COUNTED_S = (END_MS - BEGIN_MS) / 1000
 METHOD = "count in simulated time"
 
@@ -23,15 +24,27 @@
     writes: int
     events: int
     calm_per_s: float  # reads and renewals while nothing changes
+    open_ms: float  # from the proposal to the commit
     switch_ms: float  # from the commit to the last switch
+    coming: int  # reads, writes and renewals until all have come, at once
 
 
 class Calm(Hours):
     """The same fleet, and nobody proposes anything."""
 
+    def __init__(self, servers: int, seed: int, rules: Rules, faults: int) -> None:
+        super().__init__(servers, seed, rules, faults)
+        self.coming = 0  # requests until all have come
+
     def _propose(self) -> None:
         return
 
+    def _look(self) -> None:
+        if not self.coming and self.now >= COME_MS:
+            self.coming = self.counts["reads"] + self.counts["writes"] + self.counts["renewals"]
+            assert all(host.member and host.member.admits(self.now) == 0 for host in self.hosts)
+        super()._look()
+
 
 def cost_of(members: int) -> Cost:
     calm, changed = Calm(members, SEED, Rules(), 0), Hours(members, SEED, Rules(), 0)
@@ -43,7 +56,9 @@
         changed.counts["writes"] - calm.counts["writes"],
         changed.counts["hints"] - calm.counts["hints"],
         (calm.counts["reads"] + calm.counts["renewals"]) / COUNTED_S,
+        changed.committed_at - BEGIN_MS,
         result.last_switch_ms,
+        calm.coming,
     )
 
 
@@ -56,6 +71,8 @@
     series.add("writes", "writes a change", METHOD, [c.writes for c in costs])
     series.add("events", "watch events a change", METHOD, [c.events for c in costs])
     series.add("calm", "reads and renewals a second, nothing changing", METHOD, [c.calm_per_s for c in costs])
+    series.add("coming", "requests until all have come at once", METHOD, [c.coming for c in costs])
+    series.add("open", "proposal to commit, ms", METHOD, [c.open_ms for c in costs], TURN_MS)
     series.add("switch", "commit to last switch, ms", METHOD, [c.switch_ms for c in costs], CHANGE_MS)
     series.add("reads a second", "reads a second at 0.8 changes a second", METHOD, reads, ENGINE_READS)
     writes = [c.writes * rate for c in costs]
--- a/tests/test_capacity_benchmarks.py
+++ b/tests/test_capacity_benchmarks.py
@@ -14,7 +14,7 @@
 from benchmarks.capacity.laws import TooFewSizes, fit
 from benchmarks.capacity.rows import ROWS
 from benchmarks.capacity.slope import Limit, Series, Slope
-from benchmarks.capacity.sockets import held_up_to, replayed_p99_ms
+from benchmarks.capacity.sockets import held_up_to, replayed_p99_ms, wanted_us
 
 SIZES = (10.0, 100.0, 1_000.0, 10_000.0, 100_000.0)
 COUNTS = {  # at the users' size
@@ -109,6 +109,8 @@
     calm = replayed_p99_ms(0.01, 1000.0, 300)  # nobody meets anybody
     assert calm == pytest.approx(1.0)
     assert replayed_p99_ms(800.0, 1000.0, 3000) > 2 * calm
+    wanted = wanted_us(451.0, 500)
+    assert replayed_p99_ms(451.0, wanted, 500) <= size.ADDED_MS < replayed_p99_ms(451.0, wanted + 10, 500)
 
 
 def check_counts(told: list[dict[str, Any]]) -> None:
