Capacity: what whoever settles a change reads and counts

Cause: a settler reads roster, lives and votes of all each 250 ms and counts them in the server's loop, and each life names all the products it serves; none of that was measured by size.

Change: `--row settling`: the bytes of one whole read and the CPU of a count by members (94 products each, the mean of a service), and the bytes of one member's life by products.

--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -3,6 +3,7 @@
 from benchmarks.capacity.decisions import decisions
 from benchmarks.capacity.listing import listing
 from benchmarks.capacity.member import member
+from benchmarks.capacity.settling import settling
 from benchmarks.capacity.slope import Row
 from benchmarks.capacity.sockets import connections, server
 from benchmarks.capacity.store import store
@@ -18,4 +19,5 @@
     "member": member,
     "listing": listing,
     "store": store,
+    "settling": settling,
 }
