Fleet: a relay's named points, and an address to listen on of its own

Cause: a rig could neither halt a relay at a point nor put a link between two relays, whose address is where they listen as well as what the others know them by. Change: the relay's actor passes points before and after each effect, before a grant and a text, round a consent; [relay] has listen, by default its address, also for a forwarded port.

--- a/otterrudder/fleet/agent.py
+++ b/otterrudder/fleet/agent.py
@@ -19,7 +19,7 @@
 from otterrudder.durable import BadState, Folder
 from otterrudder.fleet.change import Settler
 from otterrudder.fleet.configuration import Fleet
-from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Outcome
+from otterrudder.fleet.effects import Commit, Effect, Judge, Lane, Outcome, name_of
 from otterrudder.fleet.executor import LEAVE_MS, STATE, Executor
 from otterrudder.fleet.member import Member
 from otterrudder.fleet.orders import Orders, OrderSender
@@ -148,7 +148,7 @@
 
     async def _play(self, effect: Effect, sent: float) -> None:
         """One want to its outcome; what follows from a settler's reading is carried out as well."""
-        name = effect.what if isinstance(effect, Commit) else type(effect).__name__.lower()
+        name = name_of(effect)
         reached(f"before {name}")
         outcome = await self._outcome(effect)
         reached(f"after {name}")
--- a/otterrudder/fleet/cell/configuration.py
+++ b/otterrudder/fleet/cell/configuration.py
@@ -25,6 +25,7 @@
 
     cell: str
     address: str
+    listen: str = ""
     candidates: list[str] = []
     sessions_most: int = SESSIONS_MOST
     folder: str | None = None
@@ -35,7 +36,8 @@
     """Which relay of which cell a process is."""
 
     cell: str
-    address: str  # listens here, and the others know it by this
+    address: str  # the others know it by this
+    listen: str  # listens here: the address, unless the file says otherwise (behind a forwarded port, say)
     candidates: tuple[str, ...]  # all relays of the cell, this one among them, sorted
     sessions_most: int
 
@@ -46,7 +48,7 @@
 
     @property
     def endpoint(self) -> tuple[str, int]:
-        return address(self.address, "relay.address")
+        return address(self.listen, "relay.listen")
 
 
 def check_server_lease(server_lease_ms: float, bound_ms: float) -> None:
@@ -78,6 +80,8 @@
     if not table.cell or "/" in table.cell or len(table.cell) > NAME_MOST:
         raise BadRelay(f"relay.cell: a name without a slash is wanted, not {table.cell!r}")
     check_relays("relay.address", [table.address])
+    listen = table.listen or table.address
+    check_relays("relay.listen", [listen])
     candidates = table.candidates or [table.address]
     check_relays("relay.candidates", candidates)
     if table.address not in candidates:
@@ -91,4 +95,4 @@
         )
     if len(candidates) > 1 and table.folder:
         raise BadRelay("relay.folder: the relays of a cell share its name, and none keeps state for it")
-    return RelayRole(table.cell, table.address, tuple(sorted(candidates)), table.sessions_most)
+    return RelayRole(table.cell, table.address, listen, tuple(sorted(candidates)), table.sessions_most)
--- a/otterrudder/fleet/cell/service.py
+++ b/otterrudder/fleet/cell/service.py
@@ -18,7 +18,15 @@
 from otterrudder.durable import Folder
 from otterrudder.fleet.cell.configuration import RelayRole
 from otterrudder.fleet.cell.consent import PeerRequest
-from otterrudder.fleet.cell.messages import AskConsent, BadMessage, ServerMessage, decode_from_peer, encode
+from otterrudder.fleet.cell.messages import (
+    AskConsent,
+    BadMessage,
+    Grant,
+    InForce,
+    ServerMessage,
+    decode_from_peer,
+    encode,
+)
 from otterrudder.fleet.cell.peers import Peers
 from otterrudder.fleet.cell.relay import (
     CellIdentity,
@@ -31,8 +39,9 @@
 from otterrudder.fleet.cell.streams import MessageEncoder, RelayHandler, ServerStream, StreamFailed
 from otterrudder.fleet.cell.wire import make_server
 from otterrudder.fleet.configuration import Fleet
-from otterrudder.fleet.effects import Effect
+from otterrudder.fleet.effects import Effect, name_of
 from otterrudder.fleet.executor import LEAVE_MS, Executor
+from otterrudder.fleet.points import reached
 from otterrudder.fleet.records import Live
 from otterrudder.fleet.state import Record
 from otterrudder.fleet.store import Store
@@ -100,7 +109,7 @@
         """Serves until `stop`."""
         try:
             await self._server.start()
-            log.info("relay listening", address=self.role.address, cell=self.role.cell)
+            log.info("relay listening", address=self.role.address, at=self.role.listen, cell=self.role.cell)
             async with anyio.create_task_group() as group:
                 while not self._is_stopping:
                     await self._turn(group)
@@ -172,8 +181,7 @@
 
     def _begin(self, group: anyio.abc.TaskGroup, effect: RelayEffect, now: float) -> None:
         if isinstance(effect, SendToServer):
-            if stream := self._streams.get(effect.connection):
-                stream.send(self._encoder.encode(effect.message))
+            self._send(effect)
         elif isinstance(effect, EndSession):
             if stream := self._streams.get(effect.connection):
                 stream.end()
@@ -182,10 +190,20 @@
         else:
             group.start_soon(self._carry_out, effect, now)
 
+    def _send(self, effect: SendToServer) -> None:
+        if isinstance(effect.message, Grant):
+            reached("before grant")
+        elif isinstance(effect.message, InForce):
+            reached("before in force")
+        if stream := self._streams.get(effect.connection):
+            stream.send(self._encoder.encode(effect.message))
+
     async def _carry_out(self, effect: Effect, sent: float) -> None:
         """A failure in one of them is not the relay's."""
         try:
+            reached(f"before {name_of(effect)}")
             outcome = await self.executor.outcome(effect)
+            reached(f"after {name_of(effect)}")
             now = clock.monotonic()
             self.executor.worst_ms = max(self.executor.worst_ms, now - sent)
             self.relay.completed(now, effect, sent, outcome)
@@ -264,7 +282,9 @@
         except BadMessage as why:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(why))
             raise  # never reached: abort raises
+        reached("before consent")
         consent = self.relay.peer_asked(clock.monotonic(), request)
+        reached("after consent")
         self._wake.set()
         return encode(consent)
 
--- a/otterrudder/fleet/cell/wire.py
+++ b/otterrudder/fleet/cell/wire.py
@@ -54,27 +54,27 @@
 
 
 def make_server(fleet: Fleet, role: RelayRole, handler: Any, streams_most: int) -> Any:
-    """A server of gRPC, bound to the relay's address; OSError: it can't be."""
+    """A server of gRPC, bound to where the relay listens; OSError: it can't be."""
     server = grpc.aio.server(
         handlers=(handler,), options=SERVER_OPTIONS, maximum_concurrent_rpcs=streams_most
     )
     try:
         port = _bind(server, fleet, role)
     except RuntimeError as why:
-        raise OSError(f"{role.address}: {why}") from None
+        raise OSError(f"{role.listen}: {why}") from None
     if not port:
-        raise OSError(f"{role.address}: it can't be listened on")
+        raise OSError(f"{role.listen}: it can't be listened on")
     return server
 
 
 def _bind(server: Any, fleet: Fleet, role: RelayRole) -> int:
     if not (fleet.ca and fleet.cert and fleet.key):
-        port: int = server.add_insecure_port(role.address)
+        port: int = server.add_insecure_port(role.listen)
         return port
     credentials = grpc.ssl_server_credentials(
         [(fleet.key.read_bytes(), fleet.cert.read_bytes())],
         root_certificates=fleet.ca.read_bytes(),
         require_client_auth=True,
     )
-    port = server.add_secure_port(role.address, credentials)
+    port = server.add_secure_port(role.listen, credentials)
     return port
--- a/otterrudder/fleet/effects.py
+++ b/otterrudder/fleet/effects.py
@@ -66,3 +66,8 @@
 Effect = Request | Save | Judge
 # Of a read; a commit; a lease or renewal; a save; a judgement; no answer.
 Outcome = Snapshot | Done | Leased | bool | str | None
+
+
+def name_of(effect: Effect) -> str:
+    """What an effect is called at the points where a rig may halt a process (`points.py`)."""
+    return effect.what if isinstance(effect, Commit) else type(effect).__name__.lower()
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -415,6 +415,7 @@
         ('bound_ms = 3000\nrelays = ["a:1"]\n[relay]\ncell = "a"\naddress = "a:1"', "relays: a server's"),
         (RELAY, 'relay.folder: absent = "wait" with one relay needs one'),
         (RELAY + 'candidates = ["127.0.0.1:3"]', "relay.candidates: this relay's own address"),
+        (RELAY + 'folder = "f"\nlisten = "0.0.0.0"', "relay.listen: '0.0.0.0' is no address and port"),
         (RELAY + 'candidates = ["127.0.0.1:2", "127.0.0.1:3"]\nfolder = "f"', "relay.folder: the relays"),
         (RELAY + 'folder = "f"\nsessions_most = 0', "relay.sessions_most: 0"),
         (RELAY + 'folder = "f"\nother = 1', ".relay: Object contains unknown field `other`"),
@@ -444,6 +445,10 @@
     path.write_text(f'version = 1\nfleet = "f"\n{RELAY}folder = "f"\n')
     alone = read_fleet(path)
     assert alone.folder == tmp_path / "f" and not alone.rules.is_shared
+    assert alone.relay and alone.relay.listen == alone.relay.address
+    path.write_text(f'version = 1\nfleet = "f"\n{RELAY}folder = "f"\nlisten = "0.0.0.0:4"\n')
+    role = read_fleet(path).relay
+    assert role and (role.address, role.listen) == ("127.0.0.1:2", "0.0.0.0:4")
     path.write_text(f'version = 1\nfleet = "f"\n{RELAY}candidates = ["127.0.0.1:3", "127.0.0.1:2"]\n')
     shared = read_fleet(path)
     assert shared.rules.is_shared and shared.relay
