--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -80,9 +80,14 @@
     """Play an experiment FILE with processes of the program and faults between them; exits with 1 if a claim
     does not hold. Needs the extra `fleet` as well."""
     try:
+        from otterrudder.lab.processes import cell_experiment
         from otterrudder.lab.processes import experiment as of
     except ModuleNotFoundError as missing:
         give_up(f"this needs {missing.name}: pip install 'otterrudder[fleet]', or -r requirements-fleet.txt")
+    if cell_experiment.is_of_cells(file):
+        if shrink:
+            give_up("--shrink: plans of cells are not cut down")
+        sys.exit(0 if _play_cells(file, seed, servers, quick, names, folder) else 1)
     try:
         what = of.only(of.read(file), names)
     except BadInput as trouble:
@@ -104,6 +109,33 @@
     sys.exit(1 if broken else 0)
 
 
+def _play_cells(
+    file: Path,
+    seed: int | None,
+    servers: int | None,
+    quick: bool,
+    names: tuple[str, ...],
+    folder: Path | None,
+) -> bool:
+    """Whether all claims of an experiment with cells hold."""
+    from otterrudder.lab.processes import cell_experiment as of
+
+    try:
+        what = of.only(of.read(file), names)
+    except BadInput as trouble:
+        give_up(trouble)
+    _end_in_order()
+    seeds = [seed] if seed is not None else what.seeds[: 1 if quick else None]
+    count = servers or (what.quick_servers if quick else what.servers)
+    runs = of.perform(what, seeds, count, what.quick_rounds if quick else what.rounds, click.echo)
+    of.write(runs, folder or Path("out") / what.name)
+    click.echo(of.table(runs))
+    broken = [f"{run.variant}, seed {run.seed}: {claim}" for run in runs for claim in run.broken]
+    for line in broken:
+        click.echo(f"does not hold: {line}", err=True)
+    return not broken
+
+
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
--- a/otterrudder/lab/processes/cells.py
+++ b/otterrudder/lab/processes/cells.py
@@ -13,6 +13,7 @@
 import anyio
 import anyio.to_thread
 
+from otterrudder.lab.processes.etcd import CLUSTER
 from otterrudder.lab.processes.link import free_port
 from otterrudder.lab.processes.rig import FLEET, FOLDER, ROOT, Place, Rig, environment
 from otterrudder.net import control
@@ -53,10 +54,21 @@
         servers: int,
         plan: CellPlan,
         *,
+        absent: str = "wait",
         bound_ms: float = 3000.0,
         lease_ms: float = 3000.0,
+        pace_ms: float = 40.0,
+        names_store: bool = False,
     ) -> None:
-        super().__init__(folder, servers, bound_ms=bound_ms, lease_ms=lease_ms)
+        super().__init__(
+            folder,
+            servers,
+            absent=absent,
+            bound_ms=bound_ms,
+            lease_ms=lease_ms,
+            pace_ms=pace_ms,
+            names_store=names_store,
+        )
         self.plan = plan
         self.plain: set[int] = set()
         self.relays = [place for cell, count in plan.relays.items() for place in self._relays_of(cell, count)]
@@ -77,11 +89,9 @@
         relay.folder.mkdir(exist_ok=True)
         path = relay.folder / "relay.toml"
         path.write_text(self._relay_file(relay))
-        line = [sys.executable, "-m", "otterrudder", "fleet", "relay", "--fleet", str(path)]
+        env = environment({"TMPDIR": str(relay.folder)}, *self._relay_halts(relay))
         with (relay.folder / "log.txt").open("ab") as log:
-            relay.process = subprocess.Popen(
-                line, cwd=ROOT, env=environment({"TMPDIR": str(relay.folder)}), stderr=log
-            )
+            relay.process = subprocess.Popen(self._relay_line(relay, path), cwd=ROOT, env=env, stderr=log)
         self.extra.append(relay.process)
         self.note(-1, f"relay {relay.address} starts")
 
@@ -133,9 +143,20 @@
             for number, address in enumerate(addresses)
         ]
 
-    def _common_part(self) -> str:
+    def _relay_line(self, _relay: RelayPlace, path: Path) -> list[str]:
+        """The command of a relay whose file is at that path."""
+        return [sys.executable, "-m", "otterrudder", "fleet", "relay", "--fleet", str(path)]
+
+    def _relay_halts(self, _relay: RelayPlace) -> tuple[Path, ...]:
+        """The folders in which points are armed for a relay."""
+        return ()
+
+    def _common_part(self, store_port: int = 0) -> str:
+        """`store_port`: 0: the store's own."""
+        store_id = f'store_id = "{CLUSTER:x}"\n' if self.names_store else ""
         return (
-            f'version = 1\nfleet = "{FLEET}"\nstore = ["127.0.0.1:{self.store_at}"]\n'
+            f'version = 1\nfleet = "{FLEET}"\nstore = ["127.0.0.1:{store_port or self.store_at}"]\n'
+            f'absent = "{self.absent}"\n{store_id}'
             f"bound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n"
             f"server_lease_ms = {self.plan.server_lease_ms}\n"
         )
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -223,14 +223,14 @@
         else:
             await rig.hand_out(this.declines)
         await _mend(rig, this)
-        how = _named_end(await rig.ended(child, SETTLE_S)) if child else "by hand"
-        if rig.with_fleet and not await _until(lambda: not rig.opened, SETTLE_S):
+        how = named_end(await rig.ended(child, SETTLE_S)) if child else "by hand"
+        if rig.with_fleet and not await until(lambda: not rig.opened, SETTLE_S):
             played.undecided += 1
             how = "undecided"
         is_in = rig.versions[-1].version > before
         played.committed += is_in
         played.aborted += not is_in
-        odd = await _odd(rig)
+        odd = await odd_servers(rig)
         played.odd += len(odd)
         played.odd_at_end = len(odd)
         named = _named(this.faults)
@@ -303,11 +303,11 @@
         rig.kill_store()
     elif fault.kind in ("older copy answers", "empty store answers"):
         await rig.replace_store(with_copy=fault.kind == "older copy answers")
-    elif fault.kind in _STORE:
-        await rig.tell_store(**_STORE[fault.kind])
+    elif fault.kind in STORE_HARMS:
+        await rig.tell_store(**STORE_HARMS[fault.kind])
 
 
-_STORE: dict[str, dict[str, object]] = {
+STORE_HARMS: dict[str, dict[str, object]] = {
     "store slow": {"slow_ms": 150},
     "store loses answers": {"lose_answers": 3},
     "watches cancelled": {"cancel_watches": 1},
@@ -316,7 +316,7 @@
 }
 
 
-def _named_end(code: int | None) -> str:
+def named_end(code: int | None) -> str:
     return "no end" if code is None else "killed" if code < 0 else f"exit {code}"
 
 
@@ -339,7 +339,7 @@
     if "two at once" in kinds:
         rig.propose(this.number + 100_000, PRODUCTS[(this.number + 1) % 2], DEADLINE_S)
     for fault in later:
-        if not await _until(functools.partial(_has_voted, rig, fault), LATER_S if holds else 0.1):
+        if not await until(functools.partial(_has_voted, rig, fault), LATER_S if holds else 0.1):
             missed.append(fault)
         if fault.kind == "freeze later":
             rig.freeze(rig.places[fault.server])
@@ -361,7 +361,7 @@
             rig.kill(place)
         elif fault.kind == "store killed at point":
             rig.kill_store()
-    if proposer and not await _proposer_halts(rig, proposer, child):
+    if proposer and not await proposer_halts(rig, proposer, child):
         missed.append(proposer)
     elif proposer and proposer.kind == "store killed at proposal":
         rig.kill_store()
@@ -381,7 +381,7 @@
     return fault.kind in LATER or fault.point in (*DUTY, *COMMIT)
 
 
-async def _proposer_halts(rig: Rig, fault: Fault, child: subprocess.Popen[bytes]) -> bool:
+async def proposer_halts(rig: Rig, fault: Fault, child: subprocess.Popen[bytes]) -> bool:
     """Whether the proposer has halted at its point."""
     if fault.point != "after commit":
         return await rig.halted(rig.proposer_halts, fault.point, REACH_S) > 0
@@ -406,7 +406,7 @@
     if any(fault.kind in STORE_DOWN for fault in this.faults) and rig.with_fleet:
         await rig.restart_store()
     leaving = [rig.places[fault.server] for fault in this.faults if fault.kind in ("drain", "drain later")]
-    await _until(lambda: not any(place.is_up for place in leaving), SETTLE_S)
+    await until(lambda: not any(place.is_up for place in leaving), SETTLE_S)
     down = [place for place in rig.places if not place.is_up]
     for back in down:
         rig.start_server(back)
@@ -448,7 +448,7 @@
             await anyio.sleep(0.3)
 
 
-async def _odd(rig: Rig) -> list[str]:
+async def odd_servers(rig: Rig) -> list[str]:
     """Servers that do not go by what is in force, once they have had their time."""
     odd: list[str] = []
     with anyio.move_on_after(AGREE_S):
@@ -471,7 +471,7 @@
     shown[place.name] = await rig.shown(place)
 
 
-async def _until(is_so: Callable[[], bool], most_s: float) -> bool:
+async def until(is_so: Callable[[], bool], most_s: float) -> bool:
     with anyio.move_on_after(most_s):
         while not is_so():
             await anyio.sleep(0.03)
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -293,12 +293,16 @@
                         kind = self.kinds.get(head.digest, "")
                         self.versions.append(InForce(head.version, kind, looked, clock()))
                     self.opened = view.change.id if view.change else ""
-                    self.voted = set(view.votes)
+                    self.note_votes(set(view.votes))
                     looked = began
         finally:
             with anyio.CancelScope(shield=True):
                 await client.close()
 
+    def note_votes(self, voted: set[str]) -> None:
+        """Who has voted on the change that is open, as the rig has just seen it."""
+        self.voted = voted
+
     def _fleet_file(self, port: int, folder: str | None) -> str:
         lasting = f'folder = "{folder}"\n' if folder else ""
         absent = self.absent if folder else "leave-out"
