Lab: doubles of relays and servers of cells, and tests that the rig finds them

Cause: a ledger that has never found a broken rule of cells shows little. Change: doubles of a server and of a relay with one rule left out, tests/fleet/test_cells_processes.py, logs of a run that broke a claim are kept, two leaders are left until the bound is over.

--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -127,8 +127,9 @@
     _end_in_order()
     seeds = [seed] if seed is not None else what.seeds[: 1 if quick else None]
     count = servers or (what.quick_servers if quick else what.servers)
-    runs = of.perform(what, seeds, count, what.quick_rounds if quick else what.rounds, click.echo)
-    of.write(runs, folder or Path("out") / what.name)
+    rounds, folder = what.quick_rounds if quick else what.rounds, folder or Path("out") / what.name
+    runs = of.perform(what, seeds, count, rounds, click.echo, folder / "logs")
+    of.write(runs, folder)
     click.echo(of.table(runs))
     broken = [f"{run.variant}, seed {run.seed}: {claim}" for run in runs for claim in run.broken]
     for line in broken:
--- a/otterrudder/lab/processes/cell_books.py
+++ b/otterrudder/lab/processes/cell_books.py
@@ -54,10 +54,10 @@
     return ms + (window.to - since if since is not None else 0.0)
 
 
-def switches(rig: LinkedCellRig) -> list[float]:
+def switches(rig: LinkedCellRig) -> dict[int, float]:
     """By version: ms from its commit until the last server, of those that nothing was done to, has settled
     what the version before declined."""
-    found = []
+    found = {}
     for n, version in enumerate(rig.versions[1:], 1):
         freed = rig.versions[n - 1].declines
         until = rig.versions[n + 1].after if n + 1 < len(rig.versions) else float("inf")
@@ -72,7 +72,7 @@
             at for server, at in first.items() if not _is_harmed(harmed.get(server, []), version.after, at)
         ]
         if unharmed:
-            found.append(max(0.0, max(unharmed) - version.by))
+            found[version.version] = max(0.0, max(unharmed) - version.by)
     return found
 
 
--- a/otterrudder/lab/processes/cell_faults.py
+++ b/otterrudder/lab/processes/cell_faults.py
@@ -92,6 +92,17 @@
 QUIET_EACH = 5  # of so many rounds one is quiet
 HOLD_S = (0.5, 5.0)  # s that the faults of a round last: beyond the store's lease at times
 QUIET_HOLD_S = (4.5, 6.5)
+# A leader that is cut off from the store goes on for its lease; the other takes over, a change is committed,
+# and the bound ends: two leaders are at it until then.
+TWO_LEADERS = (
+    "relay cut from store",
+    "relay cut from store later",
+    "relay one way to store",
+    "relay one way from store",
+    "relay cut off",
+    "cell cut from store",
+)
+TWO_LEADERS_HOLD_S = (7.5, 9.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,8 +149,10 @@
                 found.append(self._quiet(n))
                 continue
             changes += 1
-            hold_s = self.chance.uniform(*HOLD_S)
-            found.append(CellRound(n, PRODUCTS[changes % 2], self._dealt(), hold_s))
+            faults = self._dealt()
+            are_two = any(fault.kind in TWO_LEADERS and fault.role != "standby" for fault in faults)
+            hold_s = self.chance.uniform(*(TWO_LEADERS_HOLD_S if are_two else HOLD_S))
+            found.append(CellRound(n, PRODUCTS[changes % 2], faults, hold_s))
         return found
 
     def _quiet(self, number: int) -> CellRound:
--- a/otterrudder/lab/processes/double.py
+++ b/otterrudder/lab/processes/double.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import NoReturn
 
 from otterrudder import log
 from otterrudder.configuration import read_configuration
@@ -157,9 +158,15 @@
     "never leaves": _never_leaves,
 }
 
-if __name__ == "__main__":
-    FAULTS[sys.argv[1]]()
+
+def serve_as_told() -> NoReturn:
+    """The server's program, by what the environment says."""
     files = serve.Files.from_environment()
     configuration = read_configuration(files.configuration)
     log.set_up(configuration["name"])
     sys.exit(serve.run(configuration, files))
+
+
+if __name__ == "__main__":
+    FAULTS[sys.argv[1]]()
+    serve_as_told()
--- /dev/null
+++ b/tests/fleet/test_cells_processes.py
@@ -0,0 +1,66 @@
+"""Cells as processes with faults between all of them: what they promise holds, and a relay or a server with
+one rule left out is found from the wire."""
+
+from pathlib import Path
+
+import pytest
+
+from otterrudder.lab.processes.cell_experiment import CellRun, Doubles, perform_one, read
+from otterrudder.lab.processes.cell_faults import DECK, CellFault, CellRound, draw
+
+EXPERIMENT = read(Path(__file__).parents[2] / "experiments/cells.toml")
+CELLS = tuple(EXPERIMENT.cells)
+SERVERS = 6
+CALM = CellRound(1, "look", (), 0.2)
+CUT_OFF = [CALM, CellRound(2, "pay", (CellFault("server cut", server=0),), 4.5)]
+TWO_LEADERS = [CALM, CellRound(2, "pay", (CellFault("relay cut from store", "a", "leader"),), 9.5)]
+REFUSED = [CALM, CellRound(2, "pay", (CellFault("kind refuses"),), 0.5)]
+
+
+def told(run: CellRun) -> tuple[object, ...]:
+    return run.broken, run.verdict.breaches, run.asides, run.played.rounds
+
+
+def test_what_cells_promise_holds_under_wait() -> None:
+    rounds = [
+        CellRound(1, "look", (CellFault("relay halted at point", "a", point="after vote"),), 3.0),
+        CellRound(2, "pay", (CellFault("kind refuses"),), 0.5),
+        CellRound(3, "", (CellFault("relay killed", "b", "leader"),), 4.0),
+        CellRound(4, "pay", (CellFault("relay killed at point", "c", point="before in force"),), 1.0),
+    ]
+    run = perform_one(EXPERIMENT, "wait", 1, rounds, SERVERS)
+    assert not run.broken, told(run)
+    assert not run.played.missed, told(run)
+    assert [this.in_force for this in run.played.rounds] == [1, 0, 0, 1], told(run)
+    assert run.quiet_rounds == 1 and run.verdict.figures["settled"] > 300
+
+
+def test_what_cells_promise_holds_under_leave_out() -> None:
+    rounds = [
+        CALM,
+        CellRound(2, "pay", (CellFault("cell cut from store", "a"),), 4.5),
+    ]
+    run = perform_one(EXPERIMENT, "leave-out", 1, rounds, SERVERS)
+    assert not run.broken, told(run)
+    assert [this.in_force for this in run.played.rounds] == [1, 1], told(run)
+
+
+@pytest.mark.parametrize(
+    ("doubles", "rounds", "says"),
+    [
+        (Doubles(server="ignores its lease's end"), CUT_OFF, "wrong version"),
+        (Doubles(relay="votes without asking"), REFUSED, "1 policies came into force that a kind refuses"),
+    ],
+)
+def test_the_ledger_finds_what_is_left_out(doubles: Doubles, rounds: list[CellRound], says: str) -> None:
+    run = perform_one(EXPERIMENT, "wait", 1, rounds, SERVERS, doubles=doubles)
+    assert not run.played.missed, told(run)
+    assert any(line.startswith(says) for line in run.broken), told(run)
+
+
+def test_a_plan_is_its_seed_s_and_deals_all_faults() -> None:
+    plan = draw(3, CELLS, 12, 30, "wait")
+    assert plan == draw(3, CELLS, 12, 30, "wait") != draw(4, CELLS, 12, 30, "wait")
+    dealt = {(f.kind, f.role, f.point) for this in draw(3, CELLS, 12, 150, "wait") for f in this.faults}
+    assert set(DECK) <= dealt
+    assert all(len(this.faults) == 1 for this in plan if this.is_quiet)
