Cells: who has consented does not take the cell before its consent has ended

Cause: when the store came back, the leader's lease had lapsed in it, and a relay that had consented registered first. It could grant nothing for up to 3 s, so all servers of the cell stood aside; where all cells lost their leases at once, the whole fleet. Change: the member has a time from which it takes its name, for a relay the end of its consent; who loses a name that is shared reads at once and not after its back-off. Two tests fail without it.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -16,7 +16,8 @@
 - Who takes a cell over does not vote for a moment: until then servers of the former leader may not have
   found it, and their kinds would not be asked. So no poll is decided before.
 - While the store is away, the leader goes on with the consent of all other relays of its cell
-  (`consent.py`)."""
+  (`consent.py`). Who has consented does not take the cell while that binds it: it could grant nothing, and
+  the leader is to have its place again once the store is back."""
 
 import math
 from collections.abc import Iterator
@@ -184,7 +185,7 @@
         named = (identity.fleet, identity.cell, identity.address, identity.candidates)
         self.consents = Consents(now, *named)
         self.promise = Promise(now, *named)
-        self.member.abstains_until = self.promise.until
+        self.member.abstains_until = self.member.registers_from = self.promise.until
         self.refused: dict[RefusalReason, int] = dict.fromkeys(RefusalReason, 0)
         self._led = False
         self._polled = 0  # the revision that made the change that the poll is about
@@ -261,6 +262,7 @@
         is_heard = silence < self.member.rules.lease_ms * STORE_HEARD_SHARE
         consent = self.promise.answer(now, request, self.leads(), is_heard)
         self.member.abstains_until = max(self.member.abstains_until, self.promise.until)
+        self.member.registers_from = self.promise.until
         return consent
 
     def peer_answered(self, consent: Consent) -> None:
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -48,6 +48,7 @@
         "_floor",
         "_is_abstaining",
         "_is_void",
+        "_may_register_later",
         "_read_at",
         "_renew_at",
         "_retry_at",
@@ -80,6 +81,7 @@
         "is_leader",
         "pledge",
         "registered",
+        "registers_from",
         "revision",
         "rules",
         "seen",
@@ -124,6 +126,7 @@
         self.lease, self.lease_until = 0, -math.inf
         self.consent_until = -math.inf  # what the other processes that share the name have consented to
         self.abstains_until = -math.inf  # it does not vote before
+        self.registers_from = -math.inf  # it does not take the name before
         self.answered_at = -math.inf  # when the store last answered anything
         self.seen: Seen | None = None
         self.doubt = ""  # why the store is not believed
@@ -134,6 +137,7 @@
         self._floor = 0  # the revision that was known when the store's request under way was begun
         self._is_void = False  # the read under way began before the registration was lost: it proves nothing
         self._is_abstaining = False  # it would vote, if it did not abstain
+        self._may_register_later = False  # it would register, were it not for `registers_from`
         self._stale = True
         self._unfit = judge(self.known.text) if self.known.version else ""
         self._texts = Texts(judged=self.known.digest, trouble=self._unfit)
@@ -187,6 +191,8 @@
         times += [self._renew_at] if Lane.LEASE not in self._busy and self._may_lease() else []
         times += [-math.inf] if self._judge_effect() else []
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
+        if Lane.STORE not in self._busy and self._may_register_later:
+            times.append(max(self.registers_from, self._retry_at))
         if Lane.STORE not in self._busy and self.registered:
             times.append(max(self._tell_at, self._retry_at))
             if self._is_abstaining:
@@ -254,6 +260,7 @@
     def _store_effect(self, now: float) -> Effect | None:
         if Lane.STORE in self._busy or now < self._retry_at:
             return None
+        self._may_register_later = False
         if self._stale or now >= self._next_read():
             return self._read(now)
         seen = self.seen
@@ -261,7 +268,7 @@
         if self._is_others(seen):
             return None
         if not self.registered:
-            return self._register(seen) if self.lease and not self._must_unsay() else None
+            return self._register_from(now, seen) if self.lease and not self._must_unsay() else None
         if vote := self._vote(now, seen):
             return vote
         if self._stale:  # a text is wanted
@@ -308,6 +315,10 @@
         other = seen.roster is not None and seen.roster.folder != self.folder
         return other and seen.roster is not None and seen.roster.absent == "wait"
 
+    def _register_from(self, now: float, seen: Seen) -> Commit | None:
+        self._may_register_later = now < self.registers_from
+        return None if self._may_register_later else self._register(seen)
+
     def _register(self, seen: Seen) -> Commit:
         roster = Roster(self.folder, self.rules.absent)
         return commits.register(self.keys, self.name, self._live(), roster, seen, self.lease)
@@ -453,6 +464,8 @@
         self._is_void = Lane.STORE in self._busy
         if self.rules.hangs_on_lease:
             self.sure, self.lease_until = False, -math.inf
+        if self.rules.is_shared:
+            self._retry_at = -math.inf  # the store is back, and all that hang on this name wait for it
 
     def _told_read(self, now: float, sent: float, snapshot: Snapshot) -> None:
         view = View(self.keys, snapshot)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -690,6 +690,35 @@
         assert set(harness.admitted().values()) == {0}, harness.now
 
 
+def test_a_cell_serves_on_when_the_store_is_back() -> None:
+    """The leader's lease has lapsed in the store meanwhile. A relay that had consented took the cell first,
+    and could grant nothing before its consent had ended."""
+    for away_ms in range(8000, 12_000, 400):
+        harness = at_work()
+        harness.is_store_away = True
+        harness.run(float(away_ms))
+        leaders = {cell: harness.leader(cell) for cell in ("east", "west")}
+        harness.is_store_away = False
+        for _ in range(240):
+            harness.run(25.0)
+            assert set(harness.admitted().values()) == {0}, (away_ms, harness.now)
+        assert leaders == {cell: harness.leader(cell) for cell in ("east", "west")}
+
+
+def test_who_has_consented_takes_the_cell_once_that_is_over() -> None:
+    harness = at_work()
+    harness.is_store_away = True
+    harness.run(10_000.0)
+    leader = harness.leader("east").identity.address
+    (other,) = (relay for a, relay in harness.relays.items() if a.startswith("east") and a != leader)
+    harness.remove_relay(leader)
+    harness.is_store_away = False
+    harness.run(other.promise.until - harness.now - 1.0)
+    assert not other.leads()
+    harness.run(500.0)
+    assert other.leads() and other.authority_until(harness.now) > harness.now
+
+
 def test_a_cell_whose_relays_are_not_all_there_ends_with_the_lease() -> None:
     harness = at_work()
     harness.is_store_away = True
