--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -460,6 +460,8 @@
         self._is_void = Lane.STORE in self._busy
         if self.rules.hangs_on_lease:
             self.sure, self.lease_until = False, -math.inf
+        if self.rules.is_shared:
+            self._retry_at = -math.inf  # the store is back, and all that hang on this name wait for it
 
     def _told_read(self, now: float, sent: float, snapshot: Snapshot) -> None:
         view = View(self.keys, snapshot)
