Lab: agreement by cells in simulated time, to 8,200 servers

The relays, participants and members run as they are, on an event queue of plain tuples, with a store that finds keys by folder and leases by end.

--- /dev/null
+++ b/otterrudder/lab/scale/events.py
@@ -0,0 +1,34 @@
+"""Simulated time for tens of millions of events: a heap of plain tuples, and handlers that are bound once."""
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+Handler = Callable[[Any, Any], None]
+
+
+class EventQueue:
+    """Times are ms from the start of the run."""
+
+    __slots__ = ("_count", "_heap", "now", "played")
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.played = 0
+        self._heap: list[tuple[float, int, Handler, Any, Any]] = []
+        self._count = 0
+
+    def at(self, when: float, handler: Handler, subject: Any, argument: Any = None) -> None:
+        """Plays `handler(subject, argument)` at that time; what is due together goes in the order of
+        asking."""
+        self._count += 1
+        heapq.heappush(self._heap, (when, self._count, handler, subject, argument))
+
+    def run(self, until: float) -> None:
+        """Plays everything due up to `until`."""
+        heap, pop = self._heap, heapq.heappop
+        while heap and heap[0][0] <= until:
+            self.now, _, handler, subject, argument = pop(heap)
+            self.played += 1
+            handler(subject, argument)
+        self.now = until
--- /dev/null
+++ b/otterrudder/lab/scale/experiment.py
@@ -0,0 +1,216 @@
+"""The experiment's file, checked whole: an error names the file and the key."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from otterrudder.files import convert, load_toml
+from otterrudder.fleet.records import Absent
+from otterrudder.lab.site import BadInput
+
+VERSION = 1  # of the form
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Servers = Annotated[int, msgspec.Meta(ge=2)]
+Bytes = Annotated[int, msgspec.Meta(ge=0)]
+Bounds = tuple[NotNegative, NotNegative]  # ms, from and to
+
+
+class _Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
+    pass
+
+
+class RulesPart(_Strict, kw_only=True, frozen=True):
+    """The rules of the fleet's file."""
+
+    bound_ms: Positive = 3000.0
+    store_lease_ms: Positive = 3000.0
+    server_lease_ms: Positive = 3000.0
+
+
+class TopologyPart(_Strict, kw_only=True, frozen=True):
+    """Regions with their zones, and the one-way latency between regions."""
+
+    regions: tuple[str, ...]
+    zones: tuple[Count, ...]
+    latency_ms: tuple[tuple[NotNegative, ...], ...]
+
+
+class StorePart(_Strict, kw_only=True, frozen=True):
+    """Where the store's members are; the first one leads it."""
+
+    regions: tuple[str, ...]
+    disk_ms: Bounds = (1.0, 4.0)
+    read_ms: Bounds = (0.2, 0.8)
+    watch_ms: Bounds = (0.5, 5.0)
+
+
+class NetworkPart(_Strict, kw_only=True, frozen=True):
+    """One-way latencies, and what a message costs beside its encoded form."""
+
+    in_zone_ms: Bounds = (0.2, 0.6)
+    cross_zone_ms: Bounds = (0.6, 1.6)
+    jitter: NotNegative = 0.1
+    framing_bytes: Bytes = 96
+    connect_messages: Bytes = 6
+    connect_bytes: Bytes = 4500
+
+
+class LoadPart(_Strict, kw_only=True, frozen=True):
+    """The changes that are asked for."""
+
+    changes_per_s: Positive = 0.8
+    text_bytes: Bytes = 27_000
+    check_ms: Bounds = (0.3, 12.0)
+    kinds: Count = 4
+    burst: Bytes = 2000
+    burst_s: Positive = 60.0
+
+
+class ChurnPart(_Strict, kw_only=True, frozen=True):
+    """What goes wrong on an ordinary day, for `per_servers` servers."""
+
+    per_servers: Count = 8200
+    restarts_a_day: NotNegative = 14_000.0
+    restart_s: Positive = 20.0
+    failures_a_day: NotNegative = 300.0
+    down_at_once: NotNegative = 12.0
+    rack_servers: Count = 40
+
+    @property
+    def repair_s(self) -> float:
+        """What the failures a day and the machines that are down at any moment imply."""
+        return self.down_at_once / max(self.failures_a_day, 1e-9) * 86_400.0
+
+
+FaultKind = Literal[
+    "server-crash",
+    "machine",
+    "rack",
+    "relay-crash",
+    "relay-restart",
+    "relay-machine",
+    "zone-restart",
+    "zone",
+    "region-cut",
+    "freeze",
+    "burst",
+]
+
+
+class FaultPart(_Strict, kw_only=True, frozen=True):
+    """One scripted fault. `for_s`: until it is over; none: to the end."""
+
+    kind: FaultKind
+    at_s: NotNegative
+    for_s: Positive | None = None
+    region: str = ""
+
+
+class CasePart(_Strict, kw_only=True, frozen=True):
+    """A case that is played at the given sizes under the given rule."""
+
+    name: str
+    sizes: tuple[Servers, ...] = ()
+    regions: tuple[Count, ...] = ()
+    absent: tuple[Absent, ...] = ("wait",)
+    seeds: tuple[int, ...] = ()
+    minutes: Positive | None = None
+    changes_per_s: NotNegative | None = None
+    has_churn: bool = True
+    faults: tuple[FaultPart, ...] = ()
+    is_quick: bool = False
+
+
+class BaselinePart(_Strict, kw_only=True, frozen=True):
+    """Each server a member of the fleet by itself, on the same topology, load and seeds."""
+
+    sizes: tuple[Servers, ...] = ()
+    absent: tuple[Absent, ...] = ("wait", "leave-out")
+    minutes: Positive = 2.0
+
+
+class Experiment(_Strict, kw_only=True, frozen=True):
+    version: int
+    name: str
+    title: str
+    seeds: tuple[int, ...]
+    minutes: Positive
+    warm_up_s: Positive = 30.0
+    quick_servers: tuple[Servers, ...] = (120, 240)
+    quick_minutes: Positive = 1.5
+    rules: RulesPart
+    topology: TopologyPart
+    store: StorePart
+    network: NetworkPart
+    load: LoadPart
+    churn: ChurnPart
+    case: tuple[CasePart, ...]
+    baseline: BaselinePart = BaselinePart()
+
+
+def read_scale(path: Path) -> Experiment:
+    """Raises BadInput, which names the file and the key."""
+    told = load_toml(path, BadInput)
+    experiment: Experiment = convert(told, Experiment, f"{path.name}: ", BadInput)
+    trouble = next(_troubles(experiment), None)
+    if trouble:
+        raise BadInput(f"{path.name}: {trouble}")
+    return experiment
+
+
+def is_scale(told: dict[str, Any]) -> bool:
+    """Whether a file of the lab is one of these."""
+    return "topology" in told
+
+
+def _troubles(experiment: Experiment) -> Iterator[str]:
+    yield from _topology_troubles(experiment)
+    yield from _case_troubles(experiment)
+
+
+def _topology_troubles(experiment: Experiment) -> Iterator[str]:
+    topology, store = experiment.topology, experiment.store
+    if experiment.version != VERSION:
+        yield f".version: this program reads {VERSION}"
+    if not experiment.seeds:
+        yield ".seeds: none is given"
+    count = len(topology.regions)
+    if count < 1 or len(set(topology.regions)) != count:
+        yield ".topology.regions: a name is there twice, or none is"
+    if len(topology.zones) != count:
+        yield f".topology.zones: {len(topology.zones)} numbers for {count} regions"
+    if sum(topology.zones) < 2:
+        yield ".topology.zones: a cell's two relays need two zones"
+    if len(topology.latency_ms) != count or any(len(row) != count for row in topology.latency_ms):
+        yield f".topology.latency_ms: not {count} rows of {count} numbers"
+        return
+    for here in range(count):
+        for there in range(here):
+            if topology.latency_ms[here][there] != topology.latency_ms[there][here]:
+                names = f"{topology.regions[here]} and {topology.regions[there]}"
+                yield f".topology.latency_ms: {names} are not as far from each other both ways"
+    for region in store.regions:
+        if region not in topology.regions:
+            yield f".store.regions: {region!r} is no region"
+    if not store.regions:
+        yield ".store.regions: none is given"
+
+
+def _case_troubles(experiment: Experiment) -> Iterator[str]:
+    names = [case.name for case in experiment.case]
+    if len(set(names)) != len(names):
+        yield ".case: two have one name"
+    for number, case in enumerate(experiment.case):
+        if not case.sizes:
+            yield f".case[{number}].sizes: none is given"
+        for which, fault in enumerate(case.faults):
+            if fault.region and fault.region not in experiment.topology.regions:
+                yield f".case[{number}].faults[{which}].region: {fault.region!r} is no region"
+    rules = experiment.rules
+    if rules.server_lease_ms > rules.bound_ms:
+        yield ".rules.server_lease_ms: a lease outlasts the bound"
--- /dev/null
+++ b/otterrudder/lab/scale/ledger.py
@@ -0,0 +1,147 @@
+"""The ledger: what was committed, as the store wrote it; what was granted, as it went over the wire; and what
+servers admit under, as they answer at the moment. It believes nothing that a relay says of itself.
+
+Time is the simulation's, and all clocks run alike in it."""
+
+import math
+from dataclasses import dataclass, field
+
+import msgspec
+
+from otterrudder.fleet.effects import Commit
+from otterrudder.fleet.records import Change, Keys, PolicyHead, Queued, Settled, decode
+from otterrudder.fleet.store import Put
+
+BREACHES_KEPT = 5  # that are told in words
+TOLERANCE_MS = 1e-6  # of sums of floating-point numbers
+
+
+@dataclass(slots=True)
+class Asked:
+    """A change from its proposer's asking on; times in ms, inf: it has not come to that."""
+
+    ident: str
+    asked_at: float
+    queued_at: float = math.inf
+    opened_at: float = math.inf
+    ended_at: float = math.inf
+    everywhere_at: float = math.inf
+    place: int | None = None
+    version: int = 0  # that it brought; 0: it was not committed
+
+    @property
+    def took_ms(self) -> float:
+        return self.everywhere_at - self.asked_at
+
+
+@dataclass(slots=True)
+class Ledger:
+    keys: Keys
+    bound_ms: float
+    changes: dict[str, Asked] = field(default_factory=dict)
+    committed_at: list[float] = field(default_factory=lambda: [0.0])  # by version
+    change_of: list[str] = field(default_factory=lambda: [""])  # by version
+    admitted_until: list[float] = field(default_factory=lambda: [0.0])  # by version: under an earlier one
+    granted_until: list[float] = field(default_factory=lambda: [0.0])  # by version, of all grants sent
+    aborted: list[str] = field(default_factory=list)
+    breaches: int = 0
+    told: list[str] = field(default_factory=list)
+    oldest_ms: float = 0.0  # longest time admitted under a version after a later one was committed
+
+    @property
+    def version(self) -> int:
+        return len(self.committed_at) - 1
+
+    def asked(self, now: float, ident: str) -> None:
+        self.changes[ident] = Asked(ident, now)
+
+    # What the store wrote.
+
+    def wrote(self, now: float, commit: Commit) -> None:
+        for write in commit.writes:
+            if not isinstance(write, Put):
+                continue
+            if write.key == self.keys.policy:
+                self._committed(now, decode(write.value, PolicyHead))
+            elif write.key == self.keys.change:
+                opened = self._change(decode(write.value, Change).id)
+                opened.opened_at = min(opened.opened_at, now)
+            elif write.key.startswith(self.keys.queue):
+                self._change(decode(write.value, Queued).id).queued_at = now
+            elif write.key == self.keys.settled and commit.what == "abort":
+                self._aborted(now, write.value)
+
+    def _change(self, ident: str) -> Asked:
+        return self.changes.setdefault(ident, Asked(ident, -math.inf))
+
+    def _committed(self, now: float, head: PolicyHead) -> None:
+        if head.version != self.version + 1:
+            self._breach(f"version {head.version} was committed after {self.version}")
+        self.committed_at.append(now)
+        self.change_of.append(head.change)
+        self.admitted_until.append(now)
+        self.granted_until.append(0.0)
+        change = self._change(head.change)
+        change.version, change.ended_at = head.version, now
+        for version in range(head.version):
+            late = self.granted_until[version] - self.committed_at[version + 1] - self.bound_ms
+            if late > TOLERANCE_MS:
+                self._breach(f"version {version} was granted for {late:.0f} ms past its bound")
+                self.granted_until[version] = 0.0
+
+    def _aborted(self, now: float, value: bytes) -> None:
+        end = msgspec.json.decode(value, type=list[Settled])[-1]
+        self._change(end.id).ended_at = now
+        self.aborted.append(f"{end.id}: {end.why}")
+
+    # What relays granted.
+
+    def granted(self, now: float, version: int, span_ms: float) -> None:
+        until = now + span_ms
+        if version >= self.version:
+            if version > self.version:
+                self._breach(f"version {version} was granted and never committed")
+                return
+            if until > self.granted_until[version]:
+                self.granted_until[version] = until
+            return
+        late = until - self.committed_at[version + 1] - self.bound_ms
+        if late > TOLERANCE_MS:
+            self._breach(f"version {version} was granted for {late:.0f} ms past its bound")
+
+    # What servers admit under.
+
+    def admits(self, now: float, server: str, version: int) -> None:
+        """A server admits under this version now."""
+        if version >= self.version:
+            if version > self.version:
+                self._breach(f"{server} admits under {version}, which was never committed")
+            return
+        age = now - self.committed_at[version + 1]
+        self.oldest_ms = max(self.oldest_ms, age)
+        if age > self.bound_ms + TOLERANCE_MS:
+            self._breach(f"{server} admits under {version}, {age:.0f} ms after the next one")
+
+    def left(self, version: int, newer: int, until: float) -> None:
+        """A server stopped admitting under a version at that time, and goes by a newer one, or none."""
+        ends = self.admitted_until
+        for later in range(version + 1, min(newer, self.version) + 1):
+            if until > ends[later]:
+                ends[later] = until
+        if version < self.version:
+            age = until - self.committed_at[version + 1]
+            if age > self.oldest_ms:
+                self.oldest_ms = age
+            if age > self.bound_ms + TOLERANCE_MS:
+                self._breach(f"a server went by {version} for {age:.0f} ms after the next one")
+
+    def close(self) -> None:
+        """Once all servers that still run have `left`: the times at which changes were in force
+        everywhere."""
+        for version in range(1, len(self.committed_at)):
+            self.changes[self.change_of[version]].everywhere_at = self.admitted_until[version]
+
+    def _breach(self, what: str) -> None:
+        self.breaches += 1
+        if len(self.told) < BREACHES_KEPT:
+            self.told.append(what)
--- /dev/null
+++ b/otterrudder/lab/scale/network.py
@@ -0,0 +1,81 @@
+"""The network between servers and relays: latencies, cuts, and what messages weigh."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+from otterrudder.fleet.cell.messages import AskVerdict, InForce, encode
+from otterrudder.lab.scale.experiment import NetworkPart
+from otterrudder.lab.scale.topology import Topology, Zone
+
+RESIZE_EVERY = 1024  # messages of a type after which one is encoded again: numbers grow longer
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Messages and bytes, framing included."""
+
+    messages: int = 0
+    size: int = 0
+
+    def add(self, size: int) -> None:
+        self.messages += 1
+        self.size += size
+
+
+@dataclass(slots=True)
+class Sizes:
+    """Bytes of a message by its type. A policy's text counts with its stated size, whatever stands in for
+    it."""
+
+    framing: int
+    text_bytes: int
+    _known: dict[type, int] = field(default_factory=dict)
+    counts: Counter[type] = field(default_factory=Counter)
+
+    def of(self, message: object) -> int:
+        kind = type(message)
+        self.counts[kind] += 1
+        if self.counts[kind] % RESIZE_EVERY == 1:
+            self._known[kind] = self._measure(message)
+        return self._known[kind]
+
+    def _measure(self, message: object) -> int:
+        size = self.framing + len(encode(message))  # type: ignore[arg-type]
+        if isinstance(message, InForce | AskVerdict):
+            empty = msgspec.structs.replace(message, text="")
+            size = self.framing + len(encode(empty)) + self.text_bytes
+        return size
+
+
+class Network:
+    """One-way latencies between zones, and which regions are cut off from the others."""
+
+    def __init__(self, topology: Topology, part: NetworkPart, chance: random.Random) -> None:
+        self.part = part
+        self.cut_regions: set[int] = set()
+        self._chance = chance
+        self._bounds: dict[tuple[int, int], tuple[float, float]] = {}
+        for here in topology.zones:
+            for there in topology.zones:
+                self._bounds[here.number, there.number] = self._between(topology, here, there)
+
+    def _between(self, topology: Topology, here: Zone, there: Zone) -> tuple[float, float]:
+        if here == there:
+            low, high = self.part.in_zone_ms
+        elif here.region == there.region:
+            low, high = self.part.cross_zone_ms
+        else:
+            low = topology.latency_ms[here.region][there.region]
+            high = low * (1.0 + self.part.jitter)
+        return low, high - low
+
+    def way_ms(self, here: int, there: int) -> float:
+        """One way between two zones."""
+        low, width = self._bounds[here, there]
+        return low + width * self._chance.random()
+
+    def is_cut(self, region: int, other: int) -> bool:
+        return region != other and (region in self.cut_regions or other in self.cut_regions)
--- /dev/null
+++ b/otterrudder/lab/scale/play.py
@@ -0,0 +1,226 @@
+"""Runs of an experiment's cases, and the figures of each: plain numbers, all simulated."""
+
+import gc
+import statistics
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from time import process_time
+
+from otterrudder.lab.scale.experiment import Experiment
+from otterrudder.lab.scale.ledger import Asked
+from otterrudder.lab.scale.network import Traffic
+from otterrudder.lab.scale.simulation import CALM_MS, Setting, Simulation
+
+IN_TIME_MS = 4000.0  # from the asking until a change is in force everywhere
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One run's figures by name, and what else is to be told of it."""
+
+    setting: Setting
+    figures: dict[str, float]
+    told: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """Counts at one moment."""
+
+    at_ms: float
+    store: dict[str, int]
+    hints: int
+    received: Traffic
+    sent: Traffic
+    connects: int
+
+    @staticmethod
+    def of(simulation: Simulation) -> "_Reading":
+        hosts = simulation.relays.hosts
+        return _Reading(
+            simulation.events.now,
+            dict(simulation.store.counts),
+            simulation.relays.hints,
+            _sum(host.received for host in hosts),
+            _sum(host.sent for host in hosts),
+            simulation.servers.connects,
+        )
+
+
+def _sum(traffics: Iterator[Traffic]) -> Traffic:
+    whole = Traffic()
+    for traffic in traffics:
+        whole.messages += traffic.messages
+        whole.size += traffic.size
+    return whole
+
+
+def settings_of(
+    experiment: Experiment, seeds: tuple[int, ...], servers: int | None, is_quick: bool
+) -> list[Setting]:
+    """Every run that is to be made."""
+    found = []
+    for case in experiment.case:
+        if is_quick and not case.is_quick:
+            continue
+        sizes = experiment.quick_servers if is_quick else case.sizes
+        minutes = experiment.quick_minutes if is_quick else case.minutes or experiment.minutes
+        for size in (servers,) if servers else sizes:
+            for regions in case.regions or (None,):
+                for absent in case.absent:
+                    for seed in seeds if is_quick else case.seeds or seeds:
+                        found.append(Setting(case, size, regions, absent, seed, minutes))
+    return found
+
+
+def play(
+    experiment: Experiment,
+    setting: Setting,
+    make: Callable[[Experiment, Setting], Simulation] = Simulation,
+) -> Run:
+    """One run, to its end."""
+    simulation = make(experiment, setting)
+    readings: list[_Reading] = []
+    simulation.events.at(simulation.begin_ms - CALM_MS, _read, simulation, readings)
+    simulation.events.at(simulation.begin_ms, _read, simulation, readings)
+    gc.collect()
+    gc.freeze()
+    gc.disable()  # hardly anything here forms a circle, and a look at all of a fleet takes long
+    began = process_time()
+    try:
+        simulation.play()
+    finally:
+        gc.enable()
+        gc.unfreeze()
+    took = process_time() - began
+    _read(simulation, readings)
+    return Run(setting, _figures(simulation, readings, took), _told(simulation))
+
+
+def _read(simulation: Simulation, readings: list[_Reading]) -> None:
+    readings.append(_Reading.of(simulation))
+
+
+def _told(simulation: Simulation) -> tuple[str, ...]:
+    ledger = simulation.ledger
+    faults = ", ".join(f"{count} {kind}" for kind, count in sorted(simulation.churn.counts.items()))
+    return (*ledger.told, *ledger.aborted[:3], f"churn: {faults or 'none'}")
+
+
+def _figures(simulation: Simulation, readings: list[_Reading], took: float) -> dict[str, float]:
+    calm, begin, end = readings
+    return {
+        **_change_figures(simulation),
+        **_store_figures(simulation, calm, begin, end),
+        **_wire_figures(simulation, calm, begin, end),
+        **_standing_figures(simulation),
+        **_cpu_figures(simulation),
+        "breaches": float(simulation.ledger.breaches),
+        "oldest_ms": simulation.ledger.oldest_ms,
+        "events": float(simulation.events.played),
+        "cpu_s": took,
+    }
+
+
+def _change_figures(simulation: Simulation) -> dict[str, float]:
+    changes = list(simulation.ledger.changes.values())
+    done = [change for change in changes if change.version and change.everywhere_at < float("inf")]
+    took = sorted(change.took_ms for change in done) or [float("nan")]
+    in_time = sum(change.took_ms <= IN_TIME_MS for change in done)
+    figures = {
+        "asked": float(simulation.proposers.asked),
+        "committed": float(simulation.ledger.version),
+        "aborted": float(len(simulation.ledger.aborted)),
+        "never_opened": float(sum(change.opened_at == float("inf") for change in changes)),
+        "in_4_s": in_time / max(len(changes), 1),
+        "took_p50_ms": _rank(took, 0.5),
+        "took_p99_ms": _rank(took, 0.99),
+        "took_max_ms": took[-1],
+    }
+    return figures | _parts(done)
+
+
+def _parts(done: list[Asked]) -> dict[str, float]:
+    """Medians of the parts of a change's way."""
+    if not done:
+        return {}
+    parts = {
+        "queueing_ms": [change.queued_at - change.asked_at for change in done],
+        "waiting_ms": [change.opened_at - change.queued_at for change in done],
+        "voting_ms": [change.ended_at - change.opened_at for change in done],
+        "spreading_ms": [change.everywhere_at - change.ended_at for change in done],
+    }
+    return {name: statistics.median(values) for name, values in parts.items()}
+
+
+def _rank(values: list[float], share: float) -> float:
+    return values[min(int(len(values) * share), len(values) - 1)]
+
+
+def _store_figures(
+    simulation: Simulation, calm: _Reading, begin: _Reading, end: _Reading
+) -> dict[str, float]:
+    """Requests a change beyond those of the same time without load."""
+    changes = max(simulation.ledger.version, 1)
+    calm_s, load_s = (begin.at_ms - calm.at_ms) / 1000.0, (end.at_ms - begin.at_ms) / 1000.0
+    figures = {}
+    for name in ("reads", "writes", "renewals"):
+        standing = (begin.store.get(name, 0) - calm.store.get(name, 0)) / calm_s
+        more = end.store.get(name, 0) - begin.store.get(name, 0) - standing * load_s
+        figures[f"{name}_a_change"] = more / changes
+        figures[f"{name}_calm_per_s"] = standing
+    figures["watch_events_a_change"] = (end.hints - begin.hints) / changes
+    return figures
+
+
+def _wire_figures(simulation: Simulation, calm: _Reading, begin: _Reading, end: _Reading) -> dict[str, float]:
+    """Both directions together, by server, and of the relay's machine that has the most."""
+    servers, load_s = len(simulation.servers.hosts), (end.at_ms - begin.at_ms) / 1000.0
+    calm_s, network = (begin.at_ms - calm.at_ms) / 1000.0, simulation.experiment.network
+    connects = end.connects - begin.connects
+    messages = _messages(end) - _messages(begin) + connects * network.connect_messages
+    size = _size(end) - _size(begin) + connects * network.connect_bytes
+    whole_s = simulation.events.now / 1000.0
+    busiest: dict[int, Traffic] = {}
+    for host in simulation.relays.hosts:
+        traffic = busiest.setdefault(host.zone.number, Traffic())
+        traffic.messages += host.received.messages + host.sent.messages
+        traffic.size += host.received.size + host.sent.size
+    return {
+        "server_messages_per_s": messages / servers / load_s,
+        "server_bytes_per_s": size / servers / load_s,
+        "server_messages_calm_per_s": (_messages(begin) - _messages(calm)) / servers / calm_s,
+        "server_bytes_calm_per_s": (_size(begin) - _size(calm)) / servers / calm_s,
+        "relay_messages_per_s": max(traffic.messages for traffic in busiest.values()) / whole_s,
+        "relay_bytes_per_s": max(traffic.size for traffic in busiest.values()) / whole_s,
+        "connects": float(connects),
+        "peer_messages": float(simulation.relays.peer_messages),
+    }
+
+
+def _messages(reading: _Reading) -> int:
+    return reading.received.messages + reading.sent.messages
+
+
+def _size(reading: _Reading) -> int:
+    return reading.received.size + reading.sent.size
+
+
+def _standing_figures(simulation: Simulation) -> dict[str, float]:
+    servers = simulation.servers
+    looks = max(servers.looks, 1)
+    figures = {f"aside_{cause}": count / looks for cause, count in sorted(servers.aside.items())}
+    return {"aside": servers.aside.total() / looks, **figures}
+
+
+def _cpu_figures(simulation: Simulation) -> dict[str, float]:
+    """us a server and simulated second, of the pure code alone."""
+    servers, relays = simulation.servers, simulation.relays
+    server_seconds = len(servers.hosts) * simulation.events.now / 1000.0
+    relay_ms = relays.message_cpu.total_ms + relays.store_cpu.total_ms
+    cells = len(simulation.topology.zones)
+    return {
+        "server_cpu_us_per_s": servers.cpu.total_ms * 1000.0 / server_seconds,
+        "relay_cpu_us_per_server_s": relay_ms * 1000.0 / server_seconds,
+        "relay_cpu_ms_per_s": relay_ms / cells / (simulation.events.now / 1000.0),
+    }
--- /dev/null
+++ b/otterrudder/lab/scale/proposers.py
@@ -0,0 +1,105 @@
+"""Operators and their programs who ask for changes: each puts its own in the queue, and reads its place."""
+
+import random
+from dataclasses import dataclass
+
+from otterrudder.fleet.effects import Commit, Read, Request
+from otterrudder.fleet.queue import QueueRefused, enqueue, place
+from otterrudder.fleet.records import Keys, Queued, View
+from otterrudder.fleet.store import Done, Snapshot
+from otterrudder.lab.scale.events import EventQueue, Handler
+from otterrudder.lab.scale.ledger import Ledger
+from otterrudder.lab.scale.network import Network
+from otterrudder.lab.scale.store import StoreService
+from otterrudder.lab.scale.topology import Topology
+
+RETRY_MS = 1000.0  # ms until a proposer that had no answer asks again
+NOTE = "a change of the day"
+DEADLINE_MS = 30_000.0  # ms of a change, from its opening
+
+
+@dataclass(slots=True)
+class Proposal:
+    ident: str
+    region: int
+
+
+class Proposers:
+    """Handlers of the changes that are asked for."""
+
+    def __init__(
+        self,
+        keys: Keys,
+        topology: Topology,
+        events: EventQueue,
+        network: Network,
+        store: StoreService,
+        ledger: Ledger,
+        chance: random.Random,
+    ) -> None:
+        self.asked = 0
+        self.refused = 0
+        self._keys, self._topology, self._events, self._network = keys, topology, events, network
+        self._store, self._ledger, self._chance = store, ledger, chance
+        self._regions = sorted({zone.region for zone in topology.zones})
+
+    def schedule(self, begin: float, end: float, per_s: float) -> None:
+        """Changes at a rate, as they come."""
+        if per_s <= 0:
+            return
+        at = begin + self._chance.expovariate(per_s) * 1000.0
+        while at < end:
+            self._events.at(at, self._ask, self._next())
+            at += self._chance.expovariate(per_s) * 1000.0
+
+    def burst(self, begin: float, count: int, span_ms: float) -> None:
+        for number in range(count):
+            self._events.at(begin + span_ms * number / max(count, 1), self._ask, self._next())
+
+    def _next(self) -> Proposal:
+        self.asked += 1
+        return Proposal(f"change-{self.asked:05}", self._chance.choice(self._regions))
+
+    def _ask(self, proposal: Proposal, _: object) -> None:
+        self._ledger.asked(self._events.now, proposal.ident)
+        self._read(proposal, None)
+
+    def _read(self, proposal: Proposal, _: object) -> None:
+        names = (self._keys.head, self._keys.queue)
+        self._send(proposal, Read(names), self._queue_it)
+
+    def _queue_it(self, proposal: Proposal, outcome: object) -> None:
+        assert isinstance(outcome, Snapshot)
+        entry = Queued(proposal.ident, author="an operator", note=NOTE, deadline_ms=DEADLINE_MS)
+        try:
+            commit = enqueue(View(self._keys, outcome), entry, f"text of {proposal.ident}")
+        except QueueRefused:
+            self.refused += 1
+            return
+        self._send(proposal, commit, self._queued)
+
+    def _queued(self, proposal: Proposal, outcome: object) -> None:
+        assert isinstance(outcome, Done)
+        if outcome.held:
+            self._send(proposal, Read((self._keys.change, self._keys.queue)), self._placed)
+
+    def _placed(self, proposal: Proposal, outcome: object) -> None:
+        assert isinstance(outcome, Snapshot)
+        self._ledger.changes[proposal.ident].place = place(View(self._keys, outcome), proposal.ident)
+
+    def _send(self, proposal: Proposal, request: Read | Commit, then: Handler) -> None:
+        now = self._events.now
+        if self._network.is_cut(proposal.region, self._topology.store_regions[0]):
+            self._events.at(now + RETRY_MS, self._again, proposal, (request, then))
+            return
+        due = now + self._store.arrival_ms(proposal.region, request)
+        self._events.at(due, self._at_store, proposal, (request, then))
+
+    def _again(self, proposal: Proposal, argument: tuple[Read | Commit, Handler]) -> None:
+        self._send(proposal, *argument)
+
+    def _at_store(self, proposal: Proposal, argument: tuple[Request, Handler]) -> None:
+        request, then = argument
+        outcome = self._store.answer(self._events.now, request)
+        due = self._events.now + self._store.answer_ms(proposal.region)
+        self._events.at(due, then, proposal, outcome)
--- /dev/null
+++ b/otterrudder/lab/scale/relays.py
@@ -0,0 +1,348 @@
+"""Relays in simulated time: each one's effects are carried out as its process would, with the store's and the
+network's latencies."""
+
+import math
+import random
+from dataclasses import dataclass
+from time import thread_time_ns
+from typing import Protocol
+
+from otterrudder.fleet.cell.consent import PeerRequest
+from otterrudder.fleet.cell.messages import AskConsent, Consent, Grant, RelayMessage, ServerMessage
+from otterrudder.fleet.cell.relay import (
+    CellIdentity,
+    EndSession,
+    Relay,
+    RelayEffect,
+    RelayLimits,
+    SendToServer,
+)
+from otterrudder.fleet.effects import Commit, Lease, Outcome, Read, Renew, Request
+from otterrudder.fleet.state import Rules
+from otterrudder.lab.scale.events import EventQueue
+from otterrudder.lab.scale.hosts import RelayHost, Stream
+from otterrudder.lab.scale.ledger import Ledger
+from otterrudder.lab.scale.network import Network, Sizes
+from otterrudder.lab.scale.sampling import CpuSample
+from otterrudder.lab.scale.store import StoreService
+from otterrudder.lab.scale.topology import Topology
+
+TIMEOUT_MOST_MS = 2000.0  # ms for a request to the store, at most
+TIMEOUT_SHARE = 0.25  # of the bound
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request to the store that is under way."""
+
+    life: int
+    effect: Request
+    sent: float
+    outcome: Outcome = None
+
+
+class ServerSide(Protocol):
+    """The other end of the streams."""
+
+    def receive(self, stream: Stream, message: RelayMessage) -> None: ...
+
+    def ended(self, stream: Stream, _: object) -> None: ...
+
+
+class Relays:
+    """Handlers of what happens to relays."""
+
+    def __init__(
+        self,
+        fleet: str,
+        hosts: list[RelayHost],
+        topology: Topology,
+        rules: Rules,
+        span_ms: float,
+        events: EventQueue,
+        network: Network,
+        sizes: Sizes,
+        ledger: Ledger,
+        chance: random.Random,
+        message_cpu: CpuSample,
+        store_cpu: CpuSample,
+    ) -> None:
+        self.fleet, self.hosts, self.rules, self.span_ms = fleet, hosts, rules, span_ms
+        self.by_address = {host.address: host for host in hosts}
+        self.message_cpu, self.store_cpu = message_cpu, store_cpu
+        self.hints = 0
+        self.peer_messages = 0
+        self.timeout_ms = min(rules.bound_ms * TIMEOUT_SHARE, TIMEOUT_MOST_MS)
+        self._topology, self._events, self._network = topology, events, network
+        self._sizes, self._ledger, self._chance = sizes, ledger, chance
+        self._store_region = topology.store_regions[0]
+
+    def use(self, store: StoreService, servers: ServerSide) -> None:
+        self.store, self.servers = store, servers
+
+    # Its life.
+
+    def start(self, host: RelayHost, _: object = None) -> None:
+        if host.relay or not host.is_machine_up:
+            return
+        host.life += 1
+        host.wake_at = math.inf
+        identity = CellIdentity(self.fleet, host.cell, host.address, host.candidates)
+        host.relay = self.make(identity, f"{host.address}.{host.life}")
+        self._step(host)
+        self._watch(host)
+
+    def make(self, identity: CellIdentity, epoch: str) -> Relay:
+        """A fresh relay."""
+        limits = RelayLimits(span_ms=self.span_ms)
+        return Relay(self._events.now, identity, epoch, self.rules, limits)
+
+    def stop(self, host: RelayHost, is_silent: bool) -> None:
+        """The process ends: its machine closes the streams, or is gone as well."""
+        host.relay, host.wake_at = None, math.inf
+        host.watching = frozenset()
+        host.held.clear()
+        streams, host.streams = host.streams, {}
+        if not is_silent:
+            for stream in streams.values():
+                self._end(stream)
+
+    def leave(self, host: RelayHost) -> None:
+        """The process shuts down in order: servers are told, the lease is given back."""
+        relay = host.relay
+        if not relay:
+            return
+        relay.leave(self._events.now)
+        self._step(host)
+        if relay.member.lease and not self._is_store_cut(host):
+            arrives = self._events.now + self.store.arrival_ms(host.zone.region, Renew(0))
+            self._events.at(arrives, self._revoke, relay.member.lease)
+        self.stop(host, is_silent=False)
+
+    def _revoke(self, lease: int, _: object) -> None:
+        self.store.revoke(lease)
+
+    def freeze(self, host: RelayHost, until: float) -> None:
+        host.frozen_until = until
+        self._events.at(until, self.thaw, host)
+
+    def thaw(self, host: RelayHost, _: object = None) -> None:
+        held, host.held = host.held, []
+        for handler, subject, argument in held:
+            handler(subject, argument)
+        if host.relay:
+            self._step(host)
+
+    # What happens to it.
+
+    def wake(self, host: RelayHost, at: float) -> None:
+        if host.wake_at != at or not host.relay:
+            return
+        host.wake_at = math.inf
+        if self._events.now >= host.frozen_until:
+            self._step(host)
+
+    def accept(self, stream: Stream) -> None:
+        host = stream.relay
+        host.last_stream += 1
+        stream.number, stream.relay_life = host.last_stream, host.life
+        host.streams[stream.number] = stream
+
+    def receive(self, stream: Stream, message: ServerMessage) -> None:
+        host = stream.relay
+        relay, now = host.relay, self._events.now
+        if not relay or stream.relay_life != host.life or stream.number not in host.streams:
+            return
+        if now < host.frozen_until:
+            host.held.append((self.receive, stream, message))
+            return
+        if self.message_cpu.is_due():
+            began = thread_time_ns()
+            relay.received(now, stream.number, message)
+            effects = relay.effects(now)
+            due = relay.due()
+            self.message_cpu.add(began)
+        else:
+            relay.received(now, stream.number, message)
+            effects = relay.effects(now)
+            due = relay.due()
+        for effect in effects:
+            self._carry_out(host, effect)
+        self._schedule(host, due)
+
+    def closed(self, stream: Stream, _: object) -> None:
+        """The server's end was closed."""
+        host = stream.relay
+        if stream.relay_life != host.life or not host.streams.pop(stream.number, None):
+            return
+        if host.relay:
+            host.relay.closed(stream.number)
+
+    def hint(self, host: RelayHost, argument: tuple[int, str]) -> None:
+        life, prefix = argument
+        if not host.relay or host.life != life or prefix not in host.watching or self._is_store_cut(host):
+            return
+        if self._events.now < host.frozen_until:
+            host.held.append((self.hint, host, argument))
+            return
+        host.relay.hint(self._events.now, prefix)
+        self._step(host)
+
+    # The store.
+
+    def changed(self, keys: list[str]) -> None:
+        """These keys were written together: whoever watches a prefix of one is told once."""
+        for host in self.hosts:
+            if not host.relay:
+                continue
+            for prefix in host.watching:
+                if any(key.startswith(prefix) for key in keys):
+                    self.hints += 1
+                    due = self._events.now + self.store.watch_ms(host.zone.region)
+                    self._events.at(due, self.hint, host, (host.life, prefix))
+
+    def _watch(self, host: RelayHost) -> None:
+        """Watches are begun and ended as the relay wants them; one that begins is a hint."""
+        relay = host.relay
+        if not relay:
+            return
+        wanted = frozenset(relay.watched())
+        if wanted == host.watching:
+            return
+        begun, host.watching = wanted - host.watching, wanted
+        for prefix in sorted(begun):
+            due = self._events.now + 2 * self.store.watch_ms(host.zone.region)
+            self._events.at(due, self.hint, host, (host.life, prefix))
+
+    def watch_again(self, host: RelayHost) -> None:
+        """The store is in reach again: the watches that were cut are begun anew."""
+        host.watching = frozenset()
+        self._watch(host)
+
+    def _is_store_cut(self, host: RelayHost) -> bool:
+        return self._network.is_cut(host.zone.region, self._store_region)
+
+    def _ask_store(self, host: RelayHost, effect: Request) -> None:
+        now = self._events.now
+        call = Call(host.life, effect, now)
+        if self._is_store_cut(host):
+            self._events.at(now + self.timeout_ms, self._answered, host, call)
+            return
+        arrives = now + self.store.arrival_ms(host.zone.region, effect)
+        self._events.at(arrives, self._at_store, host, call)
+
+    def _at_store(self, host: RelayHost, call: Call) -> None:
+        """It takes effect, also where nobody hears of it."""
+        outcome = self.store.answer(self._events.now, call.effect)
+        due = self._events.now + self.store.answer_ms(host.zone.region)
+        too_late = call.sent + self.timeout_ms
+        if due >= too_late or self._is_store_cut(host):
+            self._events.at(max(too_late, self._events.now), self._answered, host, call)
+        else:
+            answered = Call(call.life, call.effect, call.sent, outcome)
+            self._events.at(due, self._answered, host, answered)
+
+    def _answered(self, host: RelayHost, call: Call) -> None:
+        if not host.relay or host.life != call.life:
+            return
+        now = self._events.now
+        if now < host.frozen_until:
+            host.held.append((self._answered, host, call))
+            return
+        began = thread_time_ns()
+        host.relay.completed(now, call.effect, call.sent, call.outcome)
+        self.store_cpu.calls += 1
+        self.store_cpu.add(began)
+        self._step(host)
+        self._watch(host)
+
+    # What it does.
+
+    def _step(self, host: RelayHost) -> None:
+        relay = host.relay
+        assert relay
+        began = thread_time_ns()
+        effects = relay.effects(self._events.now)
+        self.store_cpu.calls += 1
+        self.store_cpu.add(began)
+        for effect in effects:
+            self._carry_out(host, effect)
+        self._schedule(host, relay.due())
+
+    def _schedule(self, host: RelayHost, due: float) -> None:
+        if due < host.wake_at:
+            due = max(due, self._events.now)
+            host.wake_at = due
+            self._events.at(due, self.wake, host, due)
+
+    def _carry_out(self, host: RelayHost, effect: RelayEffect) -> None:
+        if isinstance(effect, SendToServer):
+            self._send(host, effect)
+        elif isinstance(effect, EndSession):
+            stream = host.streams.pop(effect.connection, None)
+            if stream:
+                self._end(stream)
+        elif isinstance(effect, PeerRequest):
+            self._ask_peer(host, self.by_address[effect.peer], effect.message)
+        elif isinstance(effect, Read | Commit | Lease | Renew):
+            self._ask_store(host, effect)
+        else:
+            raise TypeError(f"a relay has no use for {effect}")
+
+    def _send(self, host: RelayHost, effect: SendToServer) -> None:
+        stream = host.streams.get(effect.connection)
+        if not stream:
+            return
+        message = effect.message
+        if isinstance(message, Grant):
+            self._ledger.granted(self._events.now, message.version, message.span_ms)
+        size = self._sizes.of(message)
+        host.sent.messages += 1
+        host.sent.size += size
+        region = stream.server.zone.region
+        if self._network.is_cut(region, host.zone.region):
+            return
+        arrives = self._events.now + self._network.way_ms(host.zone.number, stream.server.zone.number)
+        arrives = max(arrives, stream.to_server_at)
+        stream.to_server_at = arrives
+        self._events.at(arrives, self.servers.receive, stream, message)
+
+    def _end(self, stream: Stream) -> None:
+        host, server = stream.relay, stream.server
+        if self._network.is_cut(server.zone.region, host.zone.region):
+            return
+        way = self._network.way_ms(host.zone.number, server.zone.number)
+        arrives = max(self._events.now + way, stream.to_server_at)
+        self._events.at(arrives, self.servers.ended, stream, None)
+
+    # The other relays of its cell.
+
+    def _ask_peer(self, host: RelayHost, peer: RelayHost, request: AskConsent) -> None:
+        self.peer_messages += 1
+        if self._network.is_cut(host.zone.region, peer.zone.region):
+            return
+        arrives = self._events.now + self._network.way_ms(host.zone.number, peer.zone.number)
+        self._events.at(arrives, self._peer_asked, peer, (host, host.life, request))
+
+    def _peer_asked(self, peer: RelayHost, argument: tuple[RelayHost, int, AskConsent]) -> None:
+        host, life, request = argument
+        if not peer.relay:
+            return
+        if self._events.now < peer.frozen_until:
+            peer.held.append((self._peer_asked, peer, argument))
+            return
+        self.peer_messages += 1
+        consent = peer.relay.peer_asked(self._events.now, request)
+        arrives = self._events.now + self._network.way_ms(peer.zone.number, host.zone.number)
+        self._events.at(arrives, self._peer_answered, host, (life, consent))
+        self._step(peer)
+
+    def _peer_answered(self, host: RelayHost, argument: tuple[int, Consent]) -> None:
+        life, consent = argument
+        if not host.relay or host.life != life:
+            return
+        if self._events.now < host.frozen_until:
+            host.held.append((self._peer_answered, host, argument))
+            return
+        host.relay.peer_answered(consent)
+        self._step(host)
--- /dev/null
+++ b/otterrudder/lab/scale/servers.py
@@ -0,0 +1,288 @@
+"""Servers in simulated time: each participant's effects are carried out as its process would."""
+
+import math
+import random
+from collections import Counter
+from collections.abc import Mapping
+from time import thread_time_ns
+
+from otterrudder.fleet.cell.messages import RelayMessage
+from otterrudder.fleet.cell.participant import (
+    CheckText,
+    Connect,
+    Identity,
+    Participant,
+    ParticipantEffect,
+    SendToRelay,
+)
+from otterrudder.lab.scale.events import EventQueue
+from otterrudder.lab.scale.experiment import LoadPart
+from otterrudder.lab.scale.hosts import RelayHost, ServerHost, Stream
+from otterrudder.lab.scale.ledger import Ledger
+from otterrudder.lab.scale.network import Network, Sizes
+from otterrudder.lab.scale.relays import Relays
+from otterrudder.lab.scale.sampling import CpuSample
+
+SET_UP_WAYS = 3  # ways after the first packet has arrived: TCP's answer, TLS there and back
+
+
+class Servers:
+    """Handlers of what happens to servers."""
+
+    def __init__(
+        self,
+        fleet: str,
+        hosts: list[ServerHost],
+        relays: Relays,
+        events: EventQueue,
+        network: Network,
+        sizes: Sizes,
+        load: LoadPart,
+        ledger: Ledger,
+        chance: random.Random,
+        span_ms: float,
+        cpu: CpuSample,
+    ) -> None:
+        self.fleet, self.hosts, self.relays = fleet, hosts, relays
+        self.span_ms, self.cpu, self.load = span_ms, cpu, load
+        self.connects = 0
+        self.looks = 0
+        self.aside: Counter[str] = Counter()
+        self._events, self._network, self._sizes = events, network, sizes
+        self._ledger, self._chance = ledger, chance
+        self._by_address: Mapping[str, RelayHost] = relays.by_address
+
+    # Its life.
+
+    def start(self, host: ServerHost, _: object = None) -> None:
+        if host.participant:
+            return
+        host.life += 1
+        host.version, host.lease_until, host.wake_at = 0, -math.inf, math.inf
+        epoch = f"{host.name}.{host.life}"
+        identity = Identity(self.fleet, host.name, epoch, host.kind, host.zone.name)
+        host.participant = self.make(identity, host.relays)
+        self._step(host)
+
+    def make(self, identity: Identity, relays: tuple[str, ...]) -> Participant:
+        """A fresh participant."""
+        return Participant(self._events.now, identity, relays, self.span_ms)
+
+    def stop(self, host: ServerHost, is_silent: bool) -> None:
+        """The process ends: its machine closes the stream, or is gone as well."""
+        if not host.participant:
+            return
+        self._ledger.left(host.version, self._ledger.version, min(self._events.now, host.lease_until))
+        host.participant, host.wake_at = None, math.inf
+        host.held.clear()
+        stream, host.stream = host.stream, None
+        if stream and not is_silent:
+            self._tell_closed(stream)
+
+    def freeze(self, host: ServerHost, until: float) -> None:
+        host.frozen_until = until
+        self._events.at(until, self.thaw, host)
+
+    def thaw(self, host: ServerHost, _: object = None) -> None:
+        """An admission that waited is the first thing that a server sees, then its messages."""
+        self._look(host)
+        held, host.held = host.held, []
+        for handler, subject, argument in held:
+            handler(subject, argument)
+        if host.participant:
+            self._step(host)
+
+    # What happens to it.
+
+    def wake(self, host: ServerHost, at: float) -> None:
+        participant = host.participant
+        if host.wake_at != at or not participant:
+            return
+        now = self._events.now
+        if now < host.frozen_until:
+            host.wake_at = math.inf
+            return
+        host.wake_at = math.inf
+        if participant.due() > now:
+            self._schedule(host, participant)
+            return
+        self._step(host)
+
+    def receive(self, stream: Stream, message: RelayMessage) -> None:
+        host = stream.server
+        participant = host.participant
+        if not participant or host.life != stream.server_life:
+            return
+        now = self._events.now
+        if now < host.frozen_until:
+            host.held.append((self.receive, stream, message))
+            return
+        if self.cpu.is_due():
+            began = thread_time_ns()
+            participant.received(now, stream.connection, message)
+            due = participant.due()
+            self.cpu.add(began)
+        else:
+            participant.received(now, stream.connection, message)
+            due = participant.due()
+        if due <= now:
+            self._step(host)
+            return
+        self._note(host, participant)
+        if due < host.wake_at:
+            host.wake_at = due
+            self._events.at(due, self.wake, host, due)
+
+    def connected(self, stream: Stream, _: object) -> None:
+        host = stream.server
+        if not host.participant or host.life != stream.server_life:
+            return
+        if self._events.now < host.frozen_until:
+            host.held.append((self.connected, stream, None))
+            return
+        host.participant.connected(self._events.now, stream.connection)
+        self._step(host)
+
+    def ended(self, stream: Stream, _: object) -> None:
+        """The relay's end was closed, or nobody listens there."""
+        host = stream.server
+        if not host.participant or host.life != stream.server_life:
+            return
+        if self._events.now < host.frozen_until:
+            host.held.append((self.ended, stream, None))
+            return
+        if host.stream is stream:
+            host.stream = None
+        host.participant.disconnected(self._events.now, stream.connection)
+        self._step(host)
+
+    def checked(self, host: ServerHost, argument: tuple[int, str]) -> None:
+        life, digest = argument
+        if not host.participant or host.life != life:
+            return
+        if self._events.now < host.frozen_until:
+            host.held.append((self.checked, host, argument))
+            return
+        host.participant.checked(self._events.now, digest, "")
+        self._step(host)
+
+    # What it does.
+
+    def _step(self, host: ServerHost) -> None:
+        participant, now = host.participant, self._events.now
+        assert participant
+        if self.cpu.is_due():
+            began = thread_time_ns()
+            effects = participant.effects(now)
+            self.cpu.add(began)
+        else:
+            effects = participant.effects(now)
+        for effect in effects:
+            self._carry_out(host, effect)
+        self._note(host, participant)
+        self._schedule(host, participant)
+
+    def _schedule(self, host: ServerHost, participant: Participant) -> None:
+        due = participant.due()
+        if due < host.wake_at:
+            due = max(due, self._events.now)
+            host.wake_at = due
+            self._events.at(due, self.wake, host, due)
+
+    def _note(self, host: ServerHost, participant: Participant) -> None:
+        """What it goes by from now on."""
+        version = participant.known.version
+        if version != host.version:
+            until = min(self._events.now, host.lease_until)
+            self._ledger.left(host.version, version, until)
+            host.version = version
+        host.lease_until = participant.lease_until
+
+    def _carry_out(self, host: ServerHost, effect: ParticipantEffect) -> None:
+        if isinstance(effect, SendToRelay):
+            self._send(host, effect)
+        elif isinstance(effect, Connect):
+            self._connect(host, effect)
+        elif isinstance(effect, CheckText):
+            due = self._events.now + self._chance.uniform(*self.load.check_ms)
+            self._events.at(due, self.checked, host, (host.life, effect.digest))
+        else:
+            stream, host.stream = host.stream, None
+            if stream and stream.connection == effect.connection:
+                self._tell_closed(stream)
+
+    def _send(self, host: ServerHost, effect: SendToRelay) -> None:
+        stream = host.stream
+        if not stream or stream.connection != effect.connection:
+            return
+        relay = stream.relay
+        size = self._sizes.of(effect.message)
+        relay.received.messages += 1
+        relay.received.size += size
+        if self._network.is_cut(host.zone.region, relay.zone.region):
+            return
+        arrives = self._events.now + self._network.way_ms(host.zone.number, relay.zone.number)
+        arrives = max(arrives, stream.to_relay_at)
+        stream.to_relay_at = arrives
+        self._events.at(arrives, self.relays.receive, stream, effect.message)
+
+    def _connect(self, host: ServerHost, effect: Connect) -> None:
+        self.connects += 1
+        relay = self._by_address[effect.relay]
+        stream = Stream(host, host.life, effect.connection, relay)
+        host.stream = stream
+        if not self._network.is_cut(host.zone.region, relay.zone.region):
+            way = self._network.way_ms(host.zone.number, relay.zone.number)
+            self._events.at(self._events.now + way, self._arrives, stream, way)
+
+    def _arrives(self, stream: Stream, way: float) -> None:
+        """The first packet is at the relay's machine, which refuses where no process listens."""
+        relay = stream.relay
+        if not relay.is_machine_up:
+            return
+        if not relay.relay:
+            self._events.at(self._events.now + way, self.ended, stream, None)
+            return
+        self.relays.accept(stream)
+        stream.to_server_at = self._events.now + SET_UP_WAYS * way
+        self._events.at(stream.to_server_at, self.connected, stream, None)
+
+    def _tell_closed(self, stream: Stream) -> None:
+        host, relay = stream.server, stream.relay
+        if self._network.is_cut(host.zone.region, relay.zone.region):
+            return
+        way = self._network.way_ms(host.zone.number, relay.zone.number)
+        arrives = max(self._events.now + way, stream.to_relay_at)
+        self._events.at(arrives, self.relays.closed, stream, None)
+
+    # What it would answer.
+
+    def look_at_all(self) -> None:
+        """What each server that runs admits under now, for the ledger and the share that stands aside."""
+        for host in self.hosts:
+            if host.participant and self._events.now >= host.frozen_until:
+                self._look(host)
+
+    def _look(self, host: ServerHost) -> None:
+        participant, now = host.participant, self._events.now
+        if not participant:
+            return
+        self.looks += 1
+        version = participant.admits(now)
+        if version is None:
+            self.aside[participant.standing(now).name.lower()] += 1
+        elif version != self._ledger.version:
+            self._ledger.admits(now, host.name, version)
+
+    def close(self) -> None:
+        """The run is over: whoever still goes by an older version has left none yet."""
+        for host in self.hosts:
+            if host.participant and host.version < self._ledger.version:
+                until = host.lease_until if host.lease_until < self._events.now else math.inf
+                self._left_behind(host, until)
+
+    def _left_behind(self, host: ServerHost, until: float) -> None:
+        """`until`: inf where it still admits."""
+        ends = self._ledger.admitted_until
+        for later in range(host.version + 1, self._ledger.version + 1):
+            ends[later] = max(ends[later], until)
