Fleet: a member reads an open change's text with the read that is due, and votes before it tells

Cause: between a commit and the next change a relay far from the store made a read without the text, a read with it, and often wrote what it tells operators, 250 ms each, before its vote, for which all wait. Change: a registered member that owes a vote names the text in its next read, and tells once it has voted.

--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -192,7 +192,8 @@
         if Lane.STORE not in self._busy and not self.registered and self._may_register():
             times.append(max(self.holds_back_until, self._retry_at))
         if Lane.STORE not in self._busy and self.registered:
-            times.append(max(self._tell_at, self._retry_at))
+            if self._may_tell():
+                times.append(max(self._tell_at, self._retry_at))
             if self._is_abstaining:
                 times.append(max(self.abstains_until, self._retry_at))
         return min(times, default=math.inf)
@@ -269,12 +270,14 @@
             return vote
         if self._stale:  # a text is wanted
             return self._read(now)
-        if now >= self._tell_at:
+        if now >= self._tell_at and self._may_tell():
             return self._tell(now)
         return None
 
     def _read(self, now: float) -> Read:
         self._stale, self._read_at = False, now
+        if not self._texts.needed:
+            self._texts = self._texts.with_needed(self._text_to_vote_on())
         names = [
             self.keys.head,
             self.keys.roster(self.name),
@@ -285,6 +288,22 @@
             names.append(self.keys.text(self._texts.needed))
         return Read(tuple(names))
 
+    def _text_to_vote_on(self) -> str:
+        """The digest of the open change's text, where it is not here: a read that is due anyway brings it."""
+        opened = self.seen.open if self.seen and self._owes_vote() else None
+        if not opened or opened.digest == self._texts.judged or self._texts.text(opened.digest) is not None:
+            return ""
+        return opened.digest
+
+    def _owes_vote(self) -> bool:
+        """Whether it is registered and has not voted on the open change, as last seen."""
+        seen = self.seen
+        return self.registered > 0 and seen is not None and seen.open is not None and seen.voted is None
+
+    def _may_tell(self) -> bool:
+        """What it tells is for operators: a vote, for which all others wait, goes first."""
+        return not self._owes_vote()
+
     def _next_read(self) -> float:
         """When it reads without a hint."""
         if self.pledge:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -530,6 +530,38 @@
         propose(Fleet("a").view, "x", "text", "", "", 0.0, 5000.0, 1000.0, (("busy", 0.5),))
 
 
+def begun_and_saved(fleet: Fleet, member: Member) -> list[object]:
+    """What the member wants now, beside the disk, which is quick."""
+    begun = member.effects(fleet.now)
+    for effect in begun:
+        if isinstance(effect, Save):
+            member.completed(fleet.now, effect, fleet.now, True)
+    return [effect for effect in begun if not isinstance(effect, Save)]
+
+
+def test_a_read_that_is_due_anyway_brings_the_text_and_a_vote_goes_before_what_is_told() -> None:
+    fleet = Fleet("a")
+    fleet.turn()
+    fleet.open("one", "first")
+    fleet.turn()
+    fleet.do(settle(fleet.view, False))
+    member = fleet.members["a"]
+    (read,) = begun_and_saved(fleet, member)
+    assert isinstance(read, Read)
+    fleet.open("two", "second")  # while that read is under way, which is to see it
+    member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
+    (read,) = begun_and_saved(fleet, member)
+    assert isinstance(read, Read) and KEYS.text(digest_of("second")) in read.names
+    fleet.now += 5000.0  # what it has to tell is long due
+    member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
+    begun = begun_and_saved(fleet, member)
+    assert not [effect for effect in begun if isinstance(effect, Commit)], "the vote was to be first"
+    (judge,) = (effect for effect in begun if isinstance(effect, Judge))
+    member.completed(fleet.now, judge, fleet.now, "")
+    fleet.turn()
+    assert fleet.view.votes["a"].yes
+
+
 def test_a_settler_takes_the_duty_once_and_commits_what_it_counted() -> None:
     fleet = Fleet("ab")
     fleet.turn()
