--- a/otterrudder/lab/fleet/simulation.py
+++ b/otterrudder/lab/fleet/simulation.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from otterrudder.fleet.change import Settler, propose
@@ -18,8 +18,8 @@
 from otterrudder.fleet.member import Member
 from otterrudder.fleet.records import Keys, Live, PolicyHead, View, decode
 from otterrudder.fleet.state import Record, Rules
-from otterrudder.fleet.store import Done, Put, Snapshot
-from otterrudder.lab.keyspace import KeySpace
+from otterrudder.fleet.store import Done, Put
+from otterrudder.lab.indexed import IndexedKeySpace
 
 KEYS = Keys("f")
 LATENCY_MS = (1.0, 12.0)  # of a request and its answer, together
@@ -37,27 +37,6 @@
 KINDS = ("kill", "kill", "freeze", "freeze", "cut", "cut", "store", "proposer", "zone")
 
 
-class Indexed(KeySpace):
-    """Finds keys by their folder, for fleets of a thousand."""
-
-    def __init__(self) -> None:
-        super().__init__(keeps_history=False)
-        self.folders: dict[str, set[str]] = {}
-
-    def read(self, names: Sequence[str]) -> Snapshot:
-        plain = (name for name in names if name in self.keys)
-        under = (key for name in names if name.endswith("/") for key in self.folders.get(name, ()))
-        return Snapshot(self.cluster, self.revision, {key: self.keys[key] for key in (*plain, *under)})
-
-    def _put(self, write: Put) -> None:
-        super()._put(write)
-        self.folders.setdefault(write.key[: write.key.rindex("/") + 1], set()).add(write.key)
-
-    def _delete(self, key: str) -> None:
-        super()._delete(key)
-        self.folders[key[: key.rindex("/") + 1]].discard(key)
-
-
 @dataclass(slots=True)
 class Host:
     name: str
@@ -93,7 +72,7 @@
     def __init__(self, servers: int, seed: int, rules: Rules, faults: int) -> None:
         self.chance = random.Random(f"hours/{seed}/{servers}")
         self.rules, self.faults = rules, faults
-        self.store, self.now = Indexed(), 0.0
+        self.store, self.now = IndexedKeySpace(), 0.0
         self.hosts = [Host(f"n{n:04}", f"folder {n}") for n in range(servers)]
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
--- a/otterrudder/lab/indexed.py
+++ b/otterrudder/lab/indexed.py
@@ -13,7 +13,7 @@
 
     def __init__(self) -> None:
         super().__init__(keeps_history=False)
-        self._folders: dict[str, set[str]] = {}
+        self._folders: dict[str, dict[str, None]] = {}  # in the order of writing, which a set has not
         self._hung: dict[int, set[str]] = {}
         self._ends: list[tuple[float, int]] = []  # one for each lease, never later than its end
 
@@ -54,14 +54,14 @@
     def _put(self, write: Put) -> None:
         self._unhang(write.key)
         super()._put(write)
-        self._folders.setdefault(_folder_of(write.key), set()).add(write.key)
+        self._folders.setdefault(_folder_of(write.key), {})[write.key] = None
         if write.lease:
             self._hung.setdefault(write.lease, set()).add(write.key)
 
     def _delete(self, key: str) -> None:
         self._unhang(key)
         super()._delete(key)
-        self._folders[_folder_of(key)].discard(key)
+        del self._folders[_folder_of(key)][key]
 
     def _unhang(self, key: str) -> None:
         before = self.keys.get(key)
