--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -16,11 +16,14 @@
     from otterrudder.lab.plan import Run, read_experiment
     from otterrudder.lab.report import figures_table, table, write
     from otterrudder.lab.runner import perform
+    from otterrudder.lab.scale.experiment import is_scale, read_scale
+    from otterrudder.lab.scale.play import settings_of
     from otterrudder.lab.site import BadInput
 except ModuleNotFoundError as missing:
     give_up(f"the lab needs {missing.name}: pip install 'otterrudder[lab]', or -r requirements-lab.txt")
 
 EXPERIMENTS = Path("experiments")  # where a checkout keeps them
+SCALE_PARTS = ["simulated", "processes"]  # of `lab scale`
 SHOWN = ["value", "worst_10s", "moves_per_min", "stay_breaks", "level_mean"]
 
 
@@ -188,6 +191,42 @@
     sys.exit(0 if outcome.holds else 1)
 
 
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--part", type=click.Choice(SCALE_PARTS), help="This part alone; else all that are installed.")
+@click.option("--quick", is_flag=True, help="The file's quick form: under a minute.")
+@click.option("--seed", type=int, help="This seed instead of the file's.")
+@click.option("--servers", type=click.IntRange(2), help="So many instead of the file's sizes.")
+@click.option("--case", "names", multiple=True, help="This case alone; may be given again.")
+@click.option("--minutes", type=click.FloatRange(min=0.1), help="Of load, instead of the file's.")
+@click.option("--json", "is_json", is_flag=True, help="JSON in place of the table.")
+@click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
+def scale(
+    file: Path,
+    part: str | None,
+    quick: bool,
+    seed: int | None,
+    servers: int | None,
+    names: tuple[str, ...],
+    minutes: float | None,
+    is_json: bool,
+    folder: Path | None,
+) -> None:
+    """Play an experiment FILE of agreement by cells at thousands of servers; exits with 1 if a law does not
+    hold."""
+    from otterrudder.lab.scale import command
+
+    choice = command.Choice(quick, seed, servers, names, minutes, is_json, folder)
+    parts = [part] if part else command.installed()
+    try:
+        broken = [line for name in parts for line in command.perform(name, file, choice, click.echo)]
+    except BadInput as trouble:
+        give_up(trouble)
+    for line in broken:
+        click.echo(f"does not hold: {line}", err=True)
+    sys.exit(1 if broken else 0)
+
+
 @lab.command("list")
 @click.argument("folder", type=click.Path(path_type=Path), default=EXPERIMENTS)
 def list_them(folder: Path) -> None:
@@ -198,7 +237,9 @@
     for file in files:
         try:
             told = load_toml(file, BadInput)
-            if "site" not in told and "servers" in told:  # of processes: `lab processes` reads it
+            if is_scale(told):
+                runs, title = len(settings_of(read_scale(file))), str(told.get("title", ""))
+            elif "site" not in told and "servers" in told:  # of processes: `lab processes` reads it
                 seeds, variants = told.get("seeds", ()), told.get("variant", ())
                 runs, title = len(seeds) * len(variants), f"{told.get('title', '')}, on processes"
             else:
--- a/otterrudder/lab/scale/experiment.py
+++ b/otterrudder/lab/scale/experiment.py
@@ -122,6 +122,8 @@
     minutes: Positive | None = None
     changes_per_s: NotNegative | None = None
     has_churn: bool = True
+    standbys_start_s: NotNegative = 0.0  # after the first relays of the cells, which then lead
+    look_ms: Positive = 1000.0  # between looks at what every server admits under
     faults: tuple[FaultPart, ...] = ()
     is_quick: bool = False
 
--- a/otterrudder/lab/scale/play.py
+++ b/otterrudder/lab/scale/play.py
@@ -1,6 +1,7 @@
 """Runs of an experiment's cases, and the figures of each: plain numbers, all simulated."""
 
 import gc
+import itertools
 import statistics
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -56,20 +57,29 @@
 
 
 def settings_of(
-    experiment: Experiment, seeds: tuple[int, ...], servers: int | None, is_quick: bool
+    experiment: Experiment,
+    *,
+    is_quick: bool = False,
+    seed: int | None = None,
+    servers: int | None = None,
+    names: tuple[str, ...] = (),
+    minutes: float | None = None,
 ) -> list[Setting]:
     """Every run that is to be made."""
     found = []
     for case in experiment.case:
-        if is_quick and not case.is_quick:
+        if is_quick and not case.is_quick or names and case.name not in names:
             continue
         sizes = experiment.quick_servers if is_quick else case.sizes
-        minutes = experiment.quick_minutes if is_quick else case.minutes or experiment.minutes
-        for size in (servers,) if servers else sizes:
-            for regions in case.regions or (None,):
-                for absent in case.absent:
-                    for seed in seeds if is_quick else case.seeds or seeds:
-                        found.append(Setting(case, size, regions, absent, seed, minutes))
+        span = experiment.quick_minutes if is_quick else case.minutes or experiment.minutes
+        seeds = experiment.seeds[:1] if is_quick else case.seeds or experiment.seeds
+        drawn = itertools.product(
+            (servers,) if servers else sizes,
+            case.regions or (None,),
+            case.absent,
+            seeds if seed is None else (seed,),
+        )
+        found += [Setting(case, *one, minutes or span) for one in drawn]
     return found
 
 
@@ -115,6 +125,7 @@
         **_wire_figures(simulation, calm, begin, end),
         **_standing_figures(simulation),
         **_cpu_figures(simulation),
+        "cells": float(len(simulation.topology.zones)),
         "breaches": float(simulation.ledger.breaches),
         "oldest_ms": simulation.ledger.oldest_ms,
         "events": float(simulation.events.played),
@@ -194,6 +205,8 @@
         "relay_messages_per_s": max(traffic.messages for traffic in busiest.values()) / whole_s,
         "relay_bytes_per_s": max(traffic.size for traffic in busiest.values()) / whole_s,
         "connects": float(connects),
+        "messages": float(messages),
+        "bytes": float(size),
         "peer_messages": float(simulation.relays.peer_messages),
     }
 
@@ -210,7 +223,14 @@
     servers = simulation.servers
     looks = max(servers.looks, 1)
     figures = {f"aside_{cause}": count / looks for cause, count in sorted(servers.aside.items())}
-    return {"aside": servers.aside.total() / looks, **figures}
+    scripted = simulation.setting.case.faults
+    first_s = scripted[0].at_s if scripted else 0.0
+    aside_s = servers.aside_at / 1000.0 - first_s
+    return {
+        "aside": servers.aside.total() / looks,
+        "aside_until_s": max(aside_s, 0.0) if scripted else 0.0,  # from the first scripted fault on
+        **figures,
+    }
 
 
 def _cpu_figures(simulation: Simulation) -> dict[str, float]:
--- /dev/null
+++ b/otterrudder/lab/scale/report.py
@@ -0,0 +1,139 @@
+"""What is shown and kept of the runs: a table, JSON, and charts by number of servers."""
+
+import csv
+import json
+from collections import defaultdict
+from pathlib import Path
+
+import matplotlib
+
+from otterrudder import __version__
+from otterrudder.lab.scale.experiment import Experiment
+from otterrudder.lab.scale.play import Run
+
+matplotlib.use("svg")
+matplotlib.rcParams["svg.hashsalt"] = "otterrudder"
+import matplotlib.pyplot as plt  # noqa: E402
+
+# What the table shows: a figure, its heading, and how it is written.
+SHOWN = (
+    ("committed", "in force", "{:.0f}"),
+    ("never_opened", "no turn", "{:.0f}"),
+    ("in_4_s", "in 4 s", "{:.1%}"),
+    ("took_p50_ms", "median, ms", "{:.0f}"),
+    ("took_p99_ms", "99%, ms", "{:.0f}"),
+    ("took_max_ms", "most, ms", "{:.0f}"),
+    ("reads_a_change", "reads", "{:.0f}"),
+    ("writes_a_change", "writes", "{:.0f}"),
+    ("watch_events_a_change", "watch events", "{:.0f}"),
+    ("server_messages_per_s", "messages/s a server", "{:.2f}"),
+    ("server_bytes_per_s", "bytes/s a server", "{:.0f}"),
+    ("relay_messages_per_s", "messages/s a relay", "{:.0f}"),
+    ("aside", "aside", "{:.3%}"),
+    ("oldest_ms", "oldest, ms", "{:.0f}"),
+    ("breaches", "breaches", "{:.0f}"),
+    ("server_cpu_us_per_s", "us/s a server", "{:.0f}"),
+    ("relay_cpu_ms_per_s", "ms/s a relay", "{:.1f}"),
+    ("cpu_s", "played in, s of CPU", "{:.0f}"),
+)
+# Charts by number of servers: the file's ending, its title, and the figures on it.
+CHARTS = (
+    ("times", "From asking until in force everywhere, ms", ("took_p50_ms", "took_p99_ms", "took_max_ms")),
+    ("store", "Requests to the store a change", ("reads_a_change", "writes_a_change")),
+    ("messages", "Messages a second and server", ("server_messages_per_s", "server_messages_calm_per_s")),
+)
+
+
+def table(runs: list[Run]) -> list[str]:
+    """Lines of a table in Markdown."""
+    heads = ["case", "rule", "cells", "servers", "seed", *(heading for _, heading, _ in SHOWN)]
+    lines = [f"| {' | '.join(heads)} |", f"| --- | --- |{' ---: |' * (len(heads) - 2)}"]
+    for run in runs:
+        setting = run.setting
+        named = [setting.case.name, setting.absent, f"{run.figures['cells']:.0f}"]
+        cells = [*named, str(setting.servers), str(setting.seed)]
+        cells += [form.format(run.figures[name]) for name, _, form in SHOWN]
+        lines.append(f"| {' | '.join(cells)} |")
+    return lines
+
+
+def as_json(experiment: Experiment, runs: list[Run]) -> str:
+    return json.dumps(
+        {
+            "experiment": experiment.name,
+            "title": experiment.title,
+            "simulated": True,
+            "otterrudder": __version__,
+            "runs": [_run_as_json(run) for run in runs],
+        },
+        indent=1,
+    )
+
+
+def _run_as_json(run: Run) -> dict[str, object]:
+    setting = run.setting
+    return {
+        "case": setting.case.name,
+        "absent": setting.absent,
+        "servers": setting.servers,
+        "regions": setting.regions,
+        "seed": setting.seed,
+        "minutes": setting.minutes,
+        "told": list(run.told),
+        "figures": {name: _finite(value) for name, value in run.figures.items()},
+    }
+
+
+def _finite(value: float) -> float | None:
+    """JSON has no word for what is no number."""
+    return round(value, 4) if abs(value) < float("inf") else None
+
+
+def write(experiment: Experiment, runs: list[Run], folder: Path) -> list[Path]:
+    """Everything into `folder`; the files written."""
+    folder.mkdir(parents=True, exist_ok=True)
+    written = [folder / "results.json", folder / "figures.csv"]
+    written[0].write_text(as_json(experiment, runs) + "\n")
+    _write_csv(runs, written[1])
+    for ending, title, names in CHARTS:
+        path = folder / f"{experiment.name}-{ending}.svg"
+        if _chart(runs, title, names, path):
+            written.append(path)
+    return written
+
+
+def _write_csv(runs: list[Run], path: Path) -> None:
+    names = sorted({name for run in runs for name in run.figures})
+    with path.open("w", newline="") as file:
+        rows = csv.writer(file, lineterminator="\n")
+        rows.writerow(["case", "absent", "servers", "regions", "seed", "minutes", *names])
+        for run in runs:
+            setting = run.setting
+            about = [setting.case.name, setting.absent, setting.servers, setting.regions or ""]
+            values = [run.figures.get(name, "") for name in names]
+            rows.writerow([*about, setting.seed, setting.minutes, *values])
+
+
+def _chart(runs: list[Run], title: str, names: tuple[str, ...], path: Path) -> bool:
+    """The mean of all seeds of the first case that was played at several sizes; False: there is none."""
+    by_size: dict[int, list[Run]] = defaultdict(list)
+    for run in runs:
+        if run.setting.case.name == runs[0].setting.case.name and run.setting.absent == "wait":
+            by_size[run.setting.servers].append(run)
+    if len(by_size) < 2:
+        return False
+    figure, axes = plt.subplots(figsize=(6.0, 3.2))
+    sizes = sorted(by_size)
+    for name in names:
+        means = [sum(run.figures[name] for run in by_size[size]) / len(by_size[size]) for size in sizes]
+        axes.plot(sizes, means, marker="o", label=name.replace("_", " "))
+    axes.set_xscale("log", base=2)
+    axes.set_xticks(sizes, [str(size) for size in sizes])
+    axes.set_ylim(bottom=0)
+    axes.set_xlabel("servers")
+    axes.set_title(f"{title} (simulated)", fontsize=9)
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+    plt.close(figure)
+    return True
--- a/otterrudder/lab/scale/servers.py
+++ b/otterrudder/lab/scale/servers.py
@@ -47,6 +47,7 @@
         self.span_ms, self.cpu, self.load = span_ms, cpu, load
         self.connects = 0
         self.looks = 0
+        self.aside_at = -math.inf  # when a server that runs was last seen to stand aside
         self.aside: Counter[str] = Counter()
         self._events, self._network, self._sizes = events, network, sizes
         self._ledger, self._chance = ledger, chance
@@ -271,6 +272,7 @@
         version = participant.admits(now)
         if version is None:
             self.aside[participant.standing(now).name.lower()] += 1
+            self.aside_at = now
         elif version != self._ledger.version:
             self._ledger.admits(now, host.name, version)
 
--- /dev/null
+++ b/otterrudder/lab/scale/simulated.py
@@ -0,0 +1,39 @@
+"""The part of `lab scale` in simulated time."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from otterrudder.lab.scale.command import Choice
+from otterrudder.lab.scale.experiment import read_scale
+from otterrudder.lab.scale.play import play, settings_of
+from otterrudder.lab.scale.report import as_json, table, write
+from otterrudder.lab.scale.verdicts import broken
+from otterrudder.lab.site import BadInput
+
+
+def perform(file: Path, choice: Choice, say: Callable[[str], None]) -> list[str]:
+    """Plays the chosen runs, shows and writes them; what does not hold. Raises BadInput."""
+    experiment = read_scale(file)
+    settings = settings_of(
+        experiment,
+        is_quick=choice.is_quick,
+        seed=choice.seed,
+        servers=choice.servers,
+        names=choice.names,
+        minutes=choice.minutes,
+    )
+    if not settings:
+        raise BadInput(
+            f"{file.name}: .case: none of these is to be played: {', '.join(choice.names) or 'none'}"
+        )
+    runs = []
+    for setting in settings:
+        runs.append(play(experiment, setting))
+        if not choice.is_json:
+            say(f"{len(runs)}/{len(settings)} {setting.label} (simulated)")
+    written = write(experiment, runs, choice.folder or Path("out") / experiment.name)
+    for line in [as_json(experiment, runs)] if choice.is_json else table(runs):
+        say(line)
+    if not choice.is_json:
+        say(f"wrote {', '.join(map(str, written))}")
+    return broken(runs)
--- a/otterrudder/lab/scale/simulation.py
+++ b/otterrudder/lab/scale/simulation.py
@@ -21,7 +21,6 @@
 from otterrudder.lab.scale.topology import Topology, Zone
 
 FLEET = "f"
-LOOK_MS = 1000.0  # between looks at what every server admits under
 LAPSE_MS = 50.0  # between looks of the store for leases that have ended
 CALM_MS = 15_000.0  # before the load, in which the standing cost is counted
 LAST_ASK_MS = 15_000.0  # before the end, from which on no change is asked for
@@ -144,7 +143,7 @@
         """To the end; figures are read off the parts."""
         self._start_all()
         self._load()
-        self.events.at(LOOK_MS, self._look, None)
+        self.events.at(self.setting.case.look_ms, self._look, None)
         self.events.at(LAPSE_MS, self._lapse, None)
         self.events.run(self.end_ms)
         self.servers.look_at_all()
@@ -152,8 +151,11 @@
         self.ledger.close()
 
     def _start_all(self) -> None:
-        for relay in self.relays.hosts:
-            self.events.at(self.chance.uniform(0.0, RELAYS_START_MS), self.relays.start, relay)
+        for number, relay in enumerate(self.relays.hosts):
+            at = self.chance.uniform(0.0, RELAYS_START_MS)
+            if number % 2:
+                at += self.setting.case.standbys_start_s * 1000.0
+            self.events.at(at, self.relays.start, relay)
         down = set(map(id, self.churn.down_at_first())) if self.setting.case.has_churn else set()
         for server in self.servers.hosts:
             at = self.chance.uniform(RELAYS_START_MS, SERVERS_START_MS)
@@ -171,7 +173,7 @@
 
     def _look(self, _: object, __: object) -> None:
         self.servers.look_at_all()
-        self.events.at(self.events.now + LOOK_MS, self._look, None)
+        self.events.at(self.events.now + self.setting.case.look_ms, self._look, None)
 
     def _lapse(self, _: object, __: object) -> None:
         self.store.lapse(self.events.now)
--- /dev/null
+++ b/tests/lab/test_scale.py
@@ -0,0 +1,194 @@
+"""Agreement by cells at scale, in simulated time: laws by number of servers, the ledger, and the file."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from helpers import ROOT
+
+from otterrudder.cli.lab import lab
+from otterrudder.fleet.cell.messages import Grant
+from otterrudder.fleet.cell.participant import Identity, Participant
+from otterrudder.fleet.cell.relay import CellIdentity, Relay
+from otterrudder.fleet.effects import Commit, Lease, Read
+from otterrudder.fleet.store import Compare, Delete, Put
+from otterrudder.lab.indexed import IndexedKeySpace
+from otterrudder.lab.keyspace import KeySpace
+from otterrudder.lab.scale.experiment import Experiment, FaultPart, read_scale
+from otterrudder.lab.scale.play import Run, play, settings_of
+from otterrudder.lab.scale.relays import Relays
+from otterrudder.lab.scale.servers import Servers
+from otterrudder.lab.scale.simulation import Setting, Simulation
+from otterrudder.lab.scale.verdicts import broken
+from otterrudder.lab.site import BadInput
+
+FILE = ROOT / "experiments/capacity.toml"
+NO_TIMES = ("cpu", "_cpu_")  # what a machine's clock goes into
+
+
+@pytest.fixture(scope="module")
+def experiment() -> Experiment:
+    return read_scale(FILE)
+
+
+def short(
+    experiment: Experiment, servers: int, faults: tuple[FaultPart, ...] = (), **more: object
+) -> Setting:
+    """A short run of the first three regions."""
+    case = msgspec.structs.replace(experiment.case[0], faults=faults, **more)
+    return Setting(case, servers, 3, "wait", 1, 0.4)
+
+
+def counts(run: Run) -> dict[str, float]:
+    """The figures without those of the machine's clock."""
+    return {name: value for name, value in run.figures.items() if not any(one in name for one in NO_TIMES)}
+
+
+def test_requests_a_change_and_messages_a_server_do_not_grow_with_the_servers(experiment: Experiment) -> None:
+    runs = [play(experiment, short(experiment, servers)) for servers in (45, 180)]
+    assert broken(runs) == []
+    for run in runs:
+        assert run.figures["committed"] > 5 and run.figures["never_opened"] == 0
+
+
+def test_the_same_seed_gives_the_same_run(experiment: Experiment) -> None:
+    first, again = (counts(play(experiment, short(experiment, 30))) for _ in range(2))
+    assert first == again
+
+
+class IgnoresTheLeaseEnd(Participant):
+    """Goes on admitting when its lease has ended."""
+
+    __slots__ = ()
+
+    def admits(self, now: float) -> int | None:
+        return self.known.version if self.heard else None
+
+
+class GrantsPastAuthority(Relay):
+    """Takes its authority for longer than it is."""
+
+    __slots__ = ()
+
+    def authority_until(self, now: float) -> float:
+        return super().authority_until(now) + 20_000.0
+
+
+class FaultyServers(Servers):
+    def make(self, identity: Identity, relays: tuple[str, ...]) -> Participant:
+        return IgnoresTheLeaseEnd(self._events.now, identity, relays, self.span_ms)
+
+
+class FaultyRelays(Relays):
+    def make(self, identity: CellIdentity, epoch: str) -> Relay:
+        return GrantsPastAuthority(self._events.now, identity, epoch, self.rules)
+
+
+class WithFaultyServers(Simulation):
+    servers_type = FaultyServers
+
+
+class WithFaultyRelays(Simulation):
+    relays_type = FaultyRelays
+
+
+@pytest.mark.parametrize("make", [WithFaultyServers, WithFaultyRelays])
+def test_the_ledger_sees_a_fault_that_was_put_in(
+    experiment: Experiment, make: Callable[[Experiment, Setting], Simulation]
+) -> None:
+    """A region that is cut off under the rule `leave-out` stands aside, as nothing else makes it."""
+    cut = (FaultPart(kind="region-cut", at_s=31.0, region="us-central"),)
+    whole = short(experiment, 30, cut)
+    setting = Setting(whole.case, 30, 3, "leave-out", 1, 0.5)
+    sound = play(experiment, setting)
+    assert sound.figures["breaches"] == 0 and sound.figures["committed"] > 3
+    assert sound.figures["aside_lapsed"] > 0.1
+    assert play(experiment, setting, make).figures["breaches"] > 0
+
+
+def changed(tmp_path: Path, old: str, new: str) -> Path:
+    text = FILE.read_text()
+    assert old in text
+    path = tmp_path / "mine.toml"
+    path.write_text(text.replace(old, new, 1))
+    return path
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("bound_ms = 3000.0", "bound_ms = -1.0", r"mine.toml: .rules.bound_ms: "),
+        ("bound_ms = 3000.0", "bound_mss = 1.0", r"mine.toml: .rules: .*bound_mss"),
+        ("[0, 15, 38", "[0, 16, 38", r"mine.toml: .topology.latency_ms: us-central and us-east"),
+        ("zones = [3, 3,", "zones = [3,", r"mine.toml: .topology.zones: 9 numbers for 10 regions"),
+        (
+            'regions = ["us-east", "us-central", "eu-west"]',
+            'regions = ["mars"]',
+            r"mine.toml: .store.regions: 'mars'",
+        ),
+        ("server_lease_ms = 3000.0", "server_lease_ms = 4000.0", r"mine.toml: .rules.server_lease_ms: "),
+        ("version = 1", "version = 9", r"mine.toml: .version: "),
+        ('title = "', "title = ", r"mine.toml: not TOML"),
+    ],
+)
+def test_a_mistake_in_the_file_is_named_with_its_key(tmp_path: Path, old: str, new: str, says: str) -> None:
+    with pytest.raises(BadInput, match=says):
+        read_scale(changed(tmp_path, old, new))
+
+
+def test_the_command_plays_a_case_and_leaves_its_results(tmp_path: Path) -> None:
+    command = [
+        "scale",
+        str(FILE),
+        "--part",
+        "simulated",
+        "--servers",
+        "27",
+        "--case",
+        "ordinary",
+        "--seed",
+        "1",
+    ]
+    done = CliRunner().invoke(lab, [*command, "--minutes", "0.3", "--json", "--out", str(tmp_path)])
+    assert done.exit_code == 0, done.output
+    told = json.loads(done.output)
+    assert told["simulated"] and told["runs"][0]["figures"]["breaches"] == 0
+    assert json.loads((tmp_path / "results.json").read_text()) == told
+    done = CliRunner().invoke(lab, ["scale", str(tmp_path / "none.toml"), "--part", "simulated"])
+    assert done.exit_code != 0 and "none.toml" in done.output
+    done = CliRunner().invoke(lab, ["list", str(FILE.parent)])
+    assert done.exit_code == 0 and "capacity.toml" in done.output
+
+
+def test_the_quick_form_plays_every_case_that_is_marked(experiment: Experiment) -> None:
+    quick = settings_of(experiment, is_quick=True)
+    assert {setting.servers for setting in quick} == set(experiment.quick_servers)
+    assert all(setting.case.is_quick for setting in quick)
+
+
+def test_an_indexed_key_space_answers_as_the_plain_one() -> None:
+    plain, indexed = KeySpace(), IndexedKeySpace()
+    requests = [
+        Lease(1000.0),
+        Commit("a", (Compare("f/a/x", "created", 0),), (Put("f/a/x", b"1", 1), Put("f/b/y", b"2"))),
+        Commit("b", (Compare("f/a/x", "created", 0),), (Put("f/a/x", b"3"),)),
+        Read(("f/a/", "f/b/y", "f/none")),
+        Commit("c", (), (Put("f/b/z", b"4", 1), Put("f/a/x", b"5"))),
+        Read(("f/a/", "f/b/")),
+        Read(("f/a/", "f/b/")),
+        Commit("d", (), (Delete("f/b/", whole_prefix=True),)),
+        Read(("f/a/", "f/b/")),
+    ]
+    for number, request in enumerate(requests):
+        now = number * 180.0  # the lease ends before the seventh request
+        assert plain.answer(now, request) == indexed.answer(now, request), f"request {number}"
+
+
+def test_grants_are_counted_as_they_go_over_the_wire(experiment: Experiment) -> None:
+    simulation = Simulation(experiment, short(experiment, 9))
+    simulation.play()
+    assert simulation.sizes.counts[Grant] > 9 * 30
+    assert simulation.ledger.granted_until[simulation.ledger.version] > simulation.events.now
