--- a/otterrudder/lab/processes/cell_double.py
+++ b/otterrudder/lab/processes/cell_double.py
@@ -8,14 +8,17 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
+from otterrudder import log
 from otterrudder.fleet.cell import agent, service
 from otterrudder.fleet.cell.consent import CONSENT_MS, Promise
 from otterrudder.fleet.cell.kinds import Candidate, Poll
 from otterrudder.fleet.cell.messages import AskConsent, Consent
 from otterrudder.fleet.cell.participant import Participant, ParticipantEffect
 from otterrudder.fleet.cell.relay import Relay, Session
+from otterrudder.fleet.configuration import read_fleet
 from otterrudder.fleet.state import Standing
 from otterrudder.lab.processes.double import serve_as_told
+from otterrudder.net import relay
 
 
 class IgnoresLeaseEnd(Participant):
@@ -97,9 +100,11 @@
 
 
 def _run_relay(file: Path) -> None:
-    from otterrudder.cli import main
-
-    main(["fleet", "relay", "--fleet", str(file)], prog_name="otterrudder")
+    fleet = read_fleet(file)
+    if not fleet.relay:
+        raise ValueError(f"{file}: relay: the file has no such table")
+    log.set_up(relay.control_name(fleet.relay))
+    relay.run(fleet, fleet.relay)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/otterrudder/net/relay.py
@@ -0,0 +1,45 @@
+"""The relay's process: its service on the wire, its control socket, and its end at a signal."""
+
+import signal
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+
+from otterrudder.fleet.agent import open_folder
+from otterrudder.fleet.cell.configuration import RelayRole
+from otterrudder.fleet.cell.service import RelayService, check_descriptors
+from otterrudder.fleet.client import Client
+from otterrudder.fleet.configuration import Fleet
+from otterrudder.log import log
+from otterrudder.net import control
+
+
+def control_name(role: RelayRole) -> str:
+    """The name of a relay's control socket."""
+    return f"relay-{role.address}"
+
+
+def run(fleet: Fleet, role: RelayRole) -> None:
+    """Serves until SIGTERM or SIGINT. Raises OSError if the address is taken, TooFewDescriptors, and Busy
+    if the folder is another process's."""
+    anyio.run(_serve, fleet, role)
+
+
+async def _serve(fleet: Fleet, role: RelayRole) -> None:
+    check_descriptors(role.sessions_most)
+    store = Client(fleet)
+    folder, record = open_folder(fleet, role.cell)
+    service = RelayService(fleet, role, store, folder, record)
+    service.listen()
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_stop_at_signal, signals, service.stop)
+            group.start_soon(control.Control(control_name(role), {"relay": service.shown}).run)
+            await service.run()
+            group.cancel_scope.cancel()
+
+
+async def _stop_at_signal(signals: AsyncIterator[signal.Signals], stop: Callable[[], None]) -> None:
+    async for number in signals:
+        log.info("told to stop", by=number.name)
+        stop()
