--- a/otterrudder/fleet/cell/service.py
+++ b/otterrudder/fleet/cell/service.py
@@ -42,6 +42,7 @@
 DESCRIPTORS_SPARE = 64  # beyond one a stream: the store, the other relays, logs
 FAILED_MS = 200.0  # ms until what failed is tried again: it must not spin
 NAP_MS = 1000.0  # ms of sleep at the most where nothing is due
+CLOSE_S = 0.2  # s that connections have to close by themselves
 FLUSH_MS = 500.0  # ms that servers have at the end to read where to go
 
 
@@ -88,6 +89,7 @@
         self._wake = anyio.Event()
         self._is_stopping = False
         self._led = False
+        self._received = 0  # messages of servers
         self._failures: Counter[str] = Counter()  # streams that this side ended, by status
 
     def listen(self) -> None:
@@ -110,7 +112,7 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after((LEAVE_MS + FLUSH_MS) / 1000):
                 await self.executor.leave(self.relay.member.lease)
                 await self.peers.close()
-                await self._server.stop(None)
+                await self._server.stop(CLOSE_S)
 
     def stop(self) -> None:
         """The servers are sent to other relays, and the cell is free for one of them."""
@@ -138,6 +140,7 @@
             sessions=len(relay.sessions),
             sessions_most=self.role.sessions_most,
             streams=len(self._streams),
+            received=self._received,
             kinds=Counter(session.kind for session in relay.sessions.values()),
             versions=Counter(session.version for session in relay.sessions.values()),
             standings=Counter(session.standing for session in relay.sessions.values()),
@@ -240,6 +243,7 @@
         connection = next(self._connections)
 
         def received(message: ServerMessage) -> None:
+            self._received += 1
             self.relay.received(clock.monotonic(), connection, message)
             self._wake.set()
 
