--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -12,9 +12,13 @@
 import anyio
 import grpc
 import pytest
+from click.testing import CliRunner
 from engine import Engine
+from helpers import ROOT
 
 from otterrudder import clock
+from otterrudder.cli.fleet import fleet as fleet_command
+from otterrudder.configuration import BadConfiguration
 from otterrudder.fleet.agent import open_folder
 from otterrudder.fleet.cell.agent import CellAgent
 from otterrudder.fleet.cell.kind import kind_of
@@ -48,6 +52,7 @@
 from otterrudder.fleet.records import TEXT_MOST, Keys, View
 from otterrudder.interface import Tenant
 from otterrudder.lab.processes.link import free_port
+from otterrudder.net.serve import Files
 
 WAIT_S = 8.0
 KIND = "k"
@@ -448,3 +453,21 @@
     shared = read_fleet(path)
     assert shared.rules.is_shared and shared.relay
     assert shared.relay.candidates == ("127.0.0.1:2", "127.0.0.1:3")
+
+
+def test_the_example_is_a_relay_s_file_and_each_command_wants_its_own(tmp_path: Path) -> None:
+    example = ROOT / "deploy/relay.toml"
+    assert read_fleet(example).rules.is_shared
+    server = tmp_path / "server.toml"
+    server.write_text(f'version = 1\nfleet = "f"\nbound_ms = 3000\n{SERVER}')
+    runner = CliRunner()
+    for words, says in (
+        (["relay", "--fleet", str(server)], "relay: the file has no such table"),
+        (["relay", "status", "--fleet", str(example)], "no relay answers"),
+        (["relay"], "Missing option"),
+        (["status", "--fleet", str(server)], "store: a command needs the store's address"),
+    ):
+        found = runner.invoke(fleet_command, words, env={"TMPDIR": str(tmp_path)})
+        assert found.exit_code == 2 and says in found.output, found.output
+    with pytest.raises(BadConfiguration, match="this file is a relay's"):
+        Files(None, fleet=str(example)).read_fleet()
