--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -16,7 +16,8 @@
 - Who takes a cell over does not vote for a moment: until then servers of the former leader may not have
   found it, and their kinds would not be asked. So no poll is decided before.
 - While the store is away, the leader goes on with the consent of all other relays of its cell
-  (`consent.py`)."""
+  (`consent.py`). Who has consented does not take the cell while that binds it: it could grant nothing, and
+  the leader is to have its place again once the store is back."""
 
 import math
 from collections.abc import Iterator
