Fleet: a server's member is put together in one module, without the core

Cause: the agent, its folder and the check of policies were assembled inside serve.py, round the helm and the core, so nothing but a whole server could run a member. Change: fleet/assembly.py makes the agent from a fleet's file and a server's own configuration; serve.py hands in what is done with a policy's content.

--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -11,7 +11,6 @@
 
 import anyio
 
-from otterrudder import __version__
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
 from otterrudder.interface import Effect
 from otterrudder.logic import Rudder
@@ -223,20 +222,13 @@
     """The fleet's actor, its folder taken: what it orders goes to the core by the helm, ahead of what
     arrives. BadConfiguration: the folder is another process's, or the store's keys can't be read."""
     from otterrudder.durable import Busy
-    from otterrudder.fleet.agent import Agent, Orders, open_folder
-    from otterrudder.fleet.client import Client
-    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
-    from otterrudder.fleet.records import Live
+    from otterrudder.fleet.assembly import make_agent
+    from otterrudder.fleet.policy import Content, own_of
     from otterrudder.levels import Watch
 
     own = replace(own_of(told["settings"]), products=helm.core.products)
-    parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
-    def take(text: str) -> None:
-        try:
-            content = parsed.get(text) or parse(text or NO_POLICY, own)
-        except BadPolicy:
-            return  # it stands aside for that, and says why
+    def apply(content: Content) -> None:
         helm.post(
             helm.core.take_policy,
             content.levels,
@@ -246,27 +238,16 @@
             content.limits,
         )
 
-    def judge(text: str) -> str:
-        try:
-            content = parse(text, own)
-        except BadPolicy as trouble:
-            return f"{told['name']}: {trouble}"
-        parsed.clear()
-        parsed[text] = content
-        return ""
-
-    try:
-        store = Client(fleet)
-        folder, record = open_folder(fleet, told["name"])
-    except (Busy, OSError) as trouble:
-        raise BadConfiguration(f"fleet: {trouble}") from None
-    live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
-    orders = Orders(take, lambda is_aside: helm.post(helm.core.stand_aside, is_aside))
+    def stand_aside(is_aside: bool) -> None:
+        helm.post(helm.core.stand_aside, is_aside)
 
     def facts() -> dict[str, float]:
         return helm.core.rudder.facts() if helm.core.rudder else {}
 
-    agent = Agent(fleet, store, told["name"], live, judge, orders, folder, record, facts)
+    try:
+        agent = make_agent(fleet, told["name"], own, apply, stand_aside, facts)
+    except (Busy, OSError) as trouble:
+        raise BadConfiguration(f"fleet: {trouble}") from None
     helm.ahead.append(agent.pulse)
     log.info(
         "of a fleet",
