Lab: the store's stand-in counts requests, bytes and moments of writes

Cause: what a fleet costs its store was seen in simulated time alone. Change: {"report": PREFIX} answers with requests by kind, bytes of messages, watch events and when keys were last written. Events are filtered by range before they wait for a watch, and ranges are found in sorted keys instead of by a look at every key, so that hundreds of members do not wait for the stand-in.

--- a/otterrudder/lab/keyspace.py
+++ b/otterrudder/lab/keyspace.py
@@ -5,6 +5,7 @@
 One step of it is one call. It draws no chance and knows no clock. Its history is bounded: what lies before
 `compacted` can't be watched any more."""
 
+import bisect
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -123,7 +124,8 @@
         """Events under a prefix from a revision on; None: they are compacted away."""
         if revision <= self.compacted:
             return None
-        return [e for e in self.history if e.revision >= revision and e.key.startswith(prefix)]
+        first = bisect.bisect_left(self.history, revision, key=lambda event: event.revision)
+        return [event for event in self.history[first:] if event.key.startswith(prefix)]
 
     def _named(self, write: Delete) -> Iterator[str]:
         if write.whole_prefix:
--- a/otterrudder/lab/processes/etcd.py
+++ b/otterrudder/lab/processes/etcd.py
@@ -13,6 +13,8 @@
     {"hold_delete": "KEY"}    commits that strike this key off wait; "": go on
     {"compact": 1}            the history goes
     {"empty": 1}              it holds nothing, as another engine
+    {"report": "PREFIX"}      it answers with what it has counted (counters.py) instead of "ok", and with the
+                              moments at which the keys under that prefix were last written
 
 `--state FILE` keeps what it holds there over a kill, but for its history: watches from before are compacted
 away, and leases have their whole span again, as with the engine. `--cluster HEX`: its id, for one that is
@@ -20,11 +22,12 @@
 
 import argparse
 import asyncio
+import bisect
 import json
 import os
 import sys
 from collections.abc import AsyncIterator, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -35,6 +38,7 @@
 
 from otterrudder.fleet.store import Compare, Delete, Entry, Put, Write
 from otterrudder.lab.keyspace import Event, KeySpace
+from otterrudder.lab.processes.counters import StoreReport, kind_of
 from otterrudder.net.clock import monotonic as clock
 
 CLUSTER = 0xE7CD  # its id, unless told another
@@ -42,6 +46,18 @@
 WATCHES_MOST = 4096  # events that wait for one watch; past that it is cancelled, as a slow reader is
 
 
+@dataclass(eq=False, slots=True)
+class Watcher:
+    """A watch of a range of keys, with the events that wait for it; None ends it."""
+
+    key: bytes
+    end: bytes
+    queue: asyncio.Queue[Event | None] = field(default_factory=asyncio.Queue)
+
+    def wants(self, event: Event) -> bool:
+        return self.key <= event.key.encode() < self.end
+
+
 class Engine:
     """The key space with its faults, and whoever watches."""
 
@@ -60,7 +76,9 @@
         self.is_down = self.is_deaf = False
         self.lose = 0
         self.held = ""  # a key that no commit may strike off yet
-        self.watches: set[asyncio.Queue[Any]] = set()
+        self.watches: set[Watcher] = set()
+        self.report = StoreReport()
+        self._sorted: tuple[int, list[str]] = (0, [])  # the keys in order, as of a revision
 
     def save(self) -> None:
         if self.state:
@@ -79,13 +97,34 @@
     def tell(self, before: int) -> None:
         """Keeps what was written, and hands what is new since a revision to the watches."""
         self.save()
-        events = [] if self.is_deaf else self.space.since("", before + 1) or []
-        for queue in list(self.watches):
-            if queue.qsize() + len(events) > WATCHES_MOST:
-                queue.put_nowait(None)
+        written = self.space.since("", before + 1) or []
+        now = clock()
+        for event in written:
+            self.report.written_ms[event.key] = now
+        if self.is_deaf:
+            return
+        for watcher in list(self.watches):
+            events = [event for event in written if watcher.wants(event)]
+            if watcher.queue.qsize() + len(events) > WATCHES_MOST:
+                watcher.queue.put_nowait(None)
             else:
                 for event in events:
-                    queue.put_nowait(event)
+                    watcher.queue.put_nowait(event)
+
+    def keys_between(self, key: str, end: str) -> list[str]:
+        """The keys from `key` on and before `end`, in order; the one key itself where there is no end."""
+        if not end:
+            return [key] if key in self.space.keys else []
+        if self._sorted[0] != self.space.revision:
+            self._sorted = (self.space.revision, sorted(self.space.keys))
+        ordered = self._sorted[1]
+        return ordered[bisect.bisect_left(ordered, key) : bisect.bisect_left(ordered, end)]
+
+    def reported(self, prefix: str) -> bytes:
+        """What was counted so far, as a line of JSON."""
+        moments = self.report.written_ms.items()
+        written = {key: at for key, at in moments if key.startswith(prefix)}
+        return msgspec.json.encode(msgspec.structs.replace(self.report, written_ms=written))
 
     def lapse(self) -> None:
         before = self.space.revision
@@ -104,13 +143,13 @@
             elif word == "lose_answers":
                 self.lose = int(value)
             elif word == "cancel_watches":
-                for queue in list(self.watches):
-                    queue.put_nowait(None)
+                for watcher in list(self.watches):
+                    watcher.queue.put_nowait(None)
             elif word == "flood":
                 event = Event(self.space.revision, "flood", Entry(b"", 1, 1))
-                for queue in list(self.watches):
+                for watcher in list(self.watches):
                     for _ in range(min(int(value), WATCHES_MOST)):
-                        queue.put_nowait(event)
+                        watcher.queue.put_nowait(event)
             elif word == "compact":
                 self.space.compact(self.space.revision)
             elif word == "hold_delete":
@@ -146,8 +185,9 @@
         if held and writes:
             space.commit((), writes)
             engine.tell(before)
-        parts = [_response(space, op) for op in request.success] if held else []
+        parts = [_response(engine, op) for op in request.success] if held else []
         answer = rpc_pb2.TxnResponse(header=engine.header(), succeeded=held, responses=parts)
+        engine.report.count(_kind(request, writes), request.ByteSize(), answer.ByteSize())
         await engine.answer(context, took_effect=bool(held and writes))
         return answer
 
@@ -160,7 +200,9 @@
         await self.engine.answer(context)
         ident = self.engine.space.grant(clock(), request.TTL * 1000.0).lease
         self.engine.save()
-        return rpc_pb2.LeaseGrantResponse(header=self.engine.header(), ID=ident, TTL=request.TTL)
+        answer = rpc_pb2.LeaseGrantResponse(header=self.engine.header(), ID=ident, TTL=request.TTL)
+        self.engine.report.count("lease grant", request.ByteSize(), answer.ByteSize())
+        return answer
 
     async def LeaseRevoke(self, request: Any, context: Any) -> Any:  # noqa: N802
         await self.engine.answer(context)
@@ -168,7 +210,9 @@
         if not self.engine.space.revoke(request.ID):
             await context.abort(grpc.StatusCode.NOT_FOUND, "etcdserver: requested lease not found")
         self.engine.tell(before)
-        return rpc_pb2.LeaseRevokeResponse(header=self.engine.header())
+        answer = rpc_pb2.LeaseRevokeResponse(header=self.engine.header())
+        self.engine.report.count("lease revoke", request.ByteSize(), answer.ByteSize())
+        return answer
 
     async def LeaseKeepAlive(self, requests: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:  # noqa: N802
         async for request in requests:
@@ -177,7 +221,9 @@
             space = self.engine.space
             lives = space.renew(clock(), request.ID).lease
             ttl = round(space.leases[request.ID][0] / 1000) if lives else 0
-            yield rpc_pb2.LeaseKeepAliveResponse(header=self.engine.header(), ID=request.ID, TTL=ttl)
+            answer = rpc_pb2.LeaseKeepAliveResponse(header=self.engine.header(), ID=request.ID, TTL=ttl)
+            self.engine.report.count("lease renew", request.ByteSize(), answer.ByteSize())
+            yield answer
 
 
 class Watches(rpc_pb2_grpc.WatchServicer):  # type: ignore[misc]
@@ -190,25 +236,32 @@
         engine = self.engine
         first = await anext(aiter(requests))
         await engine.answer(context)
-        create, queue = first.create_request, asyncio.Queue[Any]()
+        create = first.create_request
+        watcher = Watcher(create.key, create.range_end)
         if create.start_revision and engine.space.since("", create.start_revision) is None:
             yield rpc_pb2.WatchResponse(
                 header=engine.header(), created=True, canceled=True, compact_revision=engine.space.compacted
             )
             return
-        for event in engine.space.since("", create.start_revision) or [] if create.start_revision else []:
-            queue.put_nowait(event)
-        engine.watches.add(queue)
+        missed = engine.space.since("", create.start_revision) if create.start_revision else None
+        for written in missed or []:
+            if watcher.wants(written):
+                watcher.queue.put_nowait(written)
+        engine.watches.add(watcher)
         try:
-            yield rpc_pb2.WatchResponse(header=engine.header(), created=True)
-            while (event := await queue.get()) is not None:
+            created = rpc_pb2.WatchResponse(header=engine.header(), created=True)
+            engine.report.count("watch", first.ByteSize(), created.ByteSize())
+            yield created
+            while (event := await watcher.queue.get()) is not None:
                 while engine.is_down:
                     await asyncio.sleep(LAPSE_S)
-                if create.key <= event.key.encode() < create.range_end or event.key == "flood":
-                    yield rpc_pb2.WatchResponse(header=engine.header(), events=[_event(event)])
+                told = rpc_pb2.WatchResponse(header=engine.header(), events=[_event(event)])
+                engine.report.watch_events += 1
+                engine.report.bytes_out += told.ByteSize()
+                yield told
             yield rpc_pb2.WatchResponse(header=engine.header(), canceled=True, cancel_reason="told so")
         finally:
-            engine.watches.discard(queue)
+            engine.watches.discard(watcher)
 
 
 def _event(event: Event) -> Any:
@@ -227,22 +280,24 @@
     )
 
 
-def _response(space: KeySpace, op: Any) -> Any:
+def _kind(request: Any, writes: Sequence[Write]) -> str:
+    if writes:
+        return kind_of("write", (write.key for write in writes))
+    return kind_of("read", (op.request_range.key.decode() for op in request.success))
+
+
+def _response(engine: Engine, op: Any) -> Any:
     kind = op.WhichOneof("request")
     if kind == "request_range":
         asked = op.request_range
-        kvs = [_kv(key, entry) for key, entry in sorted(space.keys.items()) if _in_range(key, asked)]
+        found = engine.keys_between(asked.key.decode(), asked.range_end.decode())
+        kvs = [_kv(key, engine.space.keys[key]) for key in found]
         return rpc_pb2.ResponseOp(response_range=rpc_pb2.RangeResponse(kvs=kvs, count=len(kvs)))
     if kind == "request_put":
         return rpc_pb2.ResponseOp(response_put=rpc_pb2.PutResponse())
     return rpc_pb2.ResponseOp(response_delete_range=rpc_pb2.DeleteRangeResponse())
 
 
-def _in_range(key: str, asked: Any) -> bool:
-    raw = key.encode()
-    return bool(asked.key <= raw < asked.range_end) if asked.range_end else raw == asked.key
-
-
 def _write(op: Any) -> Write | None:
     kind = op.WhichOneof("request")
     if kind == "request_put":
@@ -273,8 +328,9 @@
     print(got, flush=True)
     lapses = asyncio.create_task(_lapses(engine))
     while line := await lines.readline():
-        engine.told(json.loads(line))
-        print("ok", flush=True)
+        told = json.loads(line)
+        engine.told(told)
+        print(engine.reported(told["report"]).decode() if "report" in told else "ok", flush=True)
     lapses.cancel()
     await server.stop(None)
 
