Lab: hollow servers, a server's coordination alone, many in one process

Cause: a machine holds a dozen whole servers; what hundreds ask of a store was seen in simulated time alone.

--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -19,12 +19,14 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import read_fleet
 from otterrudder.fleet.points import NAMED
 from otterrudder.fleet.records import Keys, View, digest_of
 from otterrudder.fleet.store import StoreAway
+from otterrudder.lab.processes.counters import StoreReport
 from otterrudder.lab.processes.etcd import CLUSTER
 from otterrudder.lab.processes.ledger import DRAIN_MS, Drain, InForce, Listed
 from otterrudder.lab.processes.link import Datagrams, Harm, Link, free_port
@@ -251,12 +253,20 @@
     async def tell_store(self, **fault: object) -> None:
         if not self.store:
             return  # it is dead
-        assert self.store.stdin and self.store.stdout
-        self.store.stdin.write(json.dumps(fault).encode() + b"\n")
-        self.store.stdin.flush()
-        await anyio.to_thread.run_sync(self.store.stdout.readline)
+        await self._ask_store(self.store, fault)
         self.note(-1, " ".join(fault))
 
+    async def store_report(self) -> StoreReport:
+        """What the store has counted; it has to be up."""
+        assert self.store
+        return msgspec.json.decode(await self._ask_store(self.store, {"report": ""}), type=StoreReport)
+
+    async def _ask_store(self, store: subprocess.Popen[bytes], told: dict[str, object]) -> bytes:
+        assert store.stdin and store.stdout
+        store.stdin.write(json.dumps(told).encode() + b"\n")
+        store.stdin.flush()
+        return await anyio.to_thread.run_sync(store.stdout.readline)
+
     async def hold_ends(self, holds: bool) -> None:
         """No change ends meanwhile: the commits that would are not carried out."""
         await self.tell_store(hold_delete=Keys(FLEET).change if holds else "")
--- /dev/null
+++ b/otterrudder/lab/scale/hollow.py
@@ -0,0 +1,124 @@
+"""Servers without txns, many in one process: each has the agent, the store's client, the folder and the check
+of policies that `serve --fleet` gives a server, and a connection of its own. No gateway, no runtime, no core.
+
+    python -m otterrudder.lab.scale.hollow FLEET.toml CONFIG.json --count 50 --folder DIR [--first 0]
+
+FLEET.toml is a fleet's file and CONFIG.json a server's configuration; the folders of the servers are made
+under DIR. What a server switches to is told at once on standard output, a line of JSON each (`Switched`). The
+process ends with its input."""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+import msgspec
+
+from otterrudder.fleet.agent import Agent
+from otterrudder.fleet.assembly import make_agent
+from otterrudder.fleet.configuration import Fleet, read_fleet
+from otterrudder.fleet.policy import Content, Own, own_of
+from otterrudder.net import clock
+from otterrudder.net.configuration import read_configuration
+from otterrudder.net.log import set_up
+
+COUNT_MOST = 500  # servers of one process
+START_SPACING_S = 0.01  # s between the starts of two servers
+# s between looks at a server's standing: a server takes turns at least as often as its tick
+PULSE_S = 0.02
+
+
+class Switched(msgspec.Struct, frozen=True):
+    """A server goes by another policy, or admits again, or no longer."""
+
+    server: str
+    version: int  # that it goes by
+    admits: bool
+    at_ms: float  # monotonic clock, which all processes of a machine share
+
+
+class HollowServer:
+    """A server's coordination alone. `pulse` stands for the turn of a server's event loop."""
+
+    def __init__(self, fleet: Fleet, name: str, own: Own) -> None:
+        self.name = name
+        self._admits = False
+        self._version = 0
+        self._told = (0, False)
+        self.agent: Agent = make_agent(fleet, name, own, self._apply, self._stand_aside)
+
+    def pulse(self, now: float) -> Switched | None:
+        """What has changed since the last one."""
+        self.agent.pulse(now)
+        present = (self.agent.member.known.version, self._admits)
+        if present == self._told:
+            return None
+        self._told = present
+        return Switched(self.name, *present, now)
+
+    def _apply(self, content: Content) -> None:
+        """A server's core would go by it from here on."""
+
+    def _stand_aside(self, is_aside: bool) -> None:
+        self._admits = not is_aside
+
+
+async def run_servers(servers: Sequence[HollowServer], lines: asyncio.StreamReader) -> None:
+    """Until the input ends; the servers leave in order then."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_pulse_all, servers)
+        group.start_soon(_start_all, servers)
+        while await lines.readline():
+            pass
+        group.cancel_scope.cancel()
+
+
+async def _start_all(servers: Sequence[HollowServer]) -> None:
+    async with anyio.create_task_group() as group:
+        for server in servers:
+            group.start_soon(server.agent.run)
+            await anyio.sleep(START_SPACING_S)
+
+
+async def _pulse_all(servers: Sequence[HollowServer]) -> None:
+    while True:
+        now = clock.monotonic()
+        switched = [told for server in servers if (told := server.pulse(now))]
+        if switched:
+            sys.stdout.buffer.write(b"".join(msgspec.json.encode(told) + b"\n" for told in switched))
+            sys.stdout.buffer.flush()
+        await anyio.sleep(PULSE_S)
+
+
+def _make_servers(told: argparse.Namespace) -> list[HollowServer]:
+    fleet = read_fleet(told.fleet)
+    own = own_of(read_configuration(told.configuration)["settings"])
+    names = [f"{told.prefix}{number}" for number in range(told.first, told.first + told.count)]
+    return [HollowServer(replace(fleet, folder=told.folder / name), name, own) for name in names]
+
+
+def _parsed(words: Sequence[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description="Servers without txns, many in one process.")
+    parser.add_argument("fleet", type=Path, help="TOML file of the fleet")
+    parser.add_argument("configuration", help="JSON file of a server's configuration")
+    parser.add_argument("--count", type=int, required=True, choices=range(1, COUNT_MOST + 1), metavar="N")
+    parser.add_argument("--folder", type=Path, required=True, help="the servers' folders are made there")
+    parser.add_argument("--first", type=int, default=0, help="number of the first server")
+    parser.add_argument("--prefix", default="h", help="of a server's name, before its number")
+    return parser.parse_args(words)
+
+
+async def _main(words: Sequence[str]) -> None:
+    told = _parsed(words)
+    set_up("hollow")
+    lines = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
+    await run_servers(_make_servers(told), lines)
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(sys.argv[1:]))
