--- a/otterrudder/fleet/assembly.py
+++ b/otterrudder/fleet/assembly.py
@@ -1,14 +1,22 @@
-"""A server's member of the fleet, put together: its store client, its folder, the check of policies against
-its own configuration. Shared by `serve --fleet` and by the lab's servers without txns."""
+"""A server's part in the fleet, put together: a member of its own, or a server of a cell, with the check of
+policies against the server's own configuration. Shared by `serve --fleet` and by the lab's servers without
+transactions.
+
+What only one of the two needs is imported when it is made: a server of a cell carries no client of the
+store."""
 
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 from otterrudder import __version__
-from otterrudder.fleet.agent import Agent, Orders, open_folder
-from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import Fleet
+from otterrudder.fleet.orders import Orders
 from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, Own, parse
-from otterrudder.fleet.records import Live
+from otterrudder.log import log
+
+if TYPE_CHECKING:
+    from otterrudder.fleet.agent import Agent
+    from otterrudder.fleet.cell.agent import CellAgent
 
 
 class PolicyChecker:
@@ -44,9 +52,9 @@
     apply: Callable[[Content], None],
     stand_aside: Callable[[bool], None],
     facts: Callable[[], Mapping[str, float]] = dict,
-) -> Agent:
-    """The agent of the server `name`, its folder taken. `apply` and `stand_aside` are called from the agent's
-    `pulse`. Busy: the folder is another process's; OSError: it, or the store's keys, can't be read."""
+) -> "Agent | CellAgent":
+    """The agent of the server `name`. `apply` and `stand_aside` are called from the agent's `pulse`. Busy:
+    the folder is another process's; OSError: it, or a file of keys, can't be read."""
     checker = PolicyChecker(name, own)
 
     def take(text: str) -> None:
@@ -54,8 +62,48 @@
         if content:  # else it stands aside, and says why
             apply(content)
 
+    orders = Orders(take, stand_aside)
+    if fleet.relays:
+        return _make_cell_agent(fleet, name, own, checker, orders)
+    return _make_member_agent(fleet, name, own, checker, orders, facts)
+
+
+def _make_member_agent(
+    fleet: Fleet,
+    name: str,
+    own: Own,
+    checker: PolicyChecker,
+    orders: Orders,
+    facts: Callable[[], Mapping[str, float]],
+) -> "Agent":
+    """A member of its own, with its folder taken."""
+    from otterrudder.fleet.agent import Agent, open_folder
+    from otterrudder.fleet.client import Client
+    from otterrudder.fleet.records import Live
+
     store = Client(fleet)
     folder, record = open_folder(fleet, name)
-    products = tuple(product.name for product in own.products)
-    live = Live("", __version__, fleet.zone, products=products)
-    return Agent(fleet, store, name, live, checker.check, Orders(take, stand_aside), folder, record, facts)
+    live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
+    agent = Agent(fleet, store, name, live, checker.check, orders, folder, record, facts)
+    log.info(
+        "of a fleet",
+        fleet=fleet.name,
+        absent=fleet.rules.absent,
+        bound_ms=fleet.rules.bound_ms,
+        known=agent.member.known.version,
+        pledged=bool(agent.member.pledge),
+        folder=str(fleet.folder),
+    )
+    return agent
+
+
+def _make_cell_agent(
+    fleet: Fleet, name: str, own: Own, checker: PolicyChecker, orders: Orders
+) -> "CellAgent":
+    """A server of a cell: its relay is a member in its place."""
+    from otterrudder.fleet.cell.agent import CellAgent
+    from otterrudder.fleet.cell.kind import kind_of
+
+    kind = kind_of(own)
+    log.info("of a cell", fleet=fleet.name, relays=fleet.relays, lease_ms=fleet.server_lease_ms, kind=kind)
+    return CellAgent(fleet, name, kind, checker.check, orders)
--- a/otterrudder/fleet/cell/kinds.py
+++ b/otterrudder/fleet/cell/kinds.py
@@ -3,6 +3,7 @@
 A kind is the digest of a server's configuration and its program's version, so two servers of one kind give
 the same answer. Pure and bounded."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -11,6 +12,7 @@
     4096  # remembered answers; the one unused for longest is forgotten, and asked for again if needed
 )
 ASK_AGAIN_MS = 500.0  # ms after which another server of the same kind is asked
+LOOK_LEAST_MS = 100.0  # ms between looks for a server of a kind that can't be asked yet
 ASK_MOST_MS = 1500.0  # ms after which a kind that has not answered gets no leases until it has
 
 
@@ -39,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A session that may be asked: its kind is registered and its lease has not lapsed."""
+    """A server whose lease has not lapsed. `connection`: 0 if its stream has ended: it can't be asked."""
 
     connection: int
     kind: str
@@ -60,25 +62,29 @@
     digest: str
     verdicts: Verdicts
     _asked: dict[str, _Asked] = field(default_factory=dict)
+    _owed: set[str] = field(default_factory=set)  # kinds that have a server here and have not answered
+    _looked_at: float = -math.inf
     _refusal: str = ""
 
     def ask(self, now: float, candidates: Iterable[Candidate]) -> list[int]:
         """The connections that are to be asked now."""
+        self._looked_at = now
         by_kind: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             by_kind.setdefault(candidate.kind, []).append(candidate)
-        connections = (self._ask_kind(now, kind, members) for kind, members in by_kind.items())
+        self._owed = {kind for kind in by_kind if self.verdicts.get(kind, self.digest) is None}
+        connections = [self._ask_kind(now, kind, by_kind[kind]) for kind in by_kind if kind in self._owed]
         return [connection for connection in connections if connection is not None]
 
     def _ask_kind(self, now: float, kind: str, members: list[Candidate]) -> int | None:
-        if self.verdicts.get(kind, self.digest) is not None:
-            return None
         asked = self._asked.get(kind)
         if asked and now - asked.last_at < ASK_AGAIN_MS:
             return None
+        reached = [member.connection for member in members if member.connection]
+        if not reached:
+            return None
         tried = asked.connections if asked else set()
-        fresh = [member for member in members if member.connection not in tried] or members
-        chosen = fresh[0].connection
+        chosen = next((connection for connection in reached if connection not in tried), reached[0])
         if asked:
             asked.last_at = now
             asked.connections.add(chosen)
@@ -88,6 +94,7 @@
 
     def answered(self, kind: str, name: str, trouble: str) -> None:
         self.verdicts.put(kind, self.digest, trouble)
+        self._owed.discard(kind)
         if trouble and not self._refusal:
             self._refusal = trouble if trouble.startswith(f"{name}:") else f"{name}: {trouble}"
 
@@ -111,6 +118,7 @@
         return ""
 
     def due(self) -> float:
-        """When a kind may have to be asked again, in the caller's clock; inf: nobody was asked."""
-        times = (asked.last_at + ASK_AGAIN_MS for asked in self._asked.values())
-        return min(times, default=float("inf"))
+        """When a kind may have to be asked again, in the caller's clock; inf: no answer is owed."""
+        last = (self._asked[kind].last_at if kind in self._asked else -math.inf for kind in self._owed)
+        times = (max(at + ASK_AGAIN_MS, self._looked_at + LOOK_LEAST_MS) for at in last)
+        return min(times, default=math.inf)
--- a/otterrudder/lab/processes/rig.py
+++ b/otterrudder/lab/processes/rig.py
@@ -21,6 +21,7 @@
 import anyio.abc
 import msgspec
 
+from otterrudder.clock import monotonic as clock
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import read_fleet
 from otterrudder.fleet.points import NAMED
@@ -31,7 +32,6 @@
 from otterrudder.lab.processes.ledger import DRAIN_MS, Drain, InForce, Listed
 from otterrudder.lab.processes.link import Datagrams, Harm, Link, free_port
 from otterrudder.lab.processes.standins import LONG_RUN_MS, SETTINGS, Gateway, Listing, Runtime, Wire
-from otterrudder.net.clock import monotonic as clock
 
 ROOT = Path(__file__).parents[3]
 FLEET = "rig"  # its name
@@ -77,7 +77,7 @@
     return f"# policy {number}\nversion = 1\n[levels]\n{table}"
 
 
-def _environment(told: dict[str, str], *halts: Path) -> dict[str, str]:
+def environment(told: dict[str, str], *halts: Path) -> dict[str, str]:
     """Of a child: what it is told, and the folders in which points are armed for it."""
     env = {name: value for name, value in os.environ.items() if name not in ("NODE_CONFIG", NAMED)}
     return env | told | ({NAMED: os.pathsep.join(map(str, halts))} if halts else {})
@@ -374,7 +374,7 @@
         }
         with (folder / "log.txt").open("ab") as log:
             return subprocess.Popen(
-                ["/bin/sh", "-c", line], cwd=ROOT, env=_environment(told, *halts), stderr=log
+                ["/bin/sh", "-c", line], cwd=ROOT, env=environment(told, *halts), stderr=log
             )
 
     def kill(self, place: Place) -> None:
@@ -543,7 +543,7 @@
 
     def ask(self, *words: str) -> subprocess.Popen[bytes]:
         """One of the operators' commands, begun."""
-        env = _environment({"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}, self.proposer_halts)
+        env = environment({"OTTERRUDDER_FLEET": str(self.folder / "rig.toml")}, self.proposer_halts)
         line = [sys.executable, "-m", "otterrudder", "fleet", *words]
         with (self.folder / "proposers.txt").open("ab") as log:
             child = subprocess.Popen(line, cwd=ROOT, env=env, stdout=log, stderr=log)
--- a/otterrudder/lab/scale/hollow.py
+++ b/otterrudder/lab/scale/hollow.py
@@ -17,13 +17,12 @@
 import anyio
 import msgspec
 
-from otterrudder.fleet.agent import Agent
+from otterrudder import clock
+from otterrudder.configuration import read_configuration
 from otterrudder.fleet.assembly import make_agent
 from otterrudder.fleet.configuration import Fleet, read_fleet
 from otterrudder.fleet.policy import Content, Own, own_of
-from otterrudder.net import clock
-from otterrudder.net.configuration import read_configuration
-from otterrudder.net.log import set_up
+from otterrudder.log import set_up
 
 COUNT_MOST = 500  # servers of one process
 START_SPACING_S = 0.01  # s between the starts of two servers
@@ -48,12 +47,13 @@
         self._admits = False
         self._version = 0
         self._told = (0, False)
-        self.agent: Agent = make_agent(fleet, name, own, self._apply, self._stand_aside)
+        self.agent = make_agent(fleet, name, own, self._apply, self._stand_aside)
 
     def pulse(self, now: float) -> Switched | None:
         """What has changed since the last one."""
         self.agent.pulse(now)
-        present = (self.agent.member.known.version, self._admits)
+        policy = self.agent.order_sender.taken
+        present = (policy.version if policy else 0, self._admits)
         if present == self._told:
             return None
         self._told = present
--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -1,4 +1,4 @@
-"""One server of a site: a real core driven as the helm drives it, on modelled cores.
+"""One server of a site: a real core driven as the dispatcher drives it, on modelled cores.
 
 A batch is the time first, then what the runtime and the records tier said, then arrivals, the ring if it is
 due, one `done`; what comes at one instant makes one batch. The process may be killed, frozen, slowed or
@@ -6,25 +6,40 @@
 
 import math
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from otterrudder.interface import Effect, Outcome
+from otterrudder.lab.arrivals import Ask
 from otterrudder.lab.below import Below
 from otterrudder.lab.checker import Checker
 from otterrudder.lab.cores import Cores, Job
 from otterrudder.lab.engine import Engine
 from otterrudder.lab.site import Site
-from otterrudder.levels import Ladder, Table, Watch
-from otterrudder.net.core import GATEWAYS, HELM, RECORDS, RUNTIME, Core
-
-if TYPE_CHECKING:
-    from otterrudder.lab.gateways import Try
+from otterrudder.levels import Ladder, LevelController, Table
+from otterrudder.net.core import DISPATCHER, GATEWAYS, RECORDS, RUNTIME, Core
 
 UNIX = 1.7e12  # ms: the Unix time of the day's start
 GAUGES = ["busy", "on_cores"]
 Logged = Callable[[float, int, str, dict[str, Any]], None]
 
 
+class Attempt(Protocol):
+    """One try of a txn at this server, as its gateway made it; the core's answers go to it."""
+
+    number: int
+    ask: Ask
+    at: float  # ms: when it reached the machine
+    wait: float  # ms that its gateway waits for an answer
+    is_marked: bool  # as a later try
+    is_over: bool
+
+    def tell(self, server: "Server", word: str, rpc: int, *rest: Any) -> None:
+        """An answer of the server."""
+
+    def reset(self, server: "Server") -> None:
+        """Its connection breaks with the server."""
+
+
 class Run:
     """A started txn on the cores or at a call."""
 
@@ -70,10 +85,10 @@
         self.life = next(self.lives)  # a number for each start, of all servers of the day
         s = self.site.server
         self.cores.start(1.0 if warm else s.cold_from, 0.0 if warm else s.cold_s * 1000)
-        watch = Watch(self.table, self.spread(), self.kind) if self.table else None
+        controller = LevelController(self.table, self.spread(), self.kind) if self.table else None
         boot = self.site.boot(self.number + 1, self.seed * 1000 + self.life)
-        self.core = Core(boot, self.products, GAUGES, watch)
-        self.tries: dict[str, Try] = {}
+        self.core = Core(boot, self.products, GAUGES, controller)
+        self.tries: dict[str, Attempt] = {}
         self.runs: dict[str, Run] = {}
         self.urgent: list[tuple[Callable[..., object], tuple[object, ...], dict[str, Any]]] = []
         self.arrivals: list[tuple[Callable[..., object], tuple[object, ...], dict[str, Any]]] = []
@@ -119,15 +134,15 @@
                 self._runtime(*message)
             elif address == RECORDS:
                 self._records(*message)
-            elif address == HELM:
-                self._helm(*message)
+            elif address == DISPATCHER:
+                self._dispatcher(*message)
             elif address == GATEWAYS:
                 if message[0] == "close":
                     self.engine.after(1.0, self._stopped, self.life)
             elif address is not None:
                 address.tell(self, *message)
 
-    def _helm(self, word: str, *rest: Any) -> None:
+    def _dispatcher(self, word: str, *rest: Any) -> None:
         if word == "wake":
             self.ring_at = self.engine.now + rest[0]
             self.engine.at(self.ring_at, self._ring, self.life)
@@ -140,11 +155,11 @@
 
     # Arrivals.
 
-    def take(self, attempt: "Try") -> None:
+    def take(self, attempt: Attempt) -> None:
         """A try reaches the machine: its read waits for a core."""
         self.cores.read(self.site.read_ms, lambda: self._was_read(attempt, self.life))
 
-    def _was_read(self, attempt: "Try", life: int) -> None:
+    def _was_read(self, attempt: Attempt, life: int) -> None:
         if life != self.life or not self.is_up:
             return
         ask, call = attempt.ask, f"{attempt.number:016x}"
@@ -176,7 +191,7 @@
             rank=ask.rank,
         )
 
-    def left(self, attempt: "Try") -> None:
+    def left(self, attempt: Attempt) -> None:
         """Its caller has gone away."""
         self.checker.left(attempt.number)
         self.post_arrival(self.core.left, f"{attempt.number:016x}")
@@ -264,7 +279,7 @@
             self.is_planned = False
             self._plan()
 
-    def over(self, attempt: "Try") -> None:
+    def over(self, attempt: Attempt) -> None:
         """Its answer has gone out, or its caller has; a run that goes on keeps the entry."""
         call = f"{attempt.number:016x}"
         if call not in self.runs:
@@ -273,9 +288,9 @@
     def _check_falls(self) -> None:
         s = self.site.server
         warm = self.cores.warmth()
-        beliefs = self.core.beliefs()
+        counters = self.core.counters()
         refs = len(self.core.references) * s.ref_kb
-        used = (beliefs["held"] + beliefs["runs"] * s.run_factor) * s.held_kb + refs
+        used = (counters["held"] + counters["runs"] * s.run_factor) * s.held_kb + refs
         self.memory_peak = max(self.memory_peak, used / self.memory_most)
         crowd = self.cores.crowd / (1 + (s.falls_at - 1) * warm)
         self.crowd_peak = max(self.crowd_peak, crowd)
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -9,7 +9,7 @@
                 ("gauges", tag)  ("leave", tag)
     RECORDS     ("call", call, wait_ms, body)  ("hang up", call)
     GATEWAYS    ("idle", ms)  ("close",)
-    HELM        ("wake", ms)  ("log", text, facts)
+    DISPATCHER  ("wake", ms)  ("log", text, facts)
 
 Owners: a txn's entry is given back in `_release`, a reference in `_lapse`, a run in `_run_over`, a call in
 `_call_over`, each on every way out.
@@ -25,9 +25,10 @@
 from otterrudder.logic import Rudder
 
 if TYPE_CHECKING:  # a server without levels does not carry them
-    from otterrudder.levels import News, Table, Watch
+    from otterrudder.levels import LevelController, LevelUpdate, Table
 
-RUNTIME, RECORDS, GATEWAYS, HELM = "runtime", "records", "gateways", "helm"
+RUNTIME, RECORDS, GATEWAYS, DISPATCHER = "runtime", "records", "gateways", "dispatcher"
+Outgoing = tuple[Any, ...]  # (address, word, ...), in the forms above
 # Of what was sent to the runtime, beside the number of gauges. In doubt: a lost link may have swallowed it,
 # and no gauges on a later link say anything of it.
 UNSENT, PROVED, IN_DOUBT = 0, -1, math.inf
@@ -36,16 +37,16 @@
 class Reference:
     """What is known of a referenced txn by its mark, whichever of its tries holds it."""
 
-    __slots__ = ("holder", "what", "until", "result", "over", "waiting")
+    __slots__ = ("holder", "digest", "until", "result", "over", "waiting")
 
-    def __init__(self, holder: int, what: bytes) -> None:
-        self.holder, self.what, self.until = holder, what, 0.0
+    def __init__(self, holder: int, digest: bytes) -> None:
+        self.holder, self.digest, self.until = holder, digest, 0.0
         self.result: bytes | None = None  # of the run that settled
         self.over = False  # the run has ended, with or without a result
         self.waiting: list[int] = []  # tries to be answered from it
 
 
-def what(product: int, body: bytes) -> bytes:
+def request_digest(product: int, body: bytes) -> bytes:
     """A digest of what is asked for: all tries of a referenced txn agree in it."""
     return blake2b(body, digest_size=12, salt=b"%d" % product).digest()
 
@@ -61,7 +62,7 @@
         "product",
         "body",
         "mark",
-        "what",
+        "digest",
         "answered",
         "started",
         "proof",
@@ -80,10 +81,10 @@
         product: int,
         body: bytes,
         mark: str,
-        what: bytes,
+        digest: bytes,
     ) -> None:
         self.number, self.call, self.peer, self.rpc, self.product = number, call, peer, rpc, product
-        self.body, self.mark, self.what = body, mark, what
+        self.body, self.mark, self.digest = body, mark, digest
         self.answered = self.started = self.calling = False
         self.proof: float = UNSENT  # the gauges whose answer proves that its start or reply was read
         self.wants: bytes | None = None  # the body of the call it stands at
@@ -97,7 +98,7 @@
         boot: Callable[..., Rudder],
         products: list[Product],
         gauges: list[str],
-        levels: "Watch | None" = None,
+        levels: "LevelController | None" = None,
     ) -> None:
         """`boot` makes the Rudder once the runtime has said how it stands: boot(now, warm, up_ms). `levels`:
         the ladder of reduced service, if there is one."""
@@ -110,7 +111,7 @@
         self.names = {product.name: n for n, product in enumerate(products)}
         self.rudder: Rudder | None = None
         self.unix = self.now = 0.0
-        self.out: list[tuple] = []
+        self.out: list[Outgoing] = []
         self.txns: dict[int, Txn] = {}
         self.calls: dict[str, Txn] = {}  # the same entries by the id the wires know
         self.references: dict[str, Reference] = {}
@@ -124,6 +125,12 @@
         self.told_cores = -1.0  # on the cores as the last ring heard, for the log
         self.told: dict[str, float] = {}  # the answered gauges, until a ring takes them
 
+    @property
+    def _module(self) -> Rudder:
+        """The Rudder, where it is known to be there: no txn is taken and no ring is due before it begins."""
+        assert self.rudder
+        return self.rudder
+
     # The batch: the time first, then what came, then the steps.
 
     def at(self, unix: float, now: float) -> None:
@@ -133,15 +140,17 @@
         if self.rudder:
             self.rudder.at(now)
 
-    def done(self) -> list[tuple]:
+    def done(self) -> list[Outgoing]:
         """Carries the steps out, and those that follow from them, and hands over what is to be sent."""
         while self.rudder and (steps := self.rudder.done()):
             for step in steps:
                 try:
                     self._carry_out(step)
                 except Exception as trouble:  # one txn's failure is not the others'
-                    self.out.append((HELM, "log", "a step failed", {"step": step, "trouble": repr(trouble)}))
-                    if txn := self.txns.get(step[1]):
+                    self.out.append(
+                        (DISPATCHER, "log", "a step failed", {"step": step, "trouble": repr(trouble)})
+                    )
+                    if len(step) > 1 and (txn := self.txns.get(step[1])):
                         self._void(txn)
         self.fresh.clear()
         out, self.out = self.out, []
@@ -173,18 +182,18 @@
             self.out.append((peer, "declined", rpc, False, 0.0, self.load))
             return
         spec = self.products[product]
-        mark, known, asked = dedupe if spec.effect is Effect.REFERENCED else "", None, b""
+        mark, known, digest = dedupe if spec.effect is Effect.REFERENCED else "", None, b""
         if mark:
-            asked = what(product, body)
+            digest = request_digest(product, body)
             known = self.references.get(mark) or self.fresh.get(mark)
-            if known and known.what != asked:  # its result would be served to another request
+            if known and known.digest != digest:  # its result would be served to another request
                 self.out.append((peer, "rejected", rpc, "this mark came with another body or method"))
                 return
         self.numbered += 1
-        txn = Txn(self.numbered, call, peer, rpc, product, body, mark, asked)
+        txn = Txn(self.numbered, call, peer, rpc, product, body, mark, digest)
         self.txns[txn.number] = self.calls[call] = txn
         if mark and not known:
-            self.fresh[mark] = Reference(txn.number, asked)
+            self.fresh[mark] = Reference(txn.number, digest)
         age = max(self.unix - recv, 0.0)
         left = 0.0 if ttl is None else max(ttl - age, 1e-3)  # 0 would say that nothing is known
         self.rudder.arrive(
@@ -205,7 +214,7 @@
         txn = self.calls.get(call)
         if txn and not txn.answered:
             self._close(txn)
-            self.rudder.left(txn.number)
+            self._module.left(txn.number)
             self._release(txn)
 
     def check(self, peer: Hashable, rpc: int) -> None:
@@ -266,7 +275,7 @@
     def wants(self, call: str, body: bytes) -> None:
         if (txn := self.calls.get(call)) and txn.started and txn.wants is None:
             txn.wants, txn.given, txn.proof = body, None, PROVED
-            self.rudder.needs_call(txn.number)
+            self._module.needs_call(txn.number)
 
     def gauged(self, tag: int, values: list[float]) -> None:
         if tag == self.asked:  # an older answer proves what was read, but says nothing of now
@@ -277,7 +286,7 @@
     def refused(self, word: str, call: str) -> None:
         """A command that the runtime did not carry out."""
         txn = self.calls.get(call)
-        self.out.append((HELM, "log", "runtime refused a command", {"command": word, "call": call}))
+        self.out.append((DISPATCHER, "log", "runtime refused a command", {"command": word, "call": call}))
         if txn and txn.started and word == "start" and txn.proof != UNSENT:
             if not txn.answered:
                 self.out.append((txn.peer, "rejected", txn.rpc, "the runtime does not know this request"))
@@ -297,9 +306,9 @@
             txn.wants, txn.given, txn.proof = None, body, UNSENT
             if self.is_linked:  # else it goes out with the next link, for the run waits for it
                 self._give(txn)
-        self.rudder.call_ended(txn.number, outcome)
+        self._module.call_ended(txn.number, outcome)
 
-    # From the helm.
+    # From the dispatcher.
 
     def ask(self) -> None:
         """Asks for gauges, ahead of a ring."""
@@ -313,10 +322,10 @@
         ladder of levels takes the cores' use for unknown. `late_ms`: how late this ring itself is."""
         told, self.told = self.told, {}
         self.told_cores = told.get("on_cores", -1.0)
-        self.rudder.ring(**told)
+        self._module.ring(**told)
         # a drain declines by its own rule, and nothing else moves in it
         if self.levels and not self.retiring:
-            facts = self.rudder.facts() | {"late_ms": late_ms}
+            facts = self._module.facts() | {"late_ms": late_ms}
             if "busy" not in told:
                 del facts["busy"]
             self._tell_level(self.levels.step(self.now, facts))
@@ -329,7 +338,7 @@
     def take_policy(
         self,
         table: "Table | None",
-        make: "Callable[[Table], Watch]",
+        make: "Callable[[Table], LevelController]",
         products: list[Product],
         tenants: list[Tenant],
         limits: Limits,
@@ -355,13 +364,13 @@
         if self.rudder and not self.retiring:
             self.rudder.reduce(self.aside if self.is_aside else self.levels.relief if self.levels else None)
 
-    def _tell_level(self, news: "News | None") -> None:
-        if news and news.relief and self.rudder and not self.is_aside:
-            self.rudder.reduce(news.relief)
-        if news:
-            self.out.append((HELM, "log", news.text, news.facts))
+    def _tell_level(self, update: "LevelUpdate | None") -> None:
+        if update and update.relief and self.rudder and not self.is_aside:
+            self.rudder.reduce(update.relief)
+        if update:
+            self.out.append((DISPATCHER, "log", update.text, update.facts))
 
-    def beliefs(self) -> dict[str, Any]:
+    def counters(self) -> dict[str, Any]:
         """What the module counts beside what is known here, for the log: they must agree."""
         if not self.rudder:
             return {}
@@ -375,7 +384,7 @@
             on_cores=self.told_cores,
             gauges_behind=self.asked - self.heard,
             load=self.load,
-            **(self.levels.beliefs(self.now) if self.levels else {}),
+            **(self.levels.log_fields(self.now) if self.levels else {}),
         )
 
     def serve_part(self, part: Part, is_up: bool, left_ms: float) -> None:
@@ -400,7 +409,7 @@
         """An event of this txn could not be dealt with: it is voided, the others go on."""
         if txn := self.calls.get(call):
             self._void(txn)
-            self.rudder.left(txn.number)
+            self._module.left(txn.number)
 
     # Steps.
 
@@ -410,15 +419,15 @@
             if txn := self.txns.get(rest[0]):
                 _OF_A_TXN[word](self, txn, *rest[1:])
             elif word == "run":  # its caller left within this batch: nothing starts, and its slot comes back
-                self.rudder.finished(rest[0], Outcome.MOOT)
+                self._module.finished(rest[0], Outcome.MOOT)
         elif word == "wake":
-            self.out.append((HELM, "wake", rest[0]))
+            self.out.append((DISPATCHER, "wake", rest[0]))
         elif word == "advertise":
             self.load = rest[0]
         elif word == "health":
             self.healthy = rest[0]
         elif word == "log":
-            self.out.append((HELM, "log", rest[0], {}))
+            self.out.append((DISPATCHER, "log", rest[0], {}))
         else:
             self.out.append((GATEWAYS, word, *rest))
 
@@ -445,7 +454,7 @@
 
     def _serve_from(self, txn: Txn, result: bytes | None) -> None:
         self._answer(txn, Outcome.ERROR if result is None else Outcome.OK, result or b"")
-        self.rudder.finished(txn.number, Outcome.ERROR if result is None else Outcome.OK)
+        self._module.finished(txn.number, Outcome.ERROR if result is None else Outcome.OK)
         self._release(txn)
 
     def _stop(self, txn: Txn) -> None:
@@ -470,7 +479,7 @@
     def _keep(self, txn: Txn, span_ms: float) -> None:
         known = self.references.get(txn.mark)
         if not known:
-            known = self.references[txn.mark] = Reference(txn.number, txn.what)
+            known = self.references[txn.mark] = Reference(txn.number, txn.digest)
             heapq.heappush(self.lapses, (self.now + span_ms, txn.mark))
         elif known.holder != txn.number:
             known.holder, known.over, known.result = txn.number, False, None
@@ -520,7 +529,7 @@
             self._answer(txn, outcome, body)
         if txn.calling:
             self._call_over(txn, hang_up=True)
-        self.rudder.finished(txn.number, outcome)
+        self._module.finished(txn.number, outcome)
         if known and known.holder == txn.number:
             waiting, known.waiting = known.waiting, []
             for number in waiting:
@@ -535,7 +544,9 @@
             self.out.append((RECORDS, "hang up", txn.call))
 
     def _release(self, txn: Txn) -> None:
-        if txn.answered and not txn.started and self.txns.pop(txn.number, None):
+        if not txn.answered or txn.started:
+            return
+        if self.txns.pop(txn.number, None):
             del self.calls[txn.call]
 
     def _lapse(self, mark: str) -> None:
--- a/otterrudder/net/helm.py
+++ b/otterrudder/net/dispatcher.py
@@ -1,7 +1,9 @@
-"""The module's actor: the only caller of the core, with its one timer and the gauges' clock.
+"""The event loop's dispatcher: the only caller of the core.
 
-What waits in the mailbox is taken in one go: the time once, the runtime and records before arrivals (what
-they free is there for those that come), then one `done`."""
+Actors post calls of the core into its mailbox and never call the core themselves. A turn takes all that waits
+in one go: the time once, the runtime and records before arrivals (what they free is there for those that
+come), the ring if it is due, then one `done`, whose messages go to their addresses. Its one timer wakes it
+for the next ring, and a little earlier to ask for gauges."""
 
 import gc
 import math
@@ -12,8 +14,9 @@
 
 import anyio
 
-from otterrudder.net import clock, core
-from otterrudder.net.log import log
+from otterrudder import clock
+from otterrudder.log import log
+from otterrudder.net import core
 
 ASK_AHEAD_MS = 6.0  # ms before a ring at which gauges are asked for: a round trip and a busy loop
 LATE_MS = 40.0  # ms of lateness of a ring from which on this process is short of CPU: a whole ring
@@ -21,34 +24,44 @@
 REPORT_MS = 10_000.0  # ms between lines on how this process does
 
 
+Mail = tuple[Callable[..., object], tuple[Any, ...], dict[str, Any], str]  # a call, its arguments, whose txn
+
+
 class Address(Protocol):
-    def tell(self, word: str, *rest: object) -> None: ...
+    """What the core's messages may be sent to."""
+
+    def tell(self, word: str, *rest: Any) -> None:
+        """Takes a message, in the forms that core.py lists; never waits."""
+
 
+class Dispatcher:
+    """Plays what was posted in turns, one at a time; a call that fails is logged, and the others go on."""
 
-class Helm:
     def __init__(self, the_core: core.Core) -> None:
         self.core = the_core
-        self.addresses: dict[Hashable, Address] = {core.HELM: self}
+        self.addresses: dict[Hashable, Address] = {core.DISPATCHER: self}
         self.period = 0.0  # ms of the last ring's wait
-        self.urgent: list[tuple] = []
-        self.arrivals: list[tuple] = []
+        self.urgent: list[Mail] = []  # of all but gateways: played ahead of arrivals
+        self.arrivals: list[Mail] = []
         self.wake = anyio.Event()
         self.ring_at = self.ask_at = float("inf")
-        self.watch = _Watch()
+        self.statistics = _LoopStatistics()
         self.ahead: list[Callable[[float], None]] = []  # what may not wait for a turn: it is played first
 
-    def post(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+    def post(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
         """Puts a call of the core into the mailbox; `of` names the txn that is voided if it fails."""
         self.urgent.append((act, args, more, of))
         self.wake.set()
 
-    def post_arrival(self, act: Callable[..., None], *args: object, of: str = "", **more: object) -> None:
+    def post_arrival(self, act: Callable[..., object], *args: Any, of: str = "", **more: Any) -> None:
+        """The same for what gateways say: played after all that was put in by `post`."""
         self.arrivals.append((act, args, more, of))
         self.wake.set()
 
     async def run(self) -> None:
+        """Takes turns until it is cancelled."""
         while True:
-            wait = min(self.ring_at, self.ask_at, self.watch.next) - clock.monotonic()
+            wait = min(self.ring_at, self.ask_at, self.statistics.next) - clock.monotonic()
             if not (self.urgent or self.arrivals) and wait > 0:
                 self.wake = anyio.Event()
                 with anyio.move_on_after(wait / 1000):
@@ -58,6 +71,7 @@
             self.turn()
 
     def turn(self) -> None:
+        """One batch of the core: the time, all mail, what is due, and what the core then sends."""
         now = clock.monotonic()
         for pulse in self.ahead:
             self._try(pulse, now)
@@ -71,7 +85,7 @@
             self._try(self.core.ask)
         if now >= self.ring_at:
             late = now - self.ring_at
-            self.watch.late(late)
+            self.statistics.ring_played(late)
             self.ring_at = float("inf")
             self._try(self.core.ring, late)
         for address, *message in self._try(self.core.done) or ():
@@ -79,9 +93,10 @@
                 self._try(self.addresses.get(address, address).tell, *message)
         if self.ring_at == self.ask_at == float("inf") and self.period:  # a failed ring must not be the last
             self.tell("wake", self.period)
-        self._try(self.watch.turned, now, len(urgent) + len(arrivals), self.core)
+        self._try(self.statistics.turn_played, now, len(urgent) + len(arrivals), self.core)
 
-    def tell(self, word: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
+        """What the core sends to its dispatcher: when to ring next, or a line to log."""
         if word == "wake":
             self.period = rest[0]
             self.ring_at = clock.monotonic() + rest[0]
@@ -89,7 +104,7 @@
         else:
             log.info(rest[0], **rest[1])
 
-    def _try(self, act: Callable[..., Any], *args: object, of: str = "", **more: object) -> Any:
+    def _try(self, act: Callable[..., Any], *args: Any, of: str = "", **more: Any) -> Any:
         try:
             return act(*args, **more)
         except Exception:
@@ -104,8 +119,8 @@
     return round(int(Path("/proc/self/statm").read_bytes().split()[1]) * resource.getpagesize() / 2**20, 1)
 
 
-class _Watch:
-    """A cheap count of how this process does, told now and then."""
+class _LoopStatistics:
+    """How the loop keeps up: cheap counts, logged and begun anew each REPORT_MS."""
 
     def __init__(self) -> None:
         self.next = clock.monotonic() + REPORT_MS
@@ -114,16 +129,18 @@
         self.mail = self.turns = self.events = 0
         self.cpu = 0.0
 
-    def late(self, ms: float) -> None:
-        self.lag = max(self.lag, ms)
-        if ms > LATE_MS:
+    def ring_played(self, late_ms: float) -> None:
+        """A ring was played so late."""
+        self.lag = max(self.lag, late_ms)
+        if late_ms > LATE_MS:
             self.late_at = clock.monotonic()
 
     def is_late(self) -> bool:
         """Whether a ring of late was so late that answers at expiry may be."""
         return clock.monotonic() - self.late_at < LATE_FOR_MS
 
-    def turned(self, began: float, mail: int, of: core.Core) -> None:
+    def turn_played(self, began: float, mail: int, of: core.Core) -> None:
+        """A turn that began then took so much mail."""
         now = clock.monotonic()
         self.turn_ms = max(self.turn_ms, now - began)
         self.mail, self.turns, self.events = max(self.mail, mail), self.turns + 1, self.events + mail
@@ -133,7 +150,7 @@
         cpu = used.ru_utime + used.ru_stime
         log.info(
             "doing",
-            **of.beliefs(),
+            **of.counters(),
             txns=len(of.txns),
             references=len(of.references),
             numbered=of.numbered,
--- a/otterrudder/net/records.py
+++ b/otterrudder/net/records.py
@@ -3,14 +3,16 @@
 
 import math
 from collections import deque
+from typing import Any
 
 import anyio
 import anyio.abc
 
+from otterrudder import clock
 from otterrudder.interface import Outcome
-from otterrudder.net import clock, lines, sockets
-from otterrudder.net.helm import Helm
-from otterrudder.net.log import log
+from otterrudder.log import log
+from otterrudder.net import lines, sockets
+from otterrudder.net.dispatcher import Dispatcher
 
 LINKS_MOST = 48  # connections: twice the calls that a server of the usual size has out
 REUSE_MS = 500.0  # ms unused after which one takes no call: the service may have forgotten it, and then it
@@ -89,7 +91,7 @@
         for words, body in lines.messages(buffer, lines.records_body):
             outcome = lines.REPLIES.get(words[1]) if len(words) > 1 else None
             if outcome is None:
-                raise sockets.Broken(f"unknown reply {' '.join(words)[:40]!r}")
+                raise sockets.ProtocolError(f"unknown reply {' '.join(words)[:40]!r}")
             if words[0] in self.calls:
                 self.records.ended(self, words[0], outcome, body)
             else:  # a copy, or somebody else's: the good one may still follow
@@ -114,8 +116,8 @@
 
 
 class Records:
-    def __init__(self, helm: Helm, address: tuple[str, int] | None, sockets_most: int) -> None:
-        self.helm, self.address = helm, address
+    def __init__(self, dispatcher: Dispatcher, address: tuple[str, int] | None, sockets_most: int) -> None:
+        self.dispatcher, self.address = dispatcher, address
         self.most = max(min(LINKS_MOST, sockets_most // 8), 2)
         self.links: set[Link] = set()
         self.idle: list[Link] = []  # the last used at the end
@@ -123,20 +125,21 @@
         self.group: anyio.abc.TaskGroup | None = None
         self.is_refused = False  # the last that was heard of the service is a connection that was not made
 
-    def tell(self, word: str, call: str, *rest: object) -> None:
+    def tell(self, word: str, *rest: Any) -> None:
+        call = rest[0]
         if word == "call":
             if earlier := self.on.pop(call, None):  # a second call for one txn gives up the first
                 earlier.give_up(call)
-            link = self._link(call) if self.address and self.group else None
+            link = self._link(call, self.address, self.group) if self.address and self.group else None
             if link:
                 self.on[call] = link
-                link.take(call, lines.say_body(rest[1], "OP", call, max(math.ceil(rest[0]), 1)))
+                link.take(call, lines.say_body(rest[2], "OP", call, max(math.ceil(rest[1]), 1)))
             else:  # it never ran: the module may try again
-                self.helm.post(self.helm.core.replied, call, Outcome.UNREACHED, of=call)
+                self.dispatcher.post(self.dispatcher.core.replied, call, Outcome.UNREACHED, of=call)
         elif link := self.on.pop(call, None):
             link.give_up(call)
 
-    def _link(self, call: str) -> Link | None:
+    def _link(self, call: str, address: tuple[str, int], group: anyio.abc.TaskGroup) -> Link | None:
         """The freshest idle one, else a new one, else the one with the fewest calls."""
         now = clock.monotonic()
         for link in self.idle[::-1]:  # one that has gone may leave the list
@@ -146,19 +149,19 @@
                 self.idle.remove(link)
                 return link
         if len(self.links) < self.most:
-            link = Link(self, self.address)
+            link = Link(self, address)
             self.links.add(link)
-            self.group.start_soon(link.run)
+            group.start_soon(link.run)
             return link
         usable = [link for link in self.links if not link.spent and call not in link.carried]
-        link = min(usable, key=lambda link: len(link.calls), default=None)
-        if link in self.idle:
-            self.idle.remove(link)
-        return link
+        least = min(usable, key=lambda link: len(link.calls), default=None)
+        if least in self.idle:
+            self.idle.remove(least)
+        return least
 
     def ended(self, link: Link, call: str, outcome: Outcome, body: bytes = b"") -> None:
         del link.calls[call], self.on[call]
-        self.helm.post(self.helm.core.replied, call, outcome, body, of=call)
+        self.dispatcher.post(self.dispatcher.core.replied, call, outcome, body, of=call)
 
     def gone(self, link: Link) -> None:
         link.spent = link.spent or "gone"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,8 +12,8 @@
 from otterrudder.boot import boot, gauge_names, products_of
 from otterrudder.interface import Outcome
 from otterrudder.net import core, jsonrpc, lines
-from otterrudder.net.helm import Helm
-from otterrudder.net.sockets import Broken, Buffer
+from otterrudder.net.dispatcher import Dispatcher
+from otterrudder.net.sockets import Buffer, ProtocolError
 
 
 def fed(pieces: list[bytes], read, room: int = 4096) -> list:
@@ -53,7 +53,7 @@
     assert fed([line[:5000], line[5000:]], READERS[GATEWAY], 16384)[0][2] == {"x": "y" * 9000}
     buffer = Buffer(16384)
     assert len(buffer.data) == 4096
-    with pytest.raises(Broken):
+    with pytest.raises(ProtocolError):
         buffer.put(b"z" * 20000)
     assert len(buffer.data) == 16384
 
@@ -78,7 +78,7 @@
     ],
 )
 def test_lines_that_can_not_be_followed_break_the_link(data: bytes) -> None:
-    with pytest.raises(Broken):
+    with pytest.raises(ProtocolError):
         fed([data], READERS[RUNTIME])
 
 
@@ -239,13 +239,13 @@
 
 def test_a_ring_that_fails_is_not_the_last() -> None:
     bench = Bench()
-    helm = Helm(bench.core)
-    helm.addresses |= {core.GATEWAYS: Mock(), core.RUNTIME: Mock()}
-    helm.tell("wake", 40.0)
-    helm.ring_at = helm.ask_at = 0.0
+    dispatcher = Dispatcher(bench.core)
+    dispatcher.addresses |= {core.GATEWAYS: Mock(), core.RUNTIME: Mock()}
+    dispatcher.tell("wake", 40.0)
+    dispatcher.ring_at = dispatcher.ask_at = 0.0
     bench.core.rudder.holds = None  # the module is broken: whatever it is asked fails
-    helm.turn()
-    assert 0.0 < helm.ring_at < float("inf")
+    dispatcher.turn()
+    assert 0.0 < dispatcher.ring_at < float("inf")
 
 
 def test_a_runtime_that_came_anew_has_lost_its_runs() -> None:
@@ -343,7 +343,7 @@
             elif what == 13:
                 news = bench.step(the_core.ring, ms=40.0)
             out = news
-        told = the_core.beliefs()
+        told = the_core.counters()
         assert told["in_hand"] == told["runs"]  # the module's count and the wire's agree
     bench.step(the_core.retire, 1500.0)
     bench.step(lambda: None, ms=1500.0)
