--- a/otterrudder/lab/scale/hollow.py
+++ b/otterrudder/lab/scale/hollow.py
@@ -4,12 +4,13 @@
     python -m otterrudder.lab.scale.hollow FLEET.toml CONFIG.json --count 50 --folder DIR [--first 0]
 
 FLEET.toml is a fleet's file and CONFIG.json a server's configuration; the folders of the servers are made
-under DIR. What a server switches to is told at once on standard output, a line of JSON each (`Switched`). The
-process ends with its input."""
+under DIR. What a server switches to is told at once on standard output, a line of JSON each (`Switched`). A
+line of input is answered by what the servers have counted (`Counted`). The process ends with its input."""
 
 import argparse
 import asyncio
 import sys
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
@@ -30,7 +31,7 @@
 PULSE_S = 0.02
 
 
-class Switched(msgspec.Struct, frozen=True):
+class Switched(msgspec.Struct, frozen=True, tag=True):
     """A server goes by another policy, or admits again, or no longer."""
 
     server: str
@@ -39,6 +40,16 @@
     at_ms: float  # monotonic clock, which all processes of a machine share
 
 
+class Counted(msgspec.Struct, frozen=True, tag=True):
+    """Sums over the servers of a process, since its start."""
+
+    counts: dict[str, int]  # by what an agent shows of itself
+    at_ms: float
+
+
+Told = Switched | Counted
+
+
 class HollowServer:
     """A server's coordination alone. `pulse` stands for the turn of a server's event loop."""
 
@@ -59,6 +70,12 @@
         self._told = present
         return Switched(self.name, *present, now)
 
+    def counts(self) -> dict[str, int]:
+        """What the agent has counted, as an operator sees it."""
+        shown = self.agent.shown()["counts"]
+        assert isinstance(shown, dict)
+        return shown
+
     def _apply(self, content: Content) -> None:
         """A server's core would go by it from here on."""
 
@@ -72,7 +89,8 @@
         group.start_soon(_pulse_all, servers)
         group.start_soon(_start_all, servers)
         while await lines.readline():
-            pass
+            total = sum((Counter(server.counts()) for server in servers), Counter())
+            _write([Counted(dict(total), clock.monotonic())])
         group.cancel_scope.cancel()
 
 
@@ -88,11 +106,15 @@
         now = clock.monotonic()
         switched = [told for server in servers if (told := server.pulse(now))]
         if switched:
-            sys.stdout.buffer.write(b"".join(msgspec.json.encode(told) + b"\n" for told in switched))
-            sys.stdout.buffer.flush()
+            _write(switched)
         await anyio.sleep(PULSE_S)
 
 
+def _write(told: Sequence[Told]) -> None:
+    sys.stdout.buffer.write(b"".join(msgspec.json.encode(one) + b"\n" for one in told))
+    sys.stdout.buffer.flush()
+
+
 def _make_servers(told: argparse.Namespace) -> list[HollowServer]:
     fleet = read_fleet(told.fleet)
     own = own_of(read_configuration(told.configuration)["settings"])
--- a/otterrudder/lab/scale/processes/bench.py
+++ b/otterrudder/lab/scale/processes/bench.py
@@ -3,30 +3,44 @@
 import contextlib
 import json
 import secrets
-from collections.abc import AsyncIterator
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
-import anyio.abc
+import anyio.to_thread
 import msgspec
 
+from otterrudder.clock import monotonic
 from otterrudder.fleet.change import propose, whole
 from otterrudder.fleet.client import Client
 from otterrudder.fleet.configuration import read_fleet
 from otterrudder.fleet.records import Absent, Keys, View
 from otterrudder.lab.processes.counters import StoreReport
+from otterrudder.lab.processes.link import free_port
 from otterrudder.lab.processes.rig import levels_text
 from otterrudder.lab.processes.standins import SETTINGS
-from otterrudder.lab.scale.hollow import Switched
+from otterrudder.lab.scale.hollow import Counted, Switched
 from otterrudder.lab.scale.processes.children import Child, running
 from otterrudder.lab.scale.processes.usage import Usage
+from otterrudder.net import control
 
 STORE_MODULE = "otterrudder.lab.processes.etcd"
 HOLLOW_MODULE = "otterrudder.lab.scale.hollow"
 TIMEOUT_MS = 2000.0  # of the operator's requests
 DEADLINE_MS = 30_000.0  # of a change
 PRODUCT = "look"  # that the policies decline
+CONFIGURATION = "config.json"  # name of the servers' configuration file
+RELAY_UP_S = 20.0  # s that a cell may take until its first relay leads
+LOOK_S = 0.1  # s between looks at that
+COUNTS_S = 10.0  # s that the servers' processes may take to tell their counts
+
+
+def usage_of(children: Sequence[Child]) -> Usage:
+    """Of all these processes together."""
+    each = [Usage.of(child.pid) for child in children]
+    return Usage(sum(one.cpu_s for one in each), sum(one.rss_mb for one in each))
 
 
 class NotInTime(Exception):
@@ -39,17 +53,44 @@
 
     fleet: str = "scale"
     absent: Absent = "wait"
-    bound_ms: float = 2000.0
+    bound_ms: float = 3000.0
     lease_ms: float = 6000.0
+    server_lease_ms: float = 3000.0  # of a server of a cell
+
+    def member_text(self, store_port: int) -> str:
+        """The file of a member of its own."""
+        return f'{self._common_text(store_port)}absent = "{self.absent}"\nfolder = "state"\n'
+
+    def server_text(self, store_port: int, relays: Sequence[str]) -> str:
+        """The file of a server of a cell."""
+        return f"{self._common_text(store_port)}relays = {json.dumps(relays)}\n"
+
+    def relay_text(self, store_port: int, cell: str, address: str, candidates: Sequence[str]) -> str:
+        """The file of one of a cell's several relays, which keep nothing."""
+        return (
+            f'{self._common_text(store_port)}absent = "{self.absent}"\n[relay]\ncell = "{cell}"\n'
+            f'address = "{address}"\ncandidates = {json.dumps(candidates)}\n'
+        )
 
-    def text(self, store_port: int) -> str:
+    def _common_text(self, store_port: int) -> str:
         return (
             f'version = 1\nfleet = "{self.fleet}"\nstore = ["127.0.0.1:{store_port}"]\n'
-            f'absent = "{self.absent}"\nbound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n'
-            'folder = "state"\n'
+            f"bound_ms = {self.bound_ms}\nlease_ms = {self.lease_ms}\n"
+            f"server_lease_ms = {self.server_lease_ms}\n"
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """How many hollow servers, in how many processes. `cells`: 0 where each server is a member of its own,
+    else the servers and their processes are shared out evenly."""
+
+    servers: int
+    processes: int
+    cells: int = 0
+    relays_of_cell: int = 2
+
+
 def policy_text(number: int, size: int) -> str:
     """A policy of at least `size` bytes, each number with a digest of its own; comments fill it up."""
     table = levels_text(PRODUCT).replace("[[level]]", "[[levels.level]]")
@@ -88,10 +129,16 @@
     @staticmethod
     @contextlib.asynccontextmanager
     async def running(folder: Path) -> AsyncIterator["StandIn"]:
-        async with running(STORE_MODULE, ["0"], folder / "store.log") as child:
+        async with running([STORE_MODULE, "0"], folder / "store.log") as child:
             yield StandIn(child, int(await child.read_line()))
 
 
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    version: int  # that the policy will have
+    sent_ms: float  # when the proposal was sent, by the monotonic clock
+
+
 class Operator:
     """Proposes changes as the operators' command does: by a connection of its own, with one read and one
     write."""
@@ -100,20 +147,21 @@
         self._fleet = read_fleet(fleet_file)
         self.keys = Keys(self._fleet.name)
 
-    async def propose(self, text: str, ident: str = "") -> int:
-        """The version that the policy will have. StoreAway; NotInTime: another change is open. `ident`: the
-        change's, from which settlers draw when they come forward; else a new one."""
+    async def propose(self, text: str, ident: str = "") -> Proposed:
+        """StoreAway; NotInTime: another change is open. `ident`: the change's, from which settlers draw when
+        they come forward; else a new one."""
         client = Client(self._fleet)
         try:
             view = View(self.keys, await client.read(whole(self.keys), TIMEOUT_MS))
             commit = propose(view, ident or secrets.token_hex(8), text, "lab", "", 0.0, DEADLINE_MS)
+            sent_ms = monotonic()
             done = await client.commit(commit.compares, commit.writes, TIMEOUT_MS)
         finally:
             with anyio.CancelScope(shield=True):
                 await client.close()
         if not done.held:
             raise NotInTime("another change is open")
-        return view.policy.version + 1 if view.policy else 1
+        return Proposed(view.policy.version + 1 if view.policy else 1, sent_ms)
 
 
 @dataclass(slots=True)
@@ -124,12 +172,26 @@
     latest: dict[str, Switched] = field(default_factory=dict)
     arrived_ms: dict[int, dict[str, float]] = field(default_factory=dict)  # by version and server
     processes: list[Child] = field(default_factory=list)
+    _counted: dict[int, Counted] = field(default_factory=dict)  # by process
     _news: anyio.Event = field(default_factory=anyio.Event)
 
     def told(self, switched: Switched) -> None:
         self.latest[switched.server] = switched
         if switched.admits:
             self.arrived_ms.setdefault(switched.version, {}).setdefault(switched.server, switched.at_ms)
+        self._announce()
+
+    async def counts(self) -> Counter[str]:
+        """What all of them have counted, together."""
+        self._counted.clear()
+        for child in self.processes:
+            await child.tell(b"counts")
+        with anyio.fail_after(COUNTS_S):
+            while len(self._counted) < len(self.processes):
+                await self._news.wait()
+        return sum((Counter(counted.counts) for counted in self._counted.values()), Counter())
+
+    def _announce(self) -> None:
         self._news.set()
         self._news = anyio.Event()
 
@@ -152,46 +214,118 @@
 
     def usage(self) -> Usage:
         """Of all their processes together."""
-        each = [Usage.of(child.pid) for child in self.processes]
-        return Usage(sum(one.cpu_s for one in each), sum(one.rss_mb for one in each))
+        return usage_of(self.processes)
 
     async def listen(self, child: Child) -> None:
         """To what a process of hollow servers tells, until it ends."""
         with contextlib.suppress(anyio.EndOfStream, anyio.IncompleteRead, anyio.ClosedResourceError):
             while True:
-                self.told(msgspec.json.decode(await child.read_line(), type=Switched))
+                line = await child.read_line()
+                told: Switched | Counted = msgspec.json.decode(line, type=Switched | Counted)
+                if isinstance(told, Switched):
+                    self.told(told)
+                else:
+                    self._counted[child.pid] = told
+                    self._announce()
 
 
 @dataclass(slots=True)
 class Bench:
+    """`ports`: those that the servers' connections go to."""
+
     stand_in: StandIn
     operator: Operator
     servers: Servers
+    ports: tuple[int, ...]
+    relays: list[Child] = field(default_factory=list)
 
 
 @contextlib.asynccontextmanager
 async def bench_running(
-    folder: Path, settings: FleetSettings, count: int, processes: int, prefix: str = "h"
+    folder: Path, settings: FleetSettings, layout: Layout, prefix: str = "h"
 ) -> AsyncIterator[Bench]:
-    """`count` hollow servers in so many processes, all begun; gone at the end. `prefix`: of their names."""
-    fleet_file, configuration = folder / "fleet.toml", folder / "config.json"
-    write_configuration(configuration)
+    """All of it begun, and the relays at work; gone at the end. `prefix`: of the servers' names."""
+    write_configuration(folder / CONFIGURATION)
     async with contextlib.AsyncExitStack() as stack:
         stand_in = await stack.enter_async_context(StandIn.running(folder))
-        fleet_file.write_text(settings.text(stand_in.port))
-        servers = Servers()
-        group = await stack.enter_async_context(anyio.create_task_group())
-        for first, share in _shares(count, processes):
-            words = [str(fleet_file), str(configuration), "--count", str(share), "--first", str(first)]
-            words += ["--folder", str(folder / "servers"), "--prefix", prefix]
-            child = await stack.enter_async_context(running(HOLLOW_MODULE, words, folder / "hollow.log"))
-            servers.processes.append(child)
-            servers.names |= {f"{prefix}{number}" for number in range(first, first + share)}
-            group.start_soon(servers.listen, child)
-        yield Bench(stand_in, Operator(fleet_file), servers)
-
-
-def _shares(count: int, processes: int) -> list[tuple[int, int]]:
-    """The first number and the count of servers of each process."""
-    bounds = [count * number // processes for number in range(processes + 1)]
-    return [(first, end - first) for first, end in zip(bounds, bounds[1:], strict=False) if end > first]
+        port = stand_in.port
+        member_file = folder / "fleet.toml"
+        member_file.write_text(settings.member_text(port))
+        bench = Bench(stand_in, Operator(member_file), Servers(), (port,))
+        files = [member_file] * layout.processes
+        if layout.cells:
+            cells = [_plan_cell(layout, number) for number in range(layout.cells)]
+            for cell in cells:
+                bench.relays += await _start_relays(stack, folder, settings, port, cell)
+            bench.ports = tuple(int(relay.rpartition(":")[2]) for cell in cells for relay in cell.relays)
+            files = [_write_server_file(folder, settings, port, cell) for cell in cells]
+        await _start_servers(stack, folder, bench, files, layout.servers, prefix)
+        yield bench
+
+
+@dataclass(frozen=True, slots=True)
+class _Cell:
+    name: str
+    relays: tuple[str, ...]  # addresses
+
+
+def _plan_cell(layout: Layout, number: int) -> _Cell:
+    return _Cell(f"z{number}", tuple(f"127.0.0.1:{free_port()}" for _ in range(layout.relays_of_cell)))
+
+
+def _write_server_file(folder: Path, settings: FleetSettings, store_port: int, cell: _Cell) -> Path:
+    path = folder / f"fleet-{cell.name}.toml"
+    path.write_text(settings.server_text(store_port, cell.relays))
+    return path
+
+
+async def _start_relays(
+    stack: contextlib.AsyncExitStack, folder: Path, settings: FleetSettings, store_port: int, cell: _Cell
+) -> list[Child]:
+    """The first one leads once this returns."""
+    children = []
+    for number, address in enumerate(cell.relays):
+        path = folder / f"relay-{cell.name}-{number}.toml"
+        path.write_text(settings.relay_text(store_port, cell.name, address, cell.relays))
+        words = ["otterrudder", "fleet", "relay", "--fleet", str(path)]
+        log = path.with_suffix(".log")
+        child = await stack.enter_async_context(running(words, log, folder=folder, ends_by_signal=True))
+        children.append(child)
+        if number == 0:
+            await _until_leading(folder / f"otterrudder-relay-{address}.sock")
+    return children
+
+
+async def _until_leading(control_path: Path) -> None:
+    """NotInTime: it does not lead."""
+    with anyio.move_on_after(RELAY_UP_S):
+        while True:
+            with contextlib.suppress(OSError, ValueError):
+                told = await anyio.to_thread.run_sync(control.ask_at, control_path, "relay")
+                relay = told["relay"]
+                if isinstance(relay, dict) and relay["leads"]:
+                    return
+            await anyio.sleep(LOOK_S)
+    raise NotInTime(f"{control_path.name}: it does not lead")
+
+
+async def _start_servers(
+    stack: contextlib.AsyncExitStack,
+    folder: Path,
+    bench: Bench,
+    files: Sequence[Path],
+    count: int,
+    prefix: str,
+) -> None:
+    """A process of hollow servers for each of the files, which share `count` evenly."""
+    group = await stack.enter_async_context(anyio.create_task_group())
+    bounds = [count * number // len(files) for number in range(len(files) + 1)]
+    for file, first, end in zip(files, bounds, bounds[1:], strict=False):
+        if first == end:
+            continue
+        words = [HOLLOW_MODULE, str(file), str(folder / CONFIGURATION), "--count", str(end - first)]
+        words += ["--first", str(first), "--folder", str(folder / "servers"), "--prefix", prefix]
+        child = await stack.enter_async_context(running(words, folder / "hollow.log"))
+        bench.servers.processes.append(child)
+        bench.servers.names |= {f"{prefix}{number}" for number in range(first, end)}
+        group.start_soon(bench.servers.listen, child)
--- a/otterrudder/lab/scale/processes/children.py
+++ b/otterrudder/lab/scale/processes/children.py
@@ -1,7 +1,7 @@
-"""Processes of the lab that end with their input: started, read line by line, ended by their own ids.
+"""Processes of the lab: started, read line by line, ended by their own ids on every way out.
 
-Each is in a process group of its own, so that a terminal's Ctrl-C reaches the lab alone, which ends them in
-order; if the lab itself is killed, their input ends and so do they."""
+Each is in a session of its own, so that a terminal's Ctrl-C reaches the lab alone, which ends them in order.
+If the lab itself is killed, those of the lab's own modules end with their input."""
 
 import contextlib
 import sys
@@ -13,18 +13,18 @@
 import anyio.abc
 from anyio.streams.buffered import BufferedByteReceiveStream
 
-from otterrudder.lab.processes.rig import ROOT
+from otterrudder.lab.processes.rig import ROOT, environment
 
 LINE_MOST = 4 * 2**20  # bytes of a line
 END_S = 5.0  # s that a child may take to end after its input has
 
 
 class Child:
-    """One process of `python -m MODULE`."""
+    """One process."""
 
-    def __init__(self, process: anyio.abc.Process) -> None:
+    def __init__(self, process: anyio.abc.Process, ends_by_signal: bool) -> None:
         assert process.stdin and process.stdout
-        self.process = process
+        self.process, self.ends_by_signal = process, ends_by_signal
         self._input = process.stdin
         self._output = BufferedByteReceiveStream(process.stdout)
 
@@ -36,16 +36,22 @@
         """The next line of its output; EndOfStream: there is none any more."""
         return await self._output.receive_until(b"\n", LINE_MOST)
 
+    async def tell(self, line: bytes) -> None:
+        await self._input.send(line + b"\n")
+
     async def ask(self, line: bytes) -> bytes:
         """The line that answers this one."""
-        await self._input.send(line + b"\n")
+        await self.tell(line)
         return await self.read_line()
 
     async def end(self) -> None:
-        """By the end of its input, or by a kill."""
+        """By the end of its input and SIGTERM, or by a kill."""
         with anyio.move_on_after(END_S, shield=True):
             with contextlib.suppress(OSError, anyio.BrokenResourceError):
                 await self._input.aclose()
+            if self.ends_by_signal:
+                with contextlib.suppress(ProcessLookupError):
+                    self.process.terminate()
             await self.process.wait()
         if self.process.returncode is None:
             self.process.kill()
@@ -54,18 +60,23 @@
 
 
 @contextlib.asynccontextmanager
-async def running(module: str, words: Sequence[str], log: Path) -> AsyncIterator[Child]:
-    """A child of that module; gone at the end. What it says on standard error goes to the file `log`."""
+async def running(
+    words: Sequence[str], log: Path, *, folder: Path | None = None, ends_by_signal: bool = False
+) -> AsyncIterator[Child]:
+    """A child by `python -m WORDS`; gone at the end. What it says on standard error goes to the file `log`.
+    `folder`: for its temporary files; `ends_by_signal`: it does not end with its input."""
+    told = {"TMPDIR": str(folder)} if folder else {}
     with log.open("ab") as errors:
         process = await anyio.open_process(
-            [sys.executable, "-m", module, *words],
+            [sys.executable, "-m", *words],
             cwd=ROOT,
+            env=environment(told),
             stdin=PIPE,
             stdout=PIPE,
             stderr=errors,
             start_new_session=True,
         )
-    child = Child(process)
+    child = Child(process, ends_by_signal)
     try:
         yield child
     finally:
--- /dev/null
+++ b/otterrudder/lab/scale/processes/rows.py
@@ -0,0 +1,91 @@
+"""What the processes part measures: a row for each size, and the figures that laws are fitted to."""
+
+from collections.abc import Callable, Mapping
+from statistics import fmean
+from types import MappingProxyType
+from typing import Literal
+
+import msgspec
+
+Kind = Literal["members", "cells"]
+
+
+class Idle(msgspec.Struct, frozen=True):
+    """A while without a change. CPU is in shares of a core, all processes of a sort together."""
+
+    seconds: float
+    store_requests_per_s: float
+    server_messages_per_s: float  # of all servers, to the store or to their relays
+    bytes_sent_per_s: float  # by all servers
+    bytes_received_per_s: float
+    servers_cpu: float
+    relays_cpu: float
+    store_cpu: float
+    servers_rss_mb: float
+    relays_rss_mb: float
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change of policy, from its proposal until all have told that they go by it. Requests to the store
+    are all but renewals of leases."""
+
+    writes: int
+    reads: int
+    watch_events: int
+    server_messages: int  # as in Idle, renewals and all
+    bytes_sent: int  # by all servers
+    bytes_received: int
+    servers_cpu_s: float
+    relays_cpu_s: float
+    proposed_to_committed_ms: float
+    committed_to_last_ms: float  # until the last server went by it
+    committed_to_half_ms: float
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One size."""
+
+    kind: Kind
+    servers: int
+    processes: int
+    cells: int
+    relays: int
+    connections: int  # of servers
+    idle: Idle
+    changes: tuple[Change, ...]
+
+
+def _mean(of: Callable[[Change], float]) -> Callable[[Row], float]:
+    return lambda row: fmean(of(change) for change in row.changes)
+
+
+def _worst(of: Callable[[Change], float]) -> Callable[[Row], float]:
+    return lambda row: max(of(change) for change in row.changes)
+
+
+_COMMON: dict[str, Callable[[Row], float]] = {
+    "store: writes a change": _mean(lambda change: change.writes),
+    "store: reads a change": _mean(lambda change: change.reads),
+    "store: watch events a change": _mean(lambda change: change.watch_events),
+    "store: requests a second, idle": lambda row: row.idle.store_requests_per_s,
+    "servers: messages a second, idle": lambda row: row.idle.server_messages_per_s,
+    "servers: bytes sent a second, idle": lambda row: row.idle.bytes_sent_per_s,
+    "servers: bytes received a second, idle": lambda row: row.idle.bytes_received_per_s,
+    "servers: messages a change": _mean(lambda change: change.server_messages),
+    "servers: bytes sent a change": _mean(lambda change: change.bytes_sent),
+    "servers: bytes received a change": _mean(lambda change: change.bytes_received),
+    "servers: ms of CPU a second, idle": lambda row: row.idle.servers_cpu * 1000,
+    "servers: ms of CPU a change": _mean(lambda change: change.servers_cpu_s * 1000),
+    "servers: MB": lambda row: row.idle.servers_rss_mb,
+    "ms from proposal to commit": _mean(lambda change: change.proposed_to_committed_ms),
+    "ms from commit to half": _mean(lambda change: change.committed_to_half_ms),
+    "ms from commit to the last, worst": _worst(lambda change: change.committed_to_last_ms),
+}
+_OF_RELAYS: dict[str, Callable[[Row], float]] = {
+    "relays: ms of CPU a second, idle": lambda row: row.idle.relays_cpu * 1000,
+    "relays: ms of CPU a change": _mean(lambda change: change.relays_cpu_s * 1000),
+    "relays: MB": lambda row: row.idle.relays_rss_mb,
+}
+FIGURES: Mapping[Kind, Mapping[str, Callable[[Row], float]]] = MappingProxyType(
+    {"members": _COMMON, "cells": _COMMON | _OF_RELAYS}
+)
--- a/tests/lab/test_hollow.py
+++ b/tests/lab/test_hollow.py
@@ -11,7 +11,7 @@
 
 from otterrudder.lab.processes.counters import StoreReport
 from otterrudder.lab.processes.rig import FLEET, Rig
-from otterrudder.lab.scale.processes.bench import FleetSettings, Operator, bench_running, policy_text
+from otterrudder.lab.scale.processes.bench import FleetSettings, Layout, Operator, bench_running, policy_text
 from otterrudder.lab.scale.processes.tcp import Traffic, traffic_to
 
 IDLE_S = 12.0  # an idle minute scaled down, with leases of 3 s: 16 renewals, 4 reads
@@ -86,9 +86,9 @@
 
 
 async def _observe_hollow(found: dict[str, Observed]) -> None:
-    settings = FleetSettings(FLEET, "wait", BOUND_MS, LEASE_MS)
+    settings = FleetSettings(FLEET, "wait", BOUND_MS, LEASE_MS, BOUND_MS)
     with tempfile.TemporaryDirectory() as folder:
-        async with bench_running(Path(folder), settings, 1, 1, prefix="n") as bench:
+        async with bench_running(Path(folder), settings, Layout(1, 1), "n") as bench:
             await bench.servers.until_all_admit(0, 10.0)
             found["hollow"] = await _observe(bench.stand_in.report, bench.stand_in.port, bench.operator)
 
