Lab: the processes part as a command; a hollow server of a cell held against a real one

Cause: bytes were those of all connections to a port, so a relay's own to another relay of its cell, and those that a server had left, were counted as the servers': an idle while came out below nothing.

--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -21,6 +21,7 @@
     give_up(f"the lab needs {missing.name}: pip install 'otterrudder[lab]', or -r requirements-lab.txt")
 
 EXPERIMENTS = Path("experiments")  # where a checkout keeps them
+INTERRUPTED = 130  # exit code of a command that a signal ended
 SHOWN = ["value", "worst_10s", "moves_per_min", "stay_breaks", "level_mean"]
 
 
@@ -104,6 +105,29 @@
     sys.exit(1 if broken else 0)
 
 
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--part", type=click.Choice(["processes"]), default="processes", show_default=True)
+@click.option("--quick", is_flag=True, help="Small sizes, for counts and their laws: under 40 s.")
+@click.option("--out", "folder", type=click.Path(path_type=Path), default=Path("out/capacity"))
+def scale(file: Path, part: str, quick: bool, folder: Path) -> None:
+    """Measure what agreement costs by the number of servers, by FILE; exits with 1 if a claim does not hold.
+
+    On processes: hollow servers, real relays and the store's stand-in. Needs the extra `fleet` as well."""
+    try:
+        from otterrudder.lab.scale.processes import command
+        from otterrudder.lab.scale.processes.bench import NotInTime
+    except ModuleNotFoundError as missing:
+        give_up(f"this needs {missing.name}: pip install 'otterrudder[fleet]', or -r requirements-fleet.txt")
+    try:
+        report = command.play(command.read_plan(file, quick), quick, folder, click.echo)
+    except (BadInput, NotInTime) as trouble:
+        give_up(trouble)
+    except command.Interrupted:
+        sys.exit(INTERRUPTED)
+    sys.exit(0 if report.holds else 1)
+
+
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
--- a/otterrudder/lab/scale/processes/bench.py
+++ b/otterrudder/lab/scale/processes/bench.py
@@ -23,6 +23,7 @@
 from otterrudder.lab.processes.standins import SETTINGS
 from otterrudder.lab.scale.hollow import Counted, Switched
 from otterrudder.lab.scale.processes.children import Child, running
+from otterrudder.lab.scale.processes.tcp import Connections, connections_to
 from otterrudder.lab.scale.processes.usage import Usage
 from otterrudder.net import control
 
@@ -239,6 +240,20 @@
     ports: tuple[int, ...]
     relays: list[Child] = field(default_factory=list)
 
+    def connections(self) -> Connections:
+        """Of all the servers."""
+        return connections_to(self.ports, (child.pid for child in self.servers.processes))
+
+    async def until_settled(self, most_s: float) -> None:
+        """Until all servers admit, by one connection each: a relay that was tried and left ends its own a
+        little later. NotInTime: it is not so by then."""
+        await self.servers.until_all_admit(0, most_s)
+        with anyio.move_on_after(most_s):
+            while len(self.connections()) != len(self.servers.names):
+                await anyio.sleep(LOOK_S)
+            return
+        raise NotInTime(f"{len(self.servers.names)} servers have {len(self.connections())} connections")
+
 
 @contextlib.asynccontextmanager
 async def bench_running(
--- a/otterrudder/lab/scale/processes/measure.py
+++ b/otterrudder/lab/scale/processes/measure.py
@@ -20,7 +20,7 @@
     usage_of,
 )
 from otterrudder.lab.scale.processes.rows import Change, Idle, Kind, Row
-from otterrudder.lab.scale.processes.tcp import Traffic, traffic_to
+from otterrudder.lab.scale.processes.tcp import Connections, carried
 from otterrudder.lab.scale.processes.usage import Usage
 
 RENEWAL = "lease renew"  # kind of request
@@ -60,7 +60,7 @@
 
     at_ms: float
     store: StoreReport
-    traffic: Traffic
+    connections: Connections
     messages: int
     servers: Usage
     relays: Usage
@@ -116,12 +116,12 @@
         layout = Layout(servers, plan.cells, plan.cells, plan.relays_of_cell)
     with tempfile.TemporaryDirectory() as folder:
         async with bench_running(Path(folder), plan.settings, layout) as bench:
-            await bench.servers.until_all_admit(0, UP_S)
+            await bench.until_settled(UP_S)
             await _measure_change(bench, kind, policy_text(0, plan.text_bytes))  # the leadership is taken
             idle = await _measure_idle(bench, kind, plan.idle_s)
             texts = [policy_text(number + 1, plan.text_bytes) for number in range(plan.changes)]
             changes = [await _measure_change(bench, kind, text) for text in texts]
-            connections = traffic_to(*bench.ports).connections
+            connections = len(bench.connections())
     relays = plan.cells * plan.relays_of_cell if kind == "cells" else 0
     cells = layout.cells
     return Row(kind, servers, layout.processes, cells, relays, connections, idle, tuple(changes))
@@ -132,7 +132,7 @@
     return Snapshot(
         monotonic(),
         await bench.stand_in.report(bench.operator.keys.policy),
-        traffic_to(*bench.ports),
+        bench.connections(),
         counts[MESSAGES[kind]],
         bench.servers.usage(),
         usage_of(bench.relays),
@@ -145,12 +145,13 @@
     await anyio.sleep(seconds)
     ended = await _take(bench, kind)
     span = (ended.at_ms - began.at_ms) / 1000
+    traffic = carried(began.connections, ended.connections)
     return Idle(
         span,
         (ended.requests - began.requests) / span,
         (ended.messages - began.messages) / span,
-        (ended.traffic.bytes_sent - began.traffic.bytes_sent) / span,
-        (ended.traffic.bytes_received - began.traffic.bytes_received) / span,
+        traffic.bytes_sent / span,
+        traffic.bytes_received / span,
         (ended.servers.cpu_s - began.servers.cpu_s) / span,
         (ended.relays.cpu_s - began.relays.cpu_s) / span,
         (ended.stand_in.cpu_s - began.stand_in.cpu_s) / span,
@@ -166,14 +167,15 @@
     await anyio.sleep(AFTER_CHANGE_S)
     ended = await _take(bench, kind)
     committed_ms = ended.store.written_ms[bench.operator.keys.policy]
+    traffic = carried(began.connections, ended.connections)
     arrived = bench.servers.arrived_ms[proposed.version].values()
     return Change(
         ended.count("write") - began.count("write"),
         ended.count("read") - began.count("read"),
         ended.store.watch_events - began.store.watch_events,
         ended.messages - began.messages,
-        ended.traffic.bytes_sent - began.traffic.bytes_sent,
-        ended.traffic.bytes_received - began.traffic.bytes_received,
+        traffic.bytes_sent,
+        traffic.bytes_received,
         ended.servers.cpu_s - began.servers.cpu_s,
         ended.relays.cpu_s - began.relays.cpu_s,
         committed_ms - proposed.sent_ms,
--- /dev/null
+++ b/otterrudder/lab/scale/processes/report.py
@@ -0,0 +1,223 @@
+"""What was measured, as laws, claims, a table and a chart."""
+
+import itertools
+from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
+from statistics import fmean
+
+import msgspec
+
+from otterrudder.lab.scale.processes.laws import LinearLaw, PowerLaw, fit_linear, fit_power
+from otterrudder.lab.scale.processes.measure import Plan
+from otterrudder.lab.scale.processes.rows import FIGURES, Kind, Row
+
+WHOLE_FLEET = 8200  # servers of the users' fleet
+CHANGES_PER_S = 0.8  # that it has
+CPU_MOST = 0.013  # of a core, that a server may spend on control
+BYTES_MOST = 29_000.0  # a second
+MEMORY_MOST_MB = 64.0
+WRITES_OF_MEMBER = 2.0  # a change: its vote, and that it goes by it
+EVENTS_OF_MEMBER = 4.0  # a change: it is opened, is struck off, has settled, and the policy
+RENEWALS_OF_SPAN = 4.0  # of a server's lease
+COUNT_TOLERANCE = 0.1
+FLAT_SHARE = 0.25  # of the mean: by so much a figure that does not grow may differ over the sizes
+
+
+class FittedFigure(msgspec.Struct, frozen=True):
+    """One figure of one kind by size, and its laws. The whole fleet is an extrapolation."""
+
+    kind: Kind
+    name: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    linear: LinearLaw
+    power: PowerLaw | None
+    whole_fleet: float  # by the linear law
+
+
+class Budget(msgspec.Struct, frozen=True):
+    """What a server spends, by the slopes: idle, and with the users' rate of changes."""
+
+    kind: Kind
+    cpu: float  # share of a core
+    cpu_idle: float
+    bytes_per_s: float  # both ways
+    bytes_per_s_idle: float
+    memory_mb: float  # beside the interpreter and its libraries
+    process_mb: float  # of a process without servers
+
+    @property
+    def troubles(self) -> list[str]:
+        told = []
+        if self.cpu > CPU_MOST:
+            told.append(f"{self.cpu:.2%} of a core, more than {CPU_MOST:.1%}")
+        if self.bytes_per_s > BYTES_MOST:
+            told.append(f"{self.bytes_per_s:.0f} bytes a second, more than {BYTES_MOST:.0f}")
+        if self.memory_mb > MEMORY_MOST_MB:
+            told.append(f"{self.memory_mb:.1f} MB, more than {MEMORY_MOST_MB:.0f}")
+        return told
+
+
+class Claim(msgspec.Struct, frozen=True):
+    text: str
+    holds: bool
+    figures: str
+
+
+class Report(msgspec.Struct, frozen=True):
+    plan: Plan
+    rows: list[Row]
+    figures: list[FittedFigure]
+    budgets: list[Budget]
+    claims: list[Claim]
+
+    @property
+    def holds(self) -> bool:
+        return all(claim.holds for claim in self.claims)
+
+
+def make_report(plan: Plan, rows: Sequence[Row]) -> Report:
+    figures = [figure for kind in FIGURES for figure in _fit(kind, [row for row in rows if row.kind == kind])]
+    budgets = [_budget(kind, figures, rows) for kind in FIGURES]
+    return Report(plan, list(rows), figures, budgets, list(_claims(plan, rows, figures)))
+
+
+def _fit(kind: Kind, rows: Sequence[Row]) -> list[FittedFigure]:
+    sizes = tuple(row.servers for row in rows)
+    return [_fit_one(kind, name, sizes, of, rows) for name, of in FIGURES[kind].items()]
+
+
+def _fit_one(
+    kind: Kind, name: str, sizes: tuple[int, ...], of: Callable[[Row], float], rows: Sequence[Row]
+) -> FittedFigure:
+    values = tuple(of(row) for row in rows)
+    linear = fit_linear(sizes, values)
+    return FittedFigure(kind, name, sizes, values, linear, fit_power(sizes, values), linear.at(WHOLE_FLEET))
+
+
+def _figure(figures: Iterable[FittedFigure], kind: Kind, name: str) -> FittedFigure:
+    return next(figure for figure in figures if (figure.kind, figure.name) == (kind, name))
+
+
+def _budget(kind: Kind, figures: Sequence[FittedFigure], rows: Sequence[Row]) -> Budget:
+    def slope(name: str) -> float:
+        return _figure(figures, kind, name).linear.slope
+
+    cpu_idle = slope("servers: ms of CPU a second, idle") / 1000
+    cpu_change = slope("servers: ms of CPU a change") / 1000
+    idle = sum(slope(f"servers: bytes {way} a second, idle") for way in ("sent", "received"))
+    change = sum(slope(f"servers: bytes {way} a change") for way in ("sent", "received"))
+    processes = next(row.processes for row in rows if row.kind == kind)
+    return Budget(
+        kind,
+        cpu_idle + CHANGES_PER_S * cpu_change,
+        cpu_idle,
+        idle + CHANGES_PER_S * change,
+        idle,
+        slope("servers: MB"),
+        _figure(figures, kind, "servers: MB").linear.start / processes,
+    )
+
+
+def _claims(plan: Plan, rows: Sequence[Row], figures: Sequence[FittedFigure]) -> Iterable[Claim]:
+    yield Claim(
+        "each server has one connection",
+        all(row.connections == row.servers for row in rows),
+        ", ".join(f"{row.kind} {row.servers}: {row.connections}" for row in rows),
+    )
+    for name, expected in (
+        ("store: writes a change", WRITES_OF_MEMBER),
+        ("store: watch events a change", EVENTS_OF_MEMBER),
+    ):
+        yield _is_near(f"members: {name} grow by {expected:g} a server", figures, "members", name, expected)
+    for name in ("store: writes a change", "store: reads a change", "store: watch events a change"):
+        yield _is_flat(figures, name)
+    renewals = RENEWALS_OF_SPAN * 1000 / plan.settings.server_lease_ms
+    text = f"cells: a server sends {renewals:.3g} messages a second while nothing changes"
+    yield _is_near(text, figures, "cells", "servers: messages a second, idle", renewals)
+
+
+def _is_near(text: str, figures: Iterable[FittedFigure], kind: Kind, name: str, expected: float) -> Claim:
+    slope = _figure(figures, kind, name).linear.slope
+    return Claim(text, abs(slope - expected) <= COUNT_TOLERANCE * expected, f"{slope:.3g} a server")
+
+
+def _is_flat(figures: Iterable[FittedFigure], name: str) -> Claim:
+    figure = _figure(figures, "cells", name)
+    spread = (max(figure.values) - min(figure.values)) / fmean(figure.values)
+    told = ", ".join(f"{value:.4g}" for value in figure.values)
+    return Claim(f"cells: {name} do not grow with the servers", spread <= FLAT_SHARE, told)
+
+
+def markdown(report: Report) -> str:
+    """Tables of the figures by size with their laws, and of the budgets."""
+    lines: list[str] = []
+    for kind, group in itertools.groupby(report.figures, key=lambda figure: figure.kind):
+        figures = list(group)
+        sizes = [f"{size} servers" for size in figures[0].sizes]
+        lines += _header([kind, *sizes, "linear law", "power law", f"{WHOLE_FLEET}, linear"])
+        lines += [_figure_line(figure) for figure in figures]
+        lines.append("")
+    lines += _header(["a server", "CPU, idle", "CPU", "bytes/s, idle", "bytes/s", "MB", "MB of a process"])
+    lines += [_budget_line(budget) for budget in report.budgets]
+    return "\n".join(lines) + "\n"
+
+
+def _header(cells: Sequence[str]) -> list[str]:
+    return ["| " + " | ".join(cells) + " |", "| --- |" + " ---: |" * (len(cells) - 1)]
+
+
+def _figure_line(figure: FittedFigure) -> str:
+    values = [f"{value:.4g}" for value in figure.values]
+    power = str(figure.power) if figure.power else "none"
+    return (
+        "| "
+        + " | ".join([figure.name, *values, str(figure.linear), power, f"{figure.whole_fleet:.4g}"])
+        + " |"
+    )
+
+
+def _budget_line(budget: Budget) -> str:
+    cells = [
+        budget.kind,
+        f"{budget.cpu_idle:.2%}",
+        f"{budget.cpu:.2%}",
+        f"{budget.bytes_per_s_idle:.0f}",
+        f"{budget.bytes_per_s:.0f}",
+        f"{budget.memory_mb:.3f}",
+        f"{budget.process_mb:.1f}",
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+def write_report(report: Report, folder: Path) -> list[Path]:
+    """JSON, tables and a chart, by the name `processes`."""
+    folder.mkdir(parents=True, exist_ok=True)
+    paths = [folder / f"processes.{form}" for form in ("json", "md", "svg")]
+    paths[0].write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1))
+    paths[1].write_text(markdown(report))
+    _draw(report, paths[2])
+    return paths
+
+
+CHARTED = ("store: writes a change", "store: reads a change", "servers: bytes received a change")
+
+
+def _draw(report: Report, path: Path) -> None:
+    """Figures by size, both kinds, on logarithmic axes."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "otterrudder"
+    from matplotlib import pyplot
+
+    chart, panels = pyplot.subplots(1, len(CHARTED), figsize=(11, 3.4))
+    for panel, name in zip(panels, CHARTED, strict=True):
+        for figure in (figure for figure in report.figures if figure.name == name):
+            panel.loglog(figure.sizes, figure.values, "o-", label=figure.kind)
+        panel.set_title(name, fontsize=9)
+        panel.set_xlabel("servers")
+        panel.legend(fontsize=8)
+    chart.tight_layout()
+    chart.savefig(path, metadata={"Date": None})
+    pyplot.close(chart)
--- a/tests/lab/test_hollow.py
+++ b/tests/lab/test_hollow.py
@@ -1,143 +1,220 @@
-"""A hollow server is held against a real one: the same messages, as many bytes. Both run at once, each with a
-store's stand-in of its own; what the rig itself asks of its store is left out."""
+"""A hollow server is held against a real one: the same messages, as many bytes.
+
+As a member of its own, by what the store was asked; as a server of a cell, by what its agent and its
+connection to the relay have counted. All run at once, each with a store's stand-in of its own, with the same
+names and the same change, so that what is drawn from those is the same; what the rig itself asks of its store
+is left out."""
 
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 import pytest
 
+from otterrudder.lab.processes.cells import CellPlan, CellRig
 from otterrudder.lab.processes.counters import StoreReport
 from otterrudder.lab.processes.rig import FLEET, Rig
-from otterrudder.lab.scale.processes.bench import FleetSettings, Layout, Operator, bench_running, policy_text
-from otterrudder.lab.scale.processes.tcp import Traffic, traffic_to
+from otterrudder.lab.scale.processes.bench import (
+    FleetSettings,
+    Layout,
+    Operator,
+    bench_running,
+    policy_text,
+)
+from otterrudder.lab.scale.processes.tcp import Connections, Traffic, carried, connections_to
 
 IDLE_S = 12.0  # an idle minute scaled down, with leases of 3 s: 16 renewals, 4 reads
+UP_S = 20.0  # s until the hollow server serves
 CHANGE_S = 4.0  # a change is in force long before, and all have told so
 TEXT_BYTES = 27_000
-BOUND_MS, LEASE_MS = 1000.0, 3000.0
+MEMBER_BOUND_MS, CELL_BOUND_MS, LEASE_MS = 1000.0, 3000.0, 3000.0
 RIG_KIND = "read head+vote"  # of the rig's own looks at the store
 RENEWALS = "lease renew"
 READS = "read head+live+roster+vote"
+RENEWALS_TOLERANCE = 2  # of 16: the windows begin at another moment of the lease
+IDLE_READS_TOLERANCE = 1  # of 4
+CHANGE_READS_TOLERANCE = 4  # of some 12: two hints within 50 ms lead to one read
 # of the bytes of a phase: HTTP/2 sends pings and windows as it likes, and idle windows of one server had from
 # 1836 to 1970 bytes
 BYTES_TOLERANCE = 0.1
-# of a read and its answer, by which the one may have more than the other
+# of a request and its answer, by which the one may have more than the other
 FURTHER_BYTES = {"bytes_sent": 150, "bytes_received": 800}
-RENEWALS_TOLERANCE = 2  # of 16: the windows begin at another moment of the lease
-IDLE_READS_TOLERANCE = 1  # of 4
-CHANGE_READS_TOLERANCE = 4  # of some 12: two hints within 50 ms lead to one read
 
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """What was asked of the store, by kind, and what the connections carried."""
+    """What was counted so far, by kind, and what the server's connections have carried."""
 
-    requests: dict[str, int]
-    events: int
-    traffic: Traffic
+    counts: Mapping[str, int]
+    connections: Connections
 
-    def __sub__(self, before: "Sample") -> "Sample":
-        kinds = {kind: count - before.requests.get(kind, 0) for kind, count in self.requests.items()}
-        return Sample(
-            {kind: count for kind, count in kinds.items() if count},
-            self.events - before.events,
-            Traffic(
-                self.traffic.connections,
-                self.traffic.bytes_sent - before.traffic.bytes_sent,
-                self.traffic.bytes_received - before.traffic.bytes_received,
-            ),
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """The same between two samples."""
+
+    counts: Mapping[str, int]
+    traffic: Traffic
+    connections: int
+
+    @staticmethod
+    def between(before: Sample, after: Sample) -> "Phase":
+        counts = {kind: count - before.counts.get(kind, 0) for kind, count in after.counts.items()}
+        return Phase(
+            {kind: count for kind, count in counts.items() if count},
+            carried(before.connections, after.connections),
+            len(after.connections),
         )
 
+    @property
+    def messages(self) -> int:
+        return sum(self.counts.values())
+
 
 @dataclass(frozen=True, slots=True)
 class Observed:
-    idle: Sample
-    change: Sample
+    idle: Phase
+    change: Phase
 
 
-async def _sample(report: Callable[[], Awaitable[StoreReport]], port: int) -> Sample:
-    told = await report()
-    requests = {kind: count for kind, count in told.requests.items() if kind != RIG_KIND}
-    return Sample(requests, told.watch_events, traffic_to(port))
+Found = dict[str, Observed]
 
 
-async def _observe(report: Callable[[], Awaitable[StoreReport]], port: int, operator: Operator) -> Observed:
+async def _observe(sample: Callable[[], Awaitable[Sample]], operator: Operator) -> Observed:
     """An idle while, then the second change: with the first one the leadership is taken."""
     await operator.propose(policy_text(1, TEXT_BYTES), "change-1")
     await anyio.sleep(CHANGE_S)
-    began = await _sample(report, port)
+    began = await sample()
     await anyio.sleep(IDLE_S)
-    idle = await _sample(report, port)
+    idle = await sample()
     await operator.propose(policy_text(2, TEXT_BYTES), "change-2")
     await anyio.sleep(CHANGE_S)
-    return Observed(idle - began, await _sample(report, port) - idle)
+    return Observed(Phase.between(began, idle), Phase.between(idle, await sample()))
+
+
+def _of_store(
+    report: Callable[[], Awaitable[StoreReport]], connections: Callable[[], Connections]
+) -> Callable[[], Awaitable[Sample]]:
+    """What the store was asked, and the hints that it gave."""
+
+    async def sample() -> Sample:
+        told = await report()
+        requests = {kind: count for kind, count in told.requests.items() if kind != RIG_KIND}
+        return Sample(requests | {"watch event": told.watch_events}, connections())
+
+    return sample
+
+
+def _connections_of(rig: Rig, ports: list[int]) -> Connections:
+    process = rig.places[0].process
+    assert process
+    return connections_to(ports, [process.pid])
 
 
-async def _observe_real(found: dict[str, Observed]) -> None:
+async def _observe_real_member(found: Found) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        rig = Rig(Path(folder), 1, bound_ms=BOUND_MS, lease_ms=LEASE_MS)
+        rig = Rig(Path(folder), 1, bound_ms=MEMBER_BOUND_MS, lease_ms=LEASE_MS)
         async with rig.running():
             port = rig.places[0].links["store"].address[1]
             operator = Operator(Path(folder) / "rig.toml")
-            found["real"] = await _observe(rig.store_report, port, operator)
+            sample = _of_store(rig.store_report, lambda: _connections_of(rig, [port]))
+            found["real member"] = await _observe(sample, operator)
 
 
-async def _observe_hollow(found: dict[str, Observed]) -> None:
-    settings = FleetSettings(FLEET, "wait", BOUND_MS, LEASE_MS, BOUND_MS)
+async def _observe_hollow_member(found: Found) -> None:
+    settings = FleetSettings(FLEET, "wait", MEMBER_BOUND_MS, LEASE_MS, MEMBER_BOUND_MS)
     with tempfile.TemporaryDirectory() as folder:
         async with bench_running(Path(folder), settings, Layout(1, 1), "n") as bench:
-            await bench.servers.until_all_admit(0, 10.0)
-            found["hollow"] = await _observe(bench.stand_in.report, bench.stand_in.port, bench.operator)
+            await bench.until_settled(UP_S)
+            sample = _of_store(bench.stand_in.report, bench.connections)
+            found["hollow member"] = await _observe(sample, bench.operator)
+
+
+async def _observe_real_server_of_a_cell(found: Found) -> None:
+    plan = CellPlan({"z0": 2}, server_lease_ms=LEASE_MS)
+    with tempfile.TemporaryDirectory() as folder:
+        rig = CellRig(Path(folder), 1, plan, bound_ms=CELL_BOUND_MS, lease_ms=LEASE_MS)
+        async with rig.running():
+            ports = [int(relay.address.rpartition(":")[2]) for relay in rig.relays]
+
+            async def sample() -> Sample:
+                counts = (await rig.server_status(rig.places[0]))["counts"]
+                return Sample(counts, _connections_of(rig, ports))
+
+            found["real server of a cell"] = await _observe(sample, Operator(Path(folder) / "rig.toml"))
+
+
+async def _observe_hollow_server_of_a_cell(found: Found) -> None:
+    settings = FleetSettings(FLEET, "wait", CELL_BOUND_MS, LEASE_MS, LEASE_MS)
+    with tempfile.TemporaryDirectory() as folder:
+        async with bench_running(Path(folder), settings, Layout(1, 1, 1, 2), "n") as bench:
+            await bench.until_settled(UP_S)
+
+            async def sample() -> Sample:
+                return Sample(await bench.servers.counts(), bench.connections())
+
+            found["hollow server of a cell"] = await _observe(sample, bench.operator)
 
 
 @pytest.fixture(scope="module")
-def observed() -> dict[str, Observed]:
-    async def play() -> dict[str, Observed]:
-        found: dict[str, Observed] = {}
+def observed() -> Found:
+    async def play() -> Found:
+        found: Found = {}
         async with anyio.create_task_group() as group:
-            group.start_soon(_observe_real, found)
-            group.start_soon(_observe_hollow, found)
+            group.start_soon(_observe_real_member, found)
+            group.start_soon(_observe_hollow_member, found)
+            group.start_soon(_observe_real_server_of_a_cell, found)
+            group.start_soon(_observe_hollow_server_of_a_cell, found)
         return found
 
     return anyio.run(play)
 
 
-def test_a_hollow_member_asks_the_store_as_a_real_server_does_while_nothing_changes(
-    observed: dict[str, Observed],
-) -> None:
-    real, hollow = observed["real"].idle, observed["hollow"].idle
-    assert real.requests.keys() == hollow.requests.keys() == {READS, RENEWALS}
-    assert abs(real.requests[RENEWALS] - hollow.requests[RENEWALS]) <= RENEWALS_TOLERANCE
-    assert abs(real.requests[READS] - hollow.requests[READS]) <= IDLE_READS_TOLERANCE
-    assert real.events == hollow.events == 0
-    assert real.traffic.connections == hollow.traffic.connections == 1
+def test_a_hollow_member_asks_the_store_as_a_real_one_does_while_nothing_changes(observed: Found) -> None:
+    real, hollow = observed["real member"].idle, observed["hollow member"].idle
+    assert real.counts.keys() == hollow.counts.keys() == {READS, RENEWALS}
+    assert abs(real.counts[RENEWALS] - hollow.counts[RENEWALS]) <= RENEWALS_TOLERANCE
+    assert abs(real.counts[READS] - hollow.counts[READS]) <= IDLE_READS_TOLERANCE
 
 
-def test_a_hollow_member_asks_the_store_as_a_real_server_does_for_a_change(
-    observed: dict[str, Observed],
-) -> None:
-    real, hollow = observed["real"].change, observed["hollow"].change
+def test_a_hollow_member_asks_the_store_as_a_real_one_does_for_a_change(observed: Found) -> None:
+    real, hollow = observed["real member"].change, observed["hollow member"].change
     varying = {RENEWALS, READS}
-    fixed = [{k: n for k, n in one.requests.items() if k not in varying} for one in (real, hollow)]
+    fixed = [{k: n for k, n in one.counts.items() if k not in varying} for one in (real, hollow)]
     assert fixed[0] == fixed[1]
     assert fixed[0]["write vote"] == fixed[0]["write live"] == fixed[0]["write head+vote"] == 1
-    assert abs(real.requests[READS] - hollow.requests[READS]) <= CHANGE_READS_TOLERANCE
-    assert real.events == hollow.events > 0
+    assert abs(real.counts[READS] - hollow.counts[READS]) <= CHANGE_READS_TOLERANCE
+    assert fixed[0]["watch event"] > 0
+
+
+def test_a_hollow_server_of_a_cell_renews_its_lease_as_a_real_one_does(observed: Found) -> None:
+    real, hollow = observed["real server of a cell"].idle, observed["hollow server of a cell"].idle
+    for one in (real, hollow):
+        assert one.counts.keys() == {"sent", "received"}
+        assert abs(one.counts["sent"] - one.counts["received"]) <= 1  # an answer may be under way
+    assert abs(real.counts["sent"] - hollow.counts["sent"]) <= RENEWALS_TOLERANCE
+
+
+def test_a_hollow_server_of_a_cell_takes_a_change_as_a_real_one_does(observed: Found) -> None:
+    real, hollow = observed["real server of a cell"].change, observed["hollow server of a cell"].change
+    for one in (real, hollow):
+        assert one.counts["checks_begun"] == one.counts["checked"] == 1
+        assert one.counts.keys() == {"sent", "received", "checks_begun", "checked"}
+        # beside the renewals and their answers: one verdict; a question and a text
+        assert abs(one.counts["received"] - one.counts["sent"] - 1) <= 1
+    assert abs(real.counts["sent"] - hollow.counts["sent"]) <= RENEWALS_TOLERANCE
 
 
 @pytest.mark.parametrize("what", ["bytes_sent", "bytes_received"])
 @pytest.mark.parametrize("phase", ["idle", "change"])
-def test_a_hollow_member_s_messages_have_as_many_bytes_as_a_real_server_s(
-    observed: dict[str, Observed], phase: str, what: str
+@pytest.mark.parametrize("which", ["member", "server of a cell"])
+def test_a_hollow_server_s_messages_have_as_many_bytes_as_a_real_one_s(
+    observed: Found, which: str, phase: str, what: str
 ) -> None:
-    real, hollow = (getattr(observed[who], phase) for who in ("real", "hollow"))
+    real, hollow = (getattr(observed[f"{who} {which}"], phase) for who in ("real", "hollow"))
+    assert real.connections == hollow.connections == 1
     difference = abs(getattr(real.traffic, what) - getattr(hollow.traffic, what))
-    further = abs(_messages(real) - _messages(hollow)) * FURTHER_BYTES[what]
+    further = abs(real.messages - hollow.messages) * FURTHER_BYTES[what]
     assert difference <= BYTES_TOLERANCE * getattr(real.traffic, what) + further, (real, hollow)
-
-
-def _messages(sample: Sample) -> int:
-    return sum(sample.requests.values()) + sample.events
