--- a/otterrudder/lab/scale/hollow.py
+++ b/otterrudder/lab/scale/hollow.py
@@ -117,7 +117,7 @@
 
 def _make_servers(told: argparse.Namespace) -> list[HollowServer]:
     fleet = read_fleet(told.fleet)
-    own = own_of(read_configuration(told.configuration)["settings"])
+    own = own_of(read_configuration(told.configuration).settings)
     names = [f"{told.prefix}{number}" for number in range(told.first, told.first + told.count)]
     return [HollowServer(replace(fleet, folder=told.folder / name), name, own) for name in names]
 
