Fleet: a settler that has become the leader counts at once

Cause: since it waits after it has asked for the leadership, it also waited where its member already knew that it leads: a test of the settler failed, and a change cost COUNT_MS more. It reads in the turn in which it hears that it leads.

--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -265,6 +265,7 @@
         "_busy",
         "_ended",
         "_is_hinted",
+        "_leads",
         "_seen_since",
         "_sent",
         "_strikes",
@@ -286,6 +287,7 @@
         self._seen_since = self._at = 0.0
         self._busy = False
         self._is_hinted = False
+        self._leads = False
         self._sent = 0.0
         self._ended: View | None = None  # of the change whose end is being committed
         self._strikes = 0  # counts in a row at which a figure on trial was too high
@@ -310,6 +312,9 @@
             self.change, self._seen_since = opened, now
             if not (is_leader and self.keeps_leadership):
                 self._at = now + (self._delay() if self.needs_leadership else 0.0)
+        if is_leader and not self._leads:
+            self._at = now  # it has just become the leader
+        self._leads = is_leader
         if self._busy or now < self._at or not opened and not self.keeps_leadership:
             return None
         if self.needs_leadership and not is_leader:
