--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -12,7 +12,7 @@
 import anyio
 import msgspec
 
-from otterrudder import __version__, clock
+from otterrudder import clock
 from otterrudder.boot import boot, can_stop, gauge_names, products_of, tenants_of
 from otterrudder.configuration import (
     CONFIGURATION_VARIABLE,
@@ -39,8 +39,6 @@
     from otterrudder.fleet.agent import Agent
     from otterrudder.fleet.cell.agent import CellAgent
     from otterrudder.fleet.configuration import Fleet
-    from otterrudder.fleet.orders import Orders
-    from otterrudder.fleet.policy import Own
     from otterrudder.levels import Table
     from otterrudder.net.control import Control
     from otterrudder.vrrp.gate import Order
@@ -282,18 +280,14 @@
 ) -> "Agent | CellAgent":
     """The fleet's actor: what it orders goes to the core by the dispatcher, ahead of what arrives.
     BadConfiguration: the folder is another process's, or a file of keys can't be read."""
-    from otterrudder.fleet.orders import Orders
-    from otterrudder.fleet.policy import NO_POLICY, BadPolicy, Content, own_of, parse
+    from otterrudder.durable import Busy
+    from otterrudder.fleet.assembly import make_agent
+    from otterrudder.fleet.policy import Content, own_of
     from otterrudder.levels import LevelController
 
     own = replace(own_of(configuration.settings), products=dispatcher.core.products)
-    parsed: dict[str, Content] = {}  # of what was judged last: it is not parsed again as it comes into force
 
-    def take(text: str) -> None:
-        try:
-            content = parsed.get(text) or parse(text or NO_POLICY, own)
-        except BadPolicy:
-            return  # it stands aside for that, and says why
+    def apply(content: Content) -> None:
         dispatcher.post(
             dispatcher.core.take_policy,
             content.levels,
@@ -303,76 +297,20 @@
             content.limits,
         )
 
-    def judge(text: str) -> str:
-        try:
-            content = parse(text, own)
-        except BadPolicy as trouble:
-            return f"{configuration.name}: {trouble}"
-        parsed.clear()
-        parsed[text] = content
-        return ""
-
-    orders = Orders(take, lambda is_aside: dispatcher.post(dispatcher.core.stand_aside, is_aside))
-    make = _cell_agent if fleet.relays else _member_agent
-    agent = make(fleet, configuration, dispatcher, own, judge, orders)
-    dispatcher.before_turn.append(agent.pulse)
-    return agent
-
+    def stand_aside(is_aside: bool) -> None:
+        dispatcher.post(dispatcher.core.stand_aside, is_aside)
 
-def _member_agent(
-    fleet: "Fleet",
-    configuration: Configuration,
-    dispatcher: Dispatcher,
-    own: "Own",
-    judge: Callable[[str], str],
-    orders: "Orders",
-) -> "Agent":
-    """A member of its own, with its folder taken."""
-    from otterrudder.durable import Busy
-    from otterrudder.fleet.agent import Agent, open_folder
-    from otterrudder.fleet.client import Client
-    from otterrudder.fleet.records import Live
+    def facts() -> dict[str, float]:
+        return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
 
     try:
-        store = Client(fleet)
-        folder, record = open_folder(fleet, configuration.name)
+        agent = make_agent(fleet, configuration.name, own, apply, stand_aside, facts)
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
-    live = Live("", __version__, fleet.zone, products=tuple(product.name for product in own.products))
-
-    def facts() -> dict[str, float]:
-        return dispatcher.core.rudder.facts() if dispatcher.core.rudder else {}
-
-    agent = Agent(fleet, store, configuration.name, live, judge, orders, folder, record, facts)
-    log.info(
-        "of a fleet",
-        fleet=fleet.name,
-        absent=fleet.rules.absent,
-        bound_ms=fleet.rules.bound_ms,
-        known=agent.member.known.version,
-        pledged=bool(agent.member.pledge),
-        folder=str(fleet.folder),
-    )
+    dispatcher.before_turn.append(agent.pulse)
     return agent
 
 
-def _cell_agent(
-    fleet: "Fleet",
-    configuration: Configuration,
-    dispatcher: Dispatcher,
-    own: "Own",
-    judge: Callable[[str], str],
-    orders: "Orders",
-) -> "CellAgent":
-    """A server of a cell: its relay is a member in its place."""
-    from otterrudder.fleet.cell.agent import CellAgent
-    from otterrudder.fleet.cell.kind import kind_of
-
-    kind = kind_of(own)
-    log.info("of a cell", fleet=fleet.name, relays=fleet.relays, lease_ms=fleet.server_lease_ms, kind=kind)
-    return CellAgent(fleet, configuration.name, kind, judge, orders)
-
-
 def _records(configuration: Configuration) -> tuple[str, int] | None:
     return address(configuration.records) if configuration.records else None
 
