--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
@@ -22,6 +23,9 @@
 except ModuleNotFoundError as missing:
     give_up(f"the lab needs {missing.name}: pip install 'otterrudder[lab]', or -r requirements-lab.txt")
 
+if TYPE_CHECKING:
+    from otterrudder.lab.scale.simulated import Choice
+
 EXPERIMENTS = Path("experiments")  # where a checkout keeps them
 SCALE_PARTS = ["simulated", "processes"]  # of `lab scale`
 INTERRUPTED = 130  # exit code of a command that a signal ended
@@ -156,13 +160,54 @@
 
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
-@click.option("--part", type=click.Choice(["processes"]), default="processes", show_default=True)
-@click.option("--quick", is_flag=True, help="Small sizes, for counts and their laws: under 40 s.")
+@click.option("--part", type=click.Choice(SCALE_PARTS), help="This part alone; else both.")
+@click.option("--quick", is_flag=True, help="Small sizes, for counts and their laws: under 40 s a part.")
+@click.option("--seed", type=int, help="This seed instead of the file's (simulated).")
+@click.option("--servers", type=click.IntRange(2), help="So many instead of the file's sizes (simulated).")
+@click.option("--case", "names", multiple=True, help="This case alone; may be given again (simulated).")
+@click.option("--minutes", type=click.FloatRange(min=0.1), help="Of load, instead of the file's (simulated).")
+@click.option("--json", "is_json", is_flag=True, help="JSON in place of the table (simulated).")
 @click.option("--out", "folder", type=click.Path(path_type=Path), default=Path("out/capacity"))
-def scale(file: Path, part: str, quick: bool, folder: Path) -> None:
+def scale(
+    file: Path,
+    part: str | None,
+    quick: bool,
+    seed: int | None,
+    servers: int | None,
+    names: tuple[str, ...],
+    minutes: float | None,
+    is_json: bool,
+    folder: Path,
+) -> None:
     """Measure what agreement costs by the number of servers, by FILE; exits with 1 if a claim does not hold.
 
-    On processes: hollow servers, real relays and the store's stand-in. Needs the extra `fleet` as well."""
+    Simulated: whole fleets by cells in simulated time. On processes: hollow servers, real relays and the
+    store's stand-in; needs the extra `fleet` as well."""
+    holds = True
+    if part in (None, "simulated"):
+        from otterrudder.lab.scale.simulated import Choice
+
+        holds = _scale_simulated(file, Choice(quick, seed, servers, names, minutes, is_json, folder))
+    if part in (None, "processes"):
+        holds = _scale_processes(file, quick, folder) and holds
+    sys.exit(0 if holds else 1)
+
+
+def _scale_simulated(file: Path, choice: "Choice") -> bool:
+    """Whether all verdicts hold."""
+    from otterrudder.lab.scale.simulated import perform
+
+    try:
+        broken = perform(file, choice, click.echo)
+    except BadInput as trouble:
+        give_up(trouble)
+    for line in broken:
+        click.echo(f"does not hold: {line}", err=True)
+    return not broken
+
+
+def _scale_processes(file: Path, quick: bool, folder: Path) -> bool:
+    """Whether all claims hold."""
     try:
         from otterrudder.lab.scale.processes import command
         from otterrudder.lab.scale.processes.bench import NotInTime
@@ -174,7 +219,7 @@
         give_up(trouble)
     except command.Interrupted:
         sys.exit(INTERRUPTED)
-    sys.exit(0 if report.holds else 1)
+    return report.holds
 
 
 @lab.command()
@@ -215,42 +260,6 @@
     sys.exit(0 if outcome.holds else 1)
 
 
-@lab.command()
-@click.argument("file", type=click.Path(path_type=Path))
-@click.option("--part", type=click.Choice(SCALE_PARTS), help="This part alone; else all that are installed.")
-@click.option("--quick", is_flag=True, help="The file's quick form: under a minute.")
-@click.option("--seed", type=int, help="This seed instead of the file's.")
-@click.option("--servers", type=click.IntRange(2), help="So many instead of the file's sizes.")
-@click.option("--case", "names", multiple=True, help="This case alone; may be given again.")
-@click.option("--minutes", type=click.FloatRange(min=0.1), help="Of load, instead of the file's.")
-@click.option("--json", "is_json", is_flag=True, help="JSON in place of the table.")
-@click.option("--out", "folder", type=click.Path(path_type=Path), help="Where results go; else out/NAME.")
-def scale(
-    file: Path,
-    part: str | None,
-    quick: bool,
-    seed: int | None,
-    servers: int | None,
-    names: tuple[str, ...],
-    minutes: float | None,
-    is_json: bool,
-    folder: Path | None,
-) -> None:
-    """Play an experiment FILE of agreement by cells at thousands of servers; exits with 1 if a law does not
-    hold."""
-    from otterrudder.lab.scale import command
-
-    choice = command.Choice(quick, seed, servers, names, minutes, is_json, folder)
-    parts = [part] if part else command.installed()
-    try:
-        broken = [line for name in parts for line in command.perform(name, file, choice, click.echo)]
-    except BadInput as trouble:
-        give_up(trouble)
-    for line in broken:
-        click.echo(f"does not hold: {line}", err=True)
-    sys.exit(1 if broken else 0)
-
-
 @lab.command("list")
 @click.argument("folder", type=click.Path(path_type=Path), default=EXPERIMENTS)
 def list_them(folder: Path) -> None:
--- a/otterrudder/lab/scale/experiment.py
+++ b/otterrudder/lab/scale/experiment.py
@@ -128,14 +128,6 @@
     is_quick: bool = False
 
 
-class BaselinePart(_Strict, kw_only=True, frozen=True):
-    """Each server a member of the fleet by itself, on the same topology, load and seeds."""
-
-    sizes: tuple[Servers, ...] = ()
-    absent: tuple[Absent, ...] = ("wait", "leave-out")
-    minutes: Positive = 2.0
-
-
 class Experiment(_Strict, kw_only=True, frozen=True):
     version: int
     name: str
@@ -152,7 +144,7 @@
     load: LoadPart
     churn: ChurnPart
     case: tuple[CasePart, ...]
-    baseline: BaselinePart = BaselinePart()
+    processes: dict[str, Any] = {}  # of the other part, which checks it
 
 
 def read_scale(path: Path) -> Experiment:
--- a/otterrudder/lab/scale/simulated.py
+++ b/otterrudder/lab/scale/simulated.py
@@ -1,9 +1,9 @@
 """The part of `lab scale` in simulated time."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
-from otterrudder.lab.scale.command import Choice
 from otterrudder.lab.scale.experiment import read_scale
 from otterrudder.lab.scale.play import play, settings_of
 from otterrudder.lab.scale.report import as_json, table, write
@@ -11,6 +11,19 @@
 from otterrudder.lab.site import BadInput
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What the command line says; None: as the file has it."""
+
+    is_quick: bool
+    seed: int | None
+    servers: int | None
+    names: tuple[str, ...]
+    minutes: float | None
+    is_json: bool
+    folder: Path
+
+
 def perform(file: Path, choice: Choice, say: Callable[[str], None]) -> list[str]:
     """Plays the chosen runs, shows and writes them; what does not hold. Raises BadInput."""
     experiment = read_scale(file)
@@ -31,7 +44,7 @@
         runs.append(play(experiment, setting))
         if not choice.is_json:
             say(f"{len(runs)}/{len(settings)} {setting.label} (simulated)")
-    written = write(experiment, runs, choice.folder or Path("out") / experiment.name)
+    written = write(experiment, runs, choice.folder)
     for line in [as_json(experiment, runs)] if choice.is_json else table(runs):
         say(line)
     if not choice.is_json:
