--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -265,6 +265,7 @@
         "_busy",
         "_ended",
         "_is_hinted",
+        "_is_leader",
         "_seen_since",
         "_sent",
         "_strikes",
@@ -286,6 +287,7 @@
         self._seen_since = self._at = 0.0
         self._busy = False
         self._is_hinted = False
+        self._is_leader = False  # as its member last said
         self._sent = 0.0
         self._ended: View | None = None  # of the change whose end is being committed
         self._strikes = 0  # counts in a row at which a figure on trial was too high
@@ -306,6 +308,9 @@
         """`opened`: the open change's id, or the trial's that is on; "": neither; `is_leader`: it is this
         member's; `has_leader`: somebody is; `lease` and `registered`: what the leadership hangs on, and the
         life it is taken for."""
+        if is_leader and not self._is_leader:
+            self._at = now
+        self._is_leader = is_leader
         if opened != self.change:
             self.change, self._seen_since = opened, now
             if not (is_leader and self.keeps_leadership):
