Fleet: a pledge of an earlier life binds what is admitted, and is no vote by itself

A life that found a pledge in its folder voted yes without judging the text anew. A relay's judgement is what its servers say, and a server's configuration may be another one by then; an earlier life's vote can't arrive any more, for it names its registration. The text is judged in each life; the pledge still bounds what is admitted. Found by the search of cells (one relay; it leaves when the pledge is on disk and before the vote; it starts; servers come that it has not asked): it votes yes though the kind was not asked.

--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -341,7 +341,8 @@
         if not change or seen.voted is not None:
             return None
         pledged = self.pledge == Pledge(change.id, change.created)
-        trouble = "" if pledged else self._trouble_with(change)
+        # A pledge of an earlier life binds what is admitted; the vote says what is so now.
+        trouble = self._trouble_with(change)
         if trouble is None:  # its text is not here yet, or not judged
             return None
         self._is_abstaining = now < self.abstains_until
--- a/tests/fleet/cell_harness.py
+++ b/tests/fleet/cell_harness.py
@@ -29,7 +29,7 @@
 from otterrudder.fleet.effects import Commit, Outcome, Save
 from otterrudder.fleet.queue import enqueue
 from otterrudder.fleet.records import Keys, Queued, View
-from otterrudder.fleet.state import Rules
+from otterrudder.fleet.state import Record, Rules
 from otterrudder.lab.keyspace import KeySpace
 
 FLEET = "f"
@@ -60,6 +60,7 @@
     refuses: dict[str, str] = field(default_factory=dict)  # by kind: what is wrong with a text that ends in !
     checks: list[str] = field(default_factory=list)  # names of the servers that were asked to check a text
     refusals: list[Refuse] = field(default_factory=list)
+    disks: dict[str, Record] = field(default_factory=dict)  # of cells of one relay
     life: int = 0
 
     # Who there is.
@@ -68,7 +69,15 @@
         self.life += 1
         identity = CellIdentity(FLEET, cell, address, candidates or (address,))
         rules = replace(self.rules, is_shared=len(identity.candidates) > 1)
-        relay = Relay(self.now, identity, f"{address}.{self.life}", rules, self.limits)
+        relay = Relay(
+            self.now,
+            identity,
+            f"{address}.{self.life}",
+            rules,
+            self.limits,
+            record=self.disks.get(address),
+            has_disk=not rules.is_shared,
+        )
         self.relays[address] = relay
         return relay
 
@@ -170,7 +179,8 @@
         else:
             outcome: Outcome = None
             if isinstance(effect, Save):
-                outcome = True
+                assert isinstance(effect.record, Record)
+                self.disks[address], outcome = effect.record, True
             elif not self.is_store_away:
                 outcome = self.space.answer(self.now, effect)  # type: ignore[arg-type]
                 if isinstance(effect, Commit):
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -667,6 +667,33 @@
     assert relay.member.why.startswith("another engine answers") and relay.due() == 1500.0
 
 
+def test_a_pledge_of_an_earlier_life_is_no_vote() -> None:
+    """The vote did not reach the store; the servers that are here now have not been asked."""
+    harness = Harness(refuses={"kind of north": "no"})
+    relays = harness.add_cell("east", 1)
+    harness.add_server("s0", relays)
+    harness.run(5000.0)
+    begin = harness._relay_effect
+
+    def lose_votes(address: str, relay: Relay, effect: RelayEffect) -> None:
+        if isinstance(effect, Commit) and effect.what == "vote":
+            relay.completed(harness.now, effect, harness.now, None)
+        else:
+            begin(address, relay, effect)
+
+    harness._relay_effect = lose_votes  # type: ignore[method-assign]
+    harness.propose("A", "policy!")
+    harness.run(100.0)
+    assert harness.disks[relays[0]].pledge
+    harness.remove_relay(relays[0])
+    harness._relay_effect = begin  # type: ignore[method-assign]
+    harness.remove_server("s0")
+    harness.add_server("s1", relays, "kind of north")
+    harness.add_relay(relays[0], "east")
+    harness.run(15_000.0)
+    assert [(end.committed, end.why) for end in harness.view().settled] == [(False, "east: s1: no")]
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
