Fleet: a queued text stays when its earlier end falls out, and a dropped change's goes

An end that falls out of the 32 kept takes its text along, unless the view that was read says that it waits. A change with that same text, queued between the read and the commit, lost it. Who queues such a text now writes joined, and an end that deletes a text compares it. A change that was dropped for its base put ends out of the list and left their texts: 40 texts for 32 ends in the test, and one more with each. What is taken out of the queue by its proposer still leaves its text.

--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -14,14 +14,11 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import msgspec
-
 from otterrudder.fleet.effects import Commit, Effect, Lane, Outcome, Read
 from otterrudder.fleet.member import Member
-from otterrudder.fleet.queue import InForce, open_first
+from otterrudder.fleet.queue import InForce, ends_with, open_first
 from otterrudder.fleet.records import (
     NOTE_MOST,
-    SETTLED_MOST,
     TEXT_MOST,
     Change,
     Keys,
@@ -223,24 +220,16 @@
         change.note,
         left_out[:REASONS_MOST],
     )
-    ends = [*view.settled, end]
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
-    kept = ends[-SETTLED_MOST:]
-    needed = {in_force, *(one.digest for one in kept), *(entry.digest for entry in view.queue)}
-    needed |= {trial.back for trial in (change.trial, view.trial) if trial}
-    writes: list[Write] = [
-        Put(keys.settled, msgspec.json.encode(kept)),
-        Delete(keys.change),
-        Delete(keys.votes, whole_prefix=True),
-    ]
-    writes += [Delete(keys.text(digest)) for digest in {one.digest for one in ends} - needed]
+    ended, compared = ends_with(view, end, in_force)
+    writes: list[Write] = [*ended, Delete(keys.change), Delete(keys.votes, whole_prefix=True)]
     if committed:
         new = PolicyHead(change.version, change.id, change.digest, change.author, change.note, change.at)
         writes.append(Put(keys.policy, encode(new)))
         writes.append(Put(keys.trial, encode(change.trial)) if change.trial else Delete(keys.trial))
-    compares = [Compare(keys.change, "modified", entries[keys.change].modified)]
-    if committed:  # nobody has come since whose vote was not counted
+    compares = [Compare(keys.change, "modified", entries[keys.change].modified), *compared]
+    if committed and not compared:  # nobody has come since whose vote was not counted
         compares.append(Compare(keys.joined, "modified", view.snapshot.modified(keys.joined)))
     return Commit("commit" if committed else "abort", tuple(compares), tuple(writes), Lane.SETTLE)
 
--- a/otterrudder/fleet/queue.py
+++ b/otterrudder/fleet/queue.py
@@ -24,7 +24,7 @@
     digest_of,
     encode,
 )
-from otterrudder.fleet.store import Compare, Delete, Put
+from otterrudder.fleet.store import Compare, Delete, Put, Write
 
 
 class QueueRefused(Exception):
@@ -61,8 +61,10 @@
         entry, digest=digest, author=entry.author[:NOTE_MOST], note=entry.note[:NOTE_MOST]
     )
     key = view.keys.queued(entry.id)
-    writes = (Put(key, encode(entry)), Put(view.keys.text(digest), text.encode()))
-    return Commit("queue", (Compare(key, "created", 0),), writes, Lane.SETTLE)
+    writes: list[Write] = [Put(key, encode(entry)), Put(view.keys.text(digest), text.encode())]
+    if digest in {end.digest for end in view.settled}:  # it may be about to go with its end: see `ends_with`
+        writes.append(Put(view.keys.joined, entry.id.encode()))
+    return Commit("queue", (Compare(key, "created", 0),), tuple(writes), Lane.SETTLE)
 
 
 def place(view: View, ident: str) -> int | None:
@@ -112,11 +114,26 @@
     raise QueueRefused("it does not wait")
 
 
+def ends_with(view: View, end: Settled, in_force: str) -> tuple[list[Write], list[Compare]]:
+    """Puts an end to those that are kept; the texts of those that fall out go, where nothing else needs them.
+    Who queues such a text again writes `joined`, which is compared: then it is counted anew."""
+    ends = [*view.settled, end]
+    kept, keys = ends[-SETTLED_MOST:], view.keys
+    needed = {in_force, *(one.digest for one in kept), *(entry.digest for entry in view.queue)}
+    opened = view.change
+    needed |= {opened.digest} if opened else set()
+    needed |= {trial.back for trial in (opened and opened.trial, view.trial) if trial}
+    gone = sorted({one.digest for one in ends} - needed)
+    writes: list[Write] = [Put(keys.settled, msgspec.json.encode(kept))]
+    writes += [Delete(keys.text(digest)) for digest in gone]
+    return writes, [Compare(keys.joined, "modified", view.snapshot.modified(keys.joined))] if gone else []
+
+
 def _drop(view: View, entry: Queued, compares: tuple[Compare, ...]) -> Commit:
     keys = view.keys
     why = f"it was made from policy {entry.base[:12]}, which is not in force at its turn"
     end = Settled(entry.id, 0, entry.digest, False, why, entry.author, entry.note)
-    ends = [*view.settled, end][-SETTLED_MOST:]
-    compares = (*compares, Compare(keys.settled, "modified", view.snapshot.modified(keys.settled)))
-    writes = (Put(keys.settled, msgspec.json.encode(ends)), Delete(keys.queued(entry.id)))
-    return Commit("drop", compares, writes, Lane.SETTLE)
+    in_force = view.policy.digest if view.policy else ""
+    writes, more = ends_with(view, end, in_force)
+    compares = (*compares, Compare(keys.settled, "modified", view.snapshot.modified(keys.settled)), *more)
+    return Commit("drop", compares, (*writes, Delete(keys.queued(entry.id))), Lane.SETTLE)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -52,7 +52,7 @@
 from otterrudder.fleet.effects import Commit, Lane, Lease, Read
 from otterrudder.fleet.queue import InForce as PolicyInForce
 from otterrudder.fleet.queue import QueueRefused, enqueue, leave_queue, open_first, place
-from otterrudder.fleet.records import QUEUE_MOST, Queued, digest_of
+from otterrudder.fleet.records import QUEUE_MOST, SETTLED_MOST, Queued, digest_of
 from otterrudder.fleet.records import encode as encode_record
 from otterrudder.fleet.state import Rules, Standing
 from otterrudder.fleet.store import Done, Put
@@ -954,3 +954,36 @@
     assert isinstance(lead, Commit) and lead.what == "lead"
     assert settler.completed(now, lead, Done(held, 9, 1)) is None
     assert settler.due() >= now + COUNT_MS
+
+
+def with_ends(harness: Harness, count: int) -> None:
+    """So many changes of texts of their own have ended."""
+    for number in range(count):
+        harness.enqueue(f"c{number}", f"text {number}")
+    while len(harness.view().queue) or harness.view().change:
+        harness.run(1000.0)
+
+
+def test_a_text_that_is_queued_again_while_its_end_falls_out_is_kept() -> None:
+    harness = at_work()
+    with_ends(harness, SETTLED_MOST)
+    harness.propose("last")
+    counted = settle(harness.view(), True)  # what somebody has counted, and has not sent
+    assert counted
+    harness.enqueue("again", "text 0")  # the oldest end's
+    assert not harness.space.commit(counted.compares, counted.writes).held
+    harness.run(5000.0)
+    assert [(end.id, end.committed) for end in harness.view().settled][-2:] == [
+        ("last", True),
+        ("again", True),
+    ]
+
+
+def test_texts_of_dropped_changes_go_with_their_ends() -> None:
+    harness = at_work()
+    for number in range(SETTLED_MOST + 8):
+        harness.enqueue(f"c{number}", f"text {number}", base="another")
+    harness.run(60_000.0)
+    assert not harness.view().queue and len(harness.view().settled) == SETTLED_MOST
+    texts = [key for key in harness.space.keys if key.startswith(f"{FLEET}/text/")]
+    assert len(texts) == SETTLED_MOST
