Cells: a server that connects anew takes its own place at a full relay

Where a relay had not heard yet that a stream had ended, its server counted twice, and at the limit was refused by itself until the old stream was swept, 6 s later. The test failed before: refused as full.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -317,7 +317,7 @@
             self._refuse(connection, message.sequence, RefusalReason.PROTOCOL, f"wants {PROTOCOL_VERSION}")
         elif message.fleet != self.identity.fleet:
             self._refuse(connection, message.sequence, RefusalReason.WRONG_FLEET, self.identity.fleet)
-        elif len(self.sessions) >= self.limits.sessions_most and connection not in self.sessions:
+        elif not self._has_room(connection, message):
             detail = f"{self.identity.address} has its {self.limits.sessions_most} sessions"
             self._refuse(connection, message.sequence, RefusalReason.FULL, detail)
         elif not self.leads():
@@ -330,6 +330,18 @@
             self.sessions[connection] = session
             self._answer(now, session, message.sequence)
 
+    def _has_room(self, connection: int, message: Register) -> bool:
+        """An earlier stream of the same process, whose end was not heard of yet, gives up its place."""
+        if connection in self.sessions or len(self.sessions) < self.limits.sessions_most:
+            return True
+        who = (message.name, message.epoch)
+        earlier = (number for number, one in self.sessions.items() if (one.name, one.epoch) == who)
+        if (replaced := next(earlier, None)) is None:
+            return False
+        self.closed(replaced)
+        self._effects.append(EndSession(replaced))
+        return True
+
     def _answer(self, now: float, session: Session, sequence: int) -> None:
         """A lease, or why there is none."""
         span = min(self.limits.span_ms, self.authority_until(now) - now)
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -694,6 +694,18 @@
     assert [(end.committed, end.why) for end in harness.view().settled] == [(False, "east: s1: no")]
 
 
+def test_a_server_that_connects_anew_takes_its_own_place() -> None:
+    """The relay has not heard yet that the stream before has ended."""
+    harness = at_work(limits=RelayLimits(sessions_most=2))
+    relay = harness.leader("east")
+    harness.streams = {n: s for n, s in harness.streams.items() if not s.server.startswith("east")}
+    for name in ("east-s0", "east-s1"):
+        harness.servers[name].disconnected(harness.now, harness.servers[name].connection)
+    harness.run(1000.0)
+    assert relay.refused[RefusalReason.FULL] == 0 and len(relay.sessions) == 2
+    assert set(harness.admitted().values()) == {0}
+
+
 # Consent.
 
 CANDIDATES = ("a", "b", "c")
