--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -47,12 +47,15 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--depth", type=click.IntRange(0, 6), default=0, help="Every order to this depth as well.")
 @click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
-def cell_search(walks: int, seed: int, depth: int, workers: int | None) -> None:
+@click.option("--variant", "names", multiple=True, help="This one alone; may be given again.")
+def cell_search(walks: int, seed: int, depth: int, workers: int | None, names: tuple[str, ...]) -> None:
     """Search what may happen to cells of a few relays and servers; exits with 1 if a promise breaks or a
     fault that was put in is not found."""
-    from otterrudder.lab.fleet.cell_report import cells_searched
+    from otterrudder.lab.fleet.cell_report import cells_searched, variant_names
 
-    sys.exit(0 if cells_searched(walks, seed, depth, workers, click.echo) else 1)
+    if unknown := set(names) - set(variant_names()):
+        give_up(f"no such variant: {', '.join(sorted(unknown))}; there are: {'; '.join(variant_names())}")
+    sys.exit(0 if cells_searched(walks, seed, depth, workers, click.echo, names) else 1)
 
 
 @lab.command("fleet-simulation")
--- a/otterrudder/lab/fleet/cell_report.py
+++ b/otterrudder/lab/fleet/cell_report.py
@@ -1,6 +1,6 @@
 """The search of cells on all cores, and its tables: what `lab cell-search` prints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ProcessPoolExecutor
 
 from otterrudder.lab.fleet.cell_faults import FAULTS
@@ -24,12 +24,21 @@
     return hunt(FAULTS[name])
 
 
+def variant_names() -> list[str]:
+    return [name for name, _ in all_variants()]
+
+
 def cells_searched(
-    walks: int, seed: int, depth: int, workers: int | None, say: Callable[[str], None]
+    walks: int,
+    seed: int,
+    depth: int,
+    workers: int | None,
+    say: Callable[[str], None],
+    variants: Sequence[str] = (),
 ) -> bool:
     """Whether no promise broke and each fault was found. `walks`: by variant; `depth`: of the search by
-    breadth from each stage."""
-    names = [name for name, _ in all_variants()]
+    breadth from each stage; `variants`: these alone, or all."""
+    names = variants or variant_names()
     with ProcessPoolExecutor(workers) as pool:
         drawn = {name: _drawn(pool, name, seed, walks) for name in names}
         deep = {
