--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -14,14 +14,11 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import msgspec
-
 from otterrudder.fleet.effects import Commit, Effect, Lane, Outcome, Read
 from otterrudder.fleet.member import Member
-from otterrudder.fleet.queue import InForce, open_first
+from otterrudder.fleet.queue import InForce, ends_with, open_first
 from otterrudder.fleet.records import (
     NOTE_MOST,
-    SETTLED_MOST,
     TEXT_MOST,
     Change,
     Keys,
@@ -223,24 +220,16 @@
         change.note,
         left_out[:REASONS_MOST],
     )
-    ends = [*view.settled, end]
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
-    kept = ends[-SETTLED_MOST:]
-    needed = {in_force, *(one.digest for one in kept), *(entry.digest for entry in view.queue)}
-    needed |= {trial.back for trial in (change.trial, view.trial) if trial}
-    writes: list[Write] = [
-        Put(keys.settled, msgspec.json.encode(kept)),
-        Delete(keys.change),
-        Delete(keys.votes, whole_prefix=True),
-    ]
-    writes += [Delete(keys.text(digest)) for digest in {one.digest for one in ends} - needed]
+    ended, compared = ends_with(view, end, in_force)
+    writes: list[Write] = [*ended, Delete(keys.change), Delete(keys.votes, whole_prefix=True)]
     if committed:
         new = PolicyHead(change.version, change.id, change.digest, change.author, change.note, change.at)
         writes.append(Put(keys.policy, encode(new)))
         writes.append(Put(keys.trial, encode(change.trial)) if change.trial else Delete(keys.trial))
-    compares = [Compare(keys.change, "modified", entries[keys.change].modified)]
-    if committed:  # nobody has come since whose vote was not counted
+    compares = [Compare(keys.change, "modified", entries[keys.change].modified), *compared]
+    if committed and not compared:  # nobody has come since whose vote was not counted
         compares.append(Compare(keys.joined, "modified", view.snapshot.modified(keys.joined)))
     return Commit("commit" if committed else "abort", tuple(compares), tuple(writes), Lane.SETTLE)
 
@@ -265,7 +254,7 @@
         "_busy",
         "_ended",
         "_is_hinted",
-        "_leads",
+        "_is_leader",
         "_seen_since",
         "_sent",
         "_strikes",
@@ -287,7 +276,7 @@
         self._seen_since = self._at = 0.0
         self._busy = False
         self._is_hinted = False
-        self._leads = False
+        self._is_leader = False  # as its member last said
         self._sent = 0.0
         self._ended: View | None = None  # of the change whose end is being committed
         self._strikes = 0  # counts in a row at which a figure on trial was too high
@@ -312,9 +301,9 @@
             self.change, self._seen_since = opened, now
             if not (is_leader and self.keeps_leadership):
                 self._at = now + (self._delay() if self.needs_leadership else 0.0)
-        if is_leader and not self._leads:
+        if is_leader and not self._is_leader:
             self._at = now  # it has just become the leader
-        self._leads = is_leader
+        self._is_leader = is_leader
         if self._busy or now < self._at or not opened and not self.keeps_leadership:
             return None
         if self.needs_leadership and not is_leader:
