Cells: an attempt to connect to a relay has its time

Cause: gRPC takes the least time between attempts for the deadline of one, and it was 100 ms. Change: 5 s; the participant and the request for consent give up by themselves. tests/fleet/test_relay.py has a link of 150 ms, and fails without it.

--- a/otterrudder/fleet/cell/wire.py
+++ b/otterrudder/fleet/cell/wire.py
@@ -19,6 +19,9 @@
 UNUSED_CONNECTION_MS = 5000  # ms that a connection without a stream is kept
 KEEPALIVE_MS = 10_000
 KEEPALIVE_TIMEOUT_MS = 2000
+# ms that an attempt to connect may take, the handshakes of TLS over some distance included; whoever asked
+# for it gives up by itself. gRPC knows it as the least time between attempts, and waits less after a refusal.
+CONNECT_MS = 5000
 
 _COMMON_OPTIONS = [
     ("grpc.keepalive_time_ms", KEEPALIVE_MS),
@@ -36,7 +39,7 @@
     ("grpc.max_receive_message_length", RELAY_MESSAGE_MOST),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_MS),
     ("grpc.max_reconnect_backoff_ms", 1000),
 ]
 
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -47,7 +47,7 @@
 from otterrudder.fleet.policy import Own
 from otterrudder.fleet.records import TEXT_MOST, Keys, View
 from otterrudder.interface import Tenant
-from otterrudder.lab.processes.link import free_port
+from otterrudder.lab.processes.link import Harm, Link, free_port
 
 WAIT_S = 8.0
 KIND = "k"
@@ -192,6 +192,24 @@
     anyio.run(play)
 
 
+def test_a_server_far_away_connects(engine: Engine) -> None:
+    """An attempt to connect was given up after 100 ms: a relay beyond that, or a busy one, was not reached."""
+
+    async def play() -> None:
+        cells = Cells(engine)
+        async with cells.relay("a") as service, anyio.create_task_group() as group:
+            link = Link(service.role.endpoint)
+            link.set(Harm(delay_ms=150.0))
+            group.start_soon(link.run)
+            cells.addresses = ["{}:{}".format(*link.address)]
+            agent = cells.server("s", lambda text: "")
+            async with running(agent):
+                assert agent.counts["ended"] == 0
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
 def test_an_unknown_protocol_another_fleet_and_a_renewal_before_all_are_refused(engine: Engine) -> None:
     async def play() -> None:
         cells = Cells(engine)
