Cells: a call that grpcio cancels ends a stream, and not the server's part in the fleet

Cause: grpcio raises a CancelledError of its own where a call ends as it is cancelled. It names no scope, so the task group of the agent took it for its own end: the agent ended without a word, and its server stood aside for good. Change: what the store's client did about it is a module, and streams, and requests for consent, use it. tests/fleet/test_relay.py: attempts given up on links that hold back what comes; it failed before.

--- a/otterrudder/fleet/cell/client.py
+++ b/otterrudder/fleet/cell/client.py
@@ -8,6 +8,7 @@
 import anyio
 import grpc
 
+from otterrudder.fleet.cancellation import raise_if_cancelled
 from otterrudder.fleet.cell.messages import RelayMessage, ServerMessage, decode_from_relay, encode
 from otterrudder.fleet.cell.wire import SESSION, open_channel
 from otterrudder.fleet.configuration import Fleet
@@ -35,10 +36,8 @@
         channel = open_channel(self._fleet, self.relay)
         try:
             self._call = channel.stream_stream(SESSION)()
-            try:
+            async with _reasons_told():
                 await self._call.wait_for_connection()
-            except grpc.RpcError as why:
-                raise StreamEnded(_reason(why)) from None
             yield
         finally:
             if self._call:
@@ -56,22 +55,30 @@
         """Writes what is sent; ends by StreamEnded."""
         while True:
             data = await self._outgoing.get()
-            try:
+            async with _reasons_told():
                 await self._call.write(data)
-            except (grpc.RpcError, asyncio.InvalidStateError) as why:
-                raise StreamEnded(_reason(why)) from None
 
     async def receive(self) -> RelayMessage:
         """The next message. StreamEnded; BadMessage: the relay is not to be talked to."""
-        try:
+        async with _reasons_told():
             data = await self._call.read()
             if data is grpc.aio.EOF:
                 raise StreamEnded(await self._call.details() or "the relay ended the stream")
-        except grpc.RpcError as why:
-            raise StreamEnded(_reason(why)) from None
         return decode_from_relay(data)
 
 
+@contextlib.asynccontextmanager
+async def _reasons_told() -> AsyncIterator[None]:
+    """What ends a call inside is StreamEnded with its reason, and a cancelled caller is cancelled."""
+    try:
+        yield
+    except (grpc.RpcError, asyncio.InvalidStateError) as why:
+        raise StreamEnded(_reason(why)) from None
+    except asyncio.CancelledError:
+        await raise_if_cancelled()
+        raise StreamEnded("the call was cancelled") from None
+
+
 def _reason(why: Exception) -> str:
     if isinstance(why, grpc.aio.AioRpcError):
         return f"{why.code().name.lower()}: {why.details()}"
--- a/otterrudder/fleet/cell/peers.py
+++ b/otterrudder/fleet/cell/peers.py
@@ -1,9 +1,11 @@
 """Requests for consent to the other relays of a cell, each with a deadline."""
 
+import asyncio
 from typing import Any
 
 import grpc
 
+from otterrudder.fleet.cancellation import raise_if_cancelled
 from otterrudder.fleet.cell.consent import ASK_EVERY_SHARE, CONSENT_MS, PeerRequest
 from otterrudder.fleet.cell.messages import BadMessage, Consent, decode_from_peer, encode
 from otterrudder.fleet.cell.wire import CONSENT, open_channel
@@ -28,6 +30,9 @@
             answer = decode_from_peer(await call)
         except (grpc.RpcError, BadMessage):
             return None
+        except asyncio.CancelledError:
+            await raise_if_cancelled()
+            return None
         finally:
             call.cancel()
         return answer if isinstance(answer, Consent) else None
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -9,13 +9,12 @@
 import contextlib
 from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
-import anyio
-import anyio.lowlevel
 import grpc
 from aetcd import rpc
 
+from otterrudder.fleet.cancellation import raise_if_cancelled
 from otterrudder.fleet.configuration import Fleet
 from otterrudder.fleet.store import (
     Changed,
@@ -138,7 +137,8 @@
         except grpc.RpcError as why:
             await self._note(why)
         except asyncio.CancelledError:
-            await _cancelled()
+            await raise_if_cancelled()
+            raise StoreAway("the channel was closed") from None
         finally:
             call.cancel()
 
@@ -170,17 +170,6 @@
     """The engine has said that it did nothing."""
 
 
-async def _cancelled() -> NoReturn:
-    """Which of three it is, for they look alike: the scope that waits was cancelled, the task was, or the
-    channel was closed under the call. grpcio's own cancellation names no scope, so a scope would not know it
-    for its own, and all the server's tasks would end by it."""
-    await anyio.lowlevel.checkpoint_if_cancelled()
-    task = asyncio.current_task()
-    if task and task.cancelling():
-        raise asyncio.CancelledError
-    raise StoreAway("the channel was closed") from None
-
-
 def _credentials(ca: Path | None, cert: Path | None, key: Path | None) -> Any:
     """What the files by path hold, for the channel; None without them. OSError names the file."""
     if ca is None:
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -215,6 +215,30 @@
     anyio.run(play)
 
 
+def test_a_server_outlives_attempts_to_connect_that_it_gives_up(engine: Engine) -> None:
+    """Its part in the fleet ended without a word as one was cancelled, and it stood aside for good."""
+
+    async def play() -> None:
+        cells = Cells(engine)
+        async with cells.relay("a") as service, anyio.create_task_group() as group:
+            links = [Link(service.role.endpoint) for _ in range(3)]
+            cells.addresses = ["{}:{}".format(*link.address) for link in links]
+            for link in links:
+                group.start_soon(link.run)
+            agent = cells.server("s", lambda text: "")
+            async with running(agent):
+                for harm in (Harm(holds_back=True), Harm(delay_ms=900.0), Harm(holds_there=True)):
+                    for link in links:
+                        link.set(harm)
+                    await anyio.sleep(5.0)
+                    for link in links:
+                        link.set(Harm())
+                    await until(lambda: admits(agent))
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
 def test_an_unknown_protocol_another_fleet_and_a_renewal_before_all_are_refused(engine: Engine) -> None:
     async def play() -> None:
         cells = Cells(engine)
