--- a/otterrudder/lab/processes/cell_experiment.py
+++ b/otterrudder/lab/processes/cell_experiment.py
@@ -31,6 +31,7 @@
     name: str
     absent: str = "wait"
     names_store: bool = False
+    hollow: int = 0  # hollow servers a cell
 
 
 class CellExperiment(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -62,6 +63,16 @@
     server: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class HollowFigures:
+    """What the hollow servers of a run have told."""
+
+    servers: int
+    overdue: int
+    asides: int  # servers that did not admit in a quiet round, summed up
+    switches: dict[int, float]  # by version: ms from its commit until the last one went by it
+
+
 @dataclass(slots=True)
 class CellRun:
     """One variant under one seed, played."""
@@ -74,12 +85,20 @@
     switches: dict[int, float]  # by version
     marks: list[tuple[float, int, str]]
     quiet_rounds: int
+    hollow: HollowFigures
 
     @property
     def calm_switches(self) -> list[float]:
         """Of versions that came into force in rounds without a fault."""
-        calm = {this.version for this in self.played.rounds if not this.faults}
-        return [ms for version, ms in self.switches.items() if version in calm]
+        return [ms for version, ms in self.switches.items() if version in self._calm_versions()]
+
+    @property
+    def calm_hollow_switches(self) -> list[float]:
+        """The same, of the hollow servers."""
+        return [ms for version, ms in self.hollow.switches.items() if version in self._calm_versions()]
+
+    def _calm_versions(self) -> set[int]:
+        return {this.version for this in self.played.rounds if not this.faults and this.in_force}
 
     @property
     def broken(self) -> list[str]:
@@ -96,6 +115,8 @@
             "changes had no end": played.undecided,
             "policies came into force that a kind refuses": played.refused_in_force,
             "servers stood aside in a quiet round": len(self.asides),
+            "hollow servers admitted past the bound": self.hollow.overdue,
+            "hollow servers stood aside in a quiet round": self.hollow.asides,
         }
         return found + [f"{count} {what}" for what, count in counts.items() if count]
 
@@ -162,11 +183,12 @@
 ) -> CellRun:
     """One variant with a plan as it is. `logs`: where the processes' logs go if a claim does not hold."""
     variant, doubles = experiment.variant_named(name), doubles or Doubles()
+    sessions_most = experiment.sessions_most + 2 * variant.hollow
     with tempfile.TemporaryDirectory() as folder:
         rig = LinkedCellRig(
             Path(folder),
             servers,
-            CellPlan(dict(experiment.cells), experiment.server_lease_ms, experiment.sessions_most),
+            CellPlan(dict(experiment.cells), experiment.server_lease_ms, sessions_most),
             absent=variant.absent,
             bound_ms=experiment.bound_ms,
             lease_ms=experiment.lease_ms,
@@ -175,7 +197,7 @@
             relay_double=doubles.relay,
             server_double=doubles.server,
         )
-        played = anyio.run(_perform, rig, rounds, tell)
+        played = anyio.run(_perform, rig, variant.hollow, rounds, tell)
         run = _concluded(rig, name, seed, played)
         if run.broken and logs:
             _keep_logs(Path(folder), logs / f"{name}-{seed}")
@@ -185,7 +207,16 @@
 def _concluded(rig: LinkedCellRig, name: str, seed: int, played: CellsPlayed) -> CellRun:
     """What the books say of a run that is over."""
     verdict = judge(rig.wire, rig.versions, rig.bound_ms, rig.harmed(), rig.listed(), rig.drains, STOP_MS)
-    return CellRun(name, seed, played, verdict, asides(rig), switches(rig), rig.marks, len(rig.quiet))
+    return CellRun(
+        name, seed, played, verdict, asides(rig), switches(rig), rig.marks, len(rig.quiet), _hollow(rig)
+    )
+
+
+def _hollow(rig: LinkedCellRig) -> HollowFigures:
+    hollow = rig.hollow
+    aside = sum(len(hollow.aside_ms(window.since, window.to)) for window in rig.quiet)
+    overdue = hollow.overdue(rig.versions, rig.bound_ms)
+    return HollowFigures(hollow.count, overdue, aside, hollow.switches(rig.versions))
 
 
 def _keep_logs(folder: Path, to: Path) -> None:
@@ -194,8 +225,11 @@
         shutil.copy(log, to / f"{log.parent.name}.txt")
 
 
-async def _perform(rig: LinkedCellRig, rounds: list[CellRound], tell: Callable[[str], None]) -> CellsPlayed:
+async def _perform(
+    rig: LinkedCellRig, hollow: int, rounds: list[CellRound], tell: Callable[[str], None]
+) -> CellsPlayed:
     async with rig.running():
+        await rig.start_hollow(hollow)
         return await CellPlayer(rig, tell).play(rounds)
 
 
@@ -221,6 +255,9 @@
         "aside of all",
         "commit to last server, ms",
         "without a fault",
+        "hollow servers",
+        "commit to last of them, ms",
+        "without a fault",
         "leader's death to vote, ms",
     ]
     rows = ["| " + " | ".join(head) + " |", "| --- |" + " ---: |" * (len(head) - 1)]
@@ -251,6 +288,9 @@
         f"{figures['aside_share']:.1%}",
         spread(list(run.switches.values())),
         spread(run.calm_switches),
+        run.hollow.servers,
+        spread(list(run.hollow.switches.values())),
+        spread(run.calm_hollow_switches),
         ", ".join(f"{ms:.0f}" for ms in deaths) or "none",
     ]
 
@@ -270,6 +310,7 @@
             breaches=run.verdict.breaches,
             broken=run.broken,
             asides=[asdict(aside) for aside in run.asides],
+            hollow=asdict(run.hollow),
             switches={version: round(ms) for version, ms in run.switches.items()},
             deaths=[asdict(death) for death in run.played.deaths],
             rounds=[asdict(this) for this in run.played.rounds],
--- a/otterrudder/lab/processes/cell_rig.py
+++ b/otterrudder/lab/processes/cell_rig.py
@@ -5,6 +5,7 @@
 the others after. The last server has a configuration of its own, so it is a kind of its own."""
 
 import json
+import shutil
 import signal
 import sys
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 import anyio
 
 from otterrudder.clock import monotonic as clock
+from otterrudder.lab.processes.cell_hollow import HollowServers
 from otterrudder.lab.processes.cells import CellPlan, CellRig, RelayPlace
 from otterrudder.lab.processes.link import Harm, Link, free_port
 from otterrudder.lab.processes.rig import CLAIM_S, Place
@@ -77,6 +79,7 @@
         self.votes: list[VoteSeen] = []
         self.quiet: list[QuietWindow] = []
         self.relay_double = relay_double
+        self.hollow = HollowServers()
         if server_double:
             module = "otterrudder.lab.processes.cell_double"
             self.double_line = f'exec {sys.executable} -m {module} server "{server_double}"'
@@ -126,7 +129,9 @@
                 group.start_soon(self._ask_relay, relay, told)
             for place in self.places:
                 group.start_soon(self._ask_server, place, told)
-        troubled = [cell for cell in self.cells if not self._is_led(cell, told)]
+        behind = self.hollow.behind(self.versions[-1].version)
+        troubled = [f"{behind} hollow servers"] if behind else []
+        troubled += [cell for cell in self.cells if not self._is_led(cell, told)]
         troubled += [
             relay.address for relay in self.relays if told[relay.address].get("consented_left_ms") != 0.0
         ]
@@ -142,6 +147,26 @@
     async def _ask_server(self, place: Place, told: dict[str, dict[str, Any]]) -> None:
         told[place.name] = await self.server_status(place)
 
+    async def start_hollow(self, a_cell: int) -> None:
+        """So many hollow servers of each cell, a process a cell, straight to the relays and by no link. Once
+        this returns, all admit."""
+        for cell in self.cells if a_cell else ():
+            folder = self.folder / f"hollow-{cell}"
+            folder.mkdir()
+            shutil.copy(self.places[0].folder / "config.json", folder / "config.json")
+            listens = json.dumps([relay.listen for relay in self._relays_from(cell)])
+            (folder / "fleet.toml").write_text(f"{self._common_part()}relays = {listens}\n")
+            process = self.hollow.start(folder / "fleet.toml", folder / "config.json", f"{cell}-h", a_cell)
+            self.extra.append(process)
+            self.group.start_soon(self.hollow.listen, process)
+        await self.until_calm()
+
+    def _relays_from(self, home: str) -> list[LinkedRelay]:
+        """All relays, in the order in which a server of that cell tries them."""
+        at = self.cells.index(home)
+        order = [*self.cells[at:], *self.cells[:at]]
+        return [relay for cell in order for relay in self.relays_of(cell)]
+
     # What is done to a relay.
 
     def freeze_relay(self, relay: LinkedRelay) -> None:
@@ -232,10 +257,7 @@
             if relay.address not in place.links:
                 host, port = relay.listen.split(":")
                 place.links[relay.address] = Link((host, int(port)))
-        home = self.home_of(place.number)
-        at = self.cells.index(home)
-        order = [*self.cells[at:], *self.cells[:at]]
-        relays = [relay for cell in order for relay in self.relays_of(cell)]
+        relays = self._relays_from(self.home_of(place.number))
         dialled = ["{}:{}".format(*place.links[relay.address].address) for relay in relays]
         (place.folder / "fleet.toml").write_text(f"{self._common_part()}relays = {json.dumps(dialled)}\n")
 
