Cells: the other relays are asked more often until they have consented

Cause: a leader that lost the store asked each 750 ms, and the others consent only once they have not heard the store for a while. Change: each 250 ms until all have consented. Two tests fail without it.

--- a/otterrudder/fleet/cell/consent.py
+++ b/otterrudder/fleet/cell/consent.py
@@ -19,7 +19,10 @@
 BELIEVED_SHARE = (
     0.9  # of the span, by the asker's clock from the sending: two clocks may run apart by a tenth
 )
-ASK_EVERY_SHARE = 0.25  # of the span, between requests: three may be lost
+ASK_EVERY_SHARE = 0.25  # of the span, between requests while all have consented: three may be lost
+# of the span, between requests until then: the others still heard the store when they were asked, or a
+# request was lost, and the lease of the store is running out
+ASK_FIRST_SHARE = 1 / 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +56,8 @@
         """To be called while consent is needed."""
         if now < self._ask_at:
             return []
-        self._ask_at = now + CONSENT_MS * ASK_EVERY_SHARE
+        share = ASK_EVERY_SHARE if self.until() > now else ASK_FIRST_SHARE
+        self._ask_at = now + CONSENT_MS * share
         oldest = now - CONSENT_MS
         self._sent = {number: sent for number, sent in self._sent.items() if sent[1] > oldest}
         return [self._request(now, peer) for peer in self.peers]
--- a/otterrudder/fleet/cell/peers.py
+++ b/otterrudder/fleet/cell/peers.py
@@ -11,7 +11,7 @@
 from otterrudder.fleet.cell.wire import CONSENT, open_channel
 from otterrudder.fleet.configuration import Fleet
 
-PEER_TIMEOUT_MS = CONSENT_MS * ASK_EVERY_SHARE  # by then the next request is due
+PEER_TIMEOUT_MS = CONSENT_MS * ASK_EVERY_SHARE  # by then another request is under way
 
 
 class Peers:
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -6,7 +6,7 @@
 import pytest
 from cell_harness import FLEET, KEYS, RULES, Harness, Stream, in_force, registration, sent, told
 
-from otterrudder.fleet.cell.consent import CONSENT_MS, Consents, Promise
+from otterrudder.fleet.cell.consent import CONSENT_MS, Consents, PeerRequest, Promise
 from otterrudder.fleet.cell.kinds import ASK_AGAIN_MS, ASK_MOST_MS, VERDICTS_MOST, Candidate, Poll, Verdicts
 from otterrudder.fleet.cell.messages import (
     NAME_MOST,
@@ -738,6 +738,35 @@
         assert set(harness.admitted().values()) == {0}, harness.now
 
 
+class LossyHarness(Harness):
+    """The first consents that are given are lost on their way."""
+
+    lost = 0
+
+    def _relay_effect(self, address: str, relay: Relay, effect: RelayEffect) -> None:
+        if isinstance(effect, PeerRequest) and self.lost:
+            consent = self.relays[effect.peer].peer_asked(self.now, effect.message)
+            self.lost -= consent.span_ms > 0
+        else:
+            super()._relay_effect(address, relay, effect)
+
+
+@pytest.mark.parametrize("lease_ms", [3000.0, 6000.0])
+def test_a_cell_serves_on_without_the_store_though_consents_are_lost(lease_ms: float) -> None:
+    """Two of each cell, whenever the store went, and though the others have heard it until then."""
+    for phase_ms in range(13, 1600, 200):
+        harness = LossyHarness(rules=replace(RULES, lease_ms=lease_ms), limits=RelayLimits(span_ms=1500.0))
+        for cell in ("east", "west"):
+            harness.add_server(f"{cell}-s", harness.add_cell(cell))
+        harness.run(10_000.0 + phase_ms)
+        harness.is_store_away, harness.lost = True, 4
+        for relay in harness.relays.values():
+            relay.member.answered_at = harness.now
+        for _ in range(240):
+            harness.run(25.0)
+            assert set(harness.admitted().values()) == {0}, (phase_ms, harness.now)
+
+
 def test_a_cell_serves_on_when_the_store_is_back() -> None:
     """The leader's lease has lapsed in the store meanwhile. A relay that had consented took the cell first,
     and could grant nothing before its consent had ended."""
