Cells: a slow reader's stream is forgotten before its status is sent

Cause: the status of a stream whose reader does not read waits for it, and until then the relay kept the session. The stream itself still takes one of gRPC's places until its client ends it.

--- a/otterrudder/fleet/cell/service.py
+++ b/otterrudder/fleet/cell/service.py
@@ -271,9 +271,14 @@
         except StreamFailed as failure:
             self._failures[failure.code.name.lower()] += 1
             log.warning("a stream is ended", peer=context.peer(), why=failure.why)
+            self._forget(connection)  # a server that does not read may hold up its status for long
             await context.abort(failure.code, failure.why)
         finally:
-            del self._streams[connection]
+            self._forget(connection)
+
+    def _forget(self, connection: int) -> None:
+        """The stream is over, as far as the relay goes."""
+        if self._streams.pop(connection, None):
             self.relay.closed(connection)
             self._wake.set()
 
