--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -43,6 +43,19 @@
     sys.exit(0 if searched(walks, seed, depth, workers, click.echo) else 1)
 
 
+@lab.command("cell-search")
+@click.option("--walks", type=click.IntRange(1), default=200, show_default=True, help="By variant.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--depth", type=click.IntRange(0, 6), default=0, help="Every order to this depth as well.")
+@click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
+def cell_search(walks: int, seed: int, depth: int, workers: int | None) -> None:
+    """Search what may happen to cells of a few relays and servers; exits with 1 if a promise breaks or a
+    fault that was put in is not found."""
+    from otterrudder.lab.fleet.cell_report import cells_searched
+
+    sys.exit(0 if cells_searched(walks, seed, depth, workers, click.echo) else 1)
+
+
 @lab.command("fleet-simulation")
 @click.option("--servers", type=click.IntRange(2, 1000), default=200, show_default=True)
 @click.option("--plans", type=click.IntRange(1), default=100, show_default=True, help="Of faults, by rule.")
@@ -81,9 +94,14 @@
     """Play an experiment FILE with processes of the program and faults between them; exits with 1 if a claim
     does not hold. Needs the extra `fleet` as well."""
     try:
+        from otterrudder.lab.processes import cell_experiment
         from otterrudder.lab.processes import experiment as of
     except ModuleNotFoundError as missing:
         give_up(f"this needs {missing.name}: pip install 'otterrudder[fleet]', or -r requirements-fleet.txt")
+    if cell_experiment.is_of_cells(file):
+        if shrink:
+            give_up("--shrink: plans of cells are not cut down")
+        sys.exit(0 if _play_cells(file, seed, servers, quick, names, folder) else 1)
     try:
         what = of.only(of.read(file), names)
     except BadInput as trouble:
@@ -105,6 +123,34 @@
     sys.exit(1 if broken else 0)
 
 
+def _play_cells(
+    file: Path,
+    seed: int | None,
+    servers: int | None,
+    quick: bool,
+    names: tuple[str, ...],
+    folder: Path | None,
+) -> bool:
+    """Whether all claims of an experiment with cells hold."""
+    from otterrudder.lab.processes import cell_experiment as of
+
+    try:
+        what = of.only(of.read(file), names)
+    except BadInput as trouble:
+        give_up(trouble)
+    _end_in_order()
+    seeds = [seed] if seed is not None else what.seeds[: 1 if quick else None]
+    count = servers or (what.quick_servers if quick else what.servers)
+    rounds, folder = what.quick_rounds if quick else what.rounds, folder or Path("out") / what.name
+    runs = of.perform(what, seeds, count, rounds, click.echo, folder / "logs")
+    of.write(runs, folder)
+    click.echo(of.table(runs))
+    broken = [f"{run.variant}, seed {run.seed}: {claim}" for run in runs for claim in run.broken]
+    for line in broken:
+        click.echo(f"does not hold: {line}", err=True)
+    return not broken
+
+
 @lab.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--part", type=click.Choice(["processes"]), default="processes", show_default=True)
--- a/otterrudder/net/serve.py
+++ b/otterrudder/net/serve.py
@@ -271,7 +271,7 @@
     speaker.changed = changed
     speaker.bind()
     registry.draining = True
-    dispatcher.ahead.append(speaker.pulse)
+    dispatcher.before_turn.append(speaker.pulse)
     return speaker
 
 
@@ -307,7 +307,7 @@
         agent = make_agent(fleet, configuration.name, own, apply, stand_aside, facts)
     except (Busy, OSError) as trouble:
         raise BadConfiguration(f"fleet: {trouble}") from None
-    dispatcher.ahead.append(agent.pulse)
+    dispatcher.before_turn.append(agent.pulse)
     return agent
 
 
