Cells: a relay answers a renewal without deciding anew on the store, poll and consent

Cause: each of some hundreds of renewals a second had the relay ask its member, settler, poll and consents what is due. Change: between events that change them only the answer is sent; while a change is open and not voted on, all as before.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -119,11 +119,13 @@
     __slots__ = (
         "_away",
         "_effects",
+        "_is_changed",
         "_is_leaving",
         "_led",
         "_poll_waits",
         "_polled",
         "_pushed",
+        "_quiet_until",
         "_sweep_at",
         "consents",
         "identity",
@@ -194,6 +196,10 @@
         self._is_leaving = False
         self._sweep_at = now + SWEEP_MS
         self._effects: list[RelayEffect] = []
+        # A renewal asks nothing of the store, and there are hundreds a second: between other events its
+        # answer is all that `effects` looks for.
+        self._is_changed = True
+        self._quiet_until = -math.inf
 
     # What it says.
 
@@ -216,6 +222,9 @@
         """When `effects` may next say something by itself; -inf: now."""
         if self._effects:
             return -math.inf
+        return self._next_due() if self._is_changed else self._quiet_until
+
+    def _next_due(self) -> float:
         times = [self.member.due(), self.settler.due(), self._sweep_at]
         if self.poll and self.poll_task:
             times.append(self.poll.due())
@@ -229,6 +238,7 @@
 
     def hint(self, now: float, prefix: str) -> None:
         """Something under a watched prefix was written, or its watch was begun."""
+        self._is_changed = True
         if prefix == self.member.keys.head:
             self.member.hint()
         self.settler.hint(now)
@@ -236,11 +246,14 @@
     def closed(self, connection: int) -> None:
         """The server's stream ended. Its lease goes on to its end, and its kind is waited for until then."""
         if session := self.sessions.pop(connection, None):
+            self._is_changed = True
             until = self._away.get(session.kind, (-math.inf, ""))[0]
             if session.granted_until > until:
                 self._away[session.kind] = (session.granted_until, session.name)
 
     def received(self, now: float, connection: int, message: ServerMessage) -> None:
+        if not isinstance(message, Renew) or self._unvoted():
+            self._is_changed = True
         if isinstance(message, Register):
             self._register(now, connection, message)
             return
@@ -260,16 +273,19 @@
         """The answer to another relay of the cell."""
         silence = now - self.member.answered_at
         is_heard = silence < self.member.rules.lease_ms * STORE_HEARD_SHARE
+        self._is_changed = True
         consent = self.promise.answer(now, request, self.leads(), is_heard)
         self._abstain()
         return consent
 
     def peer_answered(self, consent: Consent) -> None:
+        self._is_changed = True
         self.consents.received(consent)
         self.member.consent_until = self.consents.until()
 
     def completed(self, now: float, effect: Effect, sent: float, outcome: Outcome) -> None:
         """How an effect of the store or the disk ended; `sent`: when it was begun."""
+        self._is_changed = True
         if effect.lane is Lane.SETTLE:
             self.member.hint()
             if following := self.settler.completed(now, effect, outcome):
@@ -281,7 +297,7 @@
     def leave(self, now: float) -> None:
         """The relay shuts down: its servers are sent to the others. Its lease is for the caller to give
         back."""
-        self._is_leaving = True
+        self._is_leaving = self._is_changed = True
         for connection in list(self.sessions):
             self._refuse(connection, 0, RefusalReason.LEAVING)
 
@@ -289,14 +305,20 @@
 
     def effects(self, now: float) -> list[RelayEffect]:
         """What is to be begun now. `completed` is owed for those of the store and the disk."""
+        if self._is_changed or now >= self._quiet_until:
+            self._decide(now)
+        begun, self._effects = self._effects, []
+        return begun
+
+    def _decide(self, now: float) -> None:
         self._take_store_effects(now)
         self._go_on_polling(now)
         if self._may_need_consent() and now >= self._consent_from():
             self._effects += self.consents.requests(now)
         if now >= self._sweep_at:
             self._sweep(now)
-        begun, self._effects = self._effects, []
-        return begun
+        self._is_changed = False
+        self._quiet_until = self._next_due()
 
     def _take_store_effects(self, now: float) -> None:
         self._review_judgement(now)
@@ -357,6 +379,7 @@
         if self._may_be_newer(session):
             session.held = sequence
             self.member.hint()
+            self._is_changed = True
             return
         known = self.member.known
         self._push(now, session)
