Fleet: the read that first sees a change brings its text with it

Cause: a relay far from the store read the head, learned of an open change, and read again for its text: 250 ms more before a vote for which all wait. Change: whoever opens a change writes its text under 'opening' as well, and a read that a hint led to names that key; the settler reads the text of the first that waits before it opens it. A test of the member named the second read; it is played with and without the key now.

--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -101,7 +101,8 @@
     back = head.digest if head else ""
     trial = Trial(ident, version, back, trial_ms, conditions) if conditions else None
     change = Change(ident, version, digest, author[:NOTE_MOST], note[:NOTE_MOST], at, deadline_ms, trial)
-    return _open(view, change, (Put(view.keys.text(digest), text.encode()),))
+    texts = (Put(view.keys.text(digest), text.encode()), Put(view.keys.opening, text.encode()))
+    return _open(view, change, texts)
 
 
 def _open(view: View, change: Change, more: tuple[Write, ...] = ()) -> Commit:
@@ -223,7 +224,8 @@
     head = view.policy
     in_force = change.digest if committed else head.digest if head else ""
     ended, compared = ends_with(view, end, in_force)
-    writes: list[Write] = [*ended, Delete(keys.change), Delete(keys.votes, whole_prefix=True)]
+    struck = (Delete(keys.change), Delete(keys.opening), Delete(keys.votes, whole_prefix=True))
+    writes: list[Write] = [*ended, *struck]
     if committed:
         new = PolicyHead(change.version, change.id, change.digest, change.author, change.note, change.at)
         writes.append(Put(keys.policy, encode(new)))
@@ -254,6 +256,7 @@
         "_busy",
         "_ended",
         "_is_hinted",
+        "_next_text",
         "_is_leader",
         "_seen_since",
         "_sent",
@@ -277,6 +280,7 @@
         self._busy = False
         self._is_hinted = False
         self._is_leader = False  # as its member last said
+        self._next_text = ""  # the digest of the text of the first that waits
         self._sent = 0.0
         self._ended: View | None = None  # of the change whose end is being committed
         self._strikes = 0  # counts in a row at which a figure on trial was too high
@@ -312,7 +316,10 @@
                 return None
             return self._begin(now, self._lead(lease, registered))
         self._is_hinted = False
-        return self._begin(now, Read(whole(self.keys), Lane.SETTLE))
+        names = whole(self.keys)
+        if self._next_text:
+            names = (*names, self.keys.text(self._next_text))
+        return self._begin(now, Read(names, Lane.SETTLE))
 
     def effects_of(self, now: float, member: Member) -> Read | Commit | None:
         """By what the member has last seen; nothing is settled on an engine that it doubts."""
@@ -358,12 +365,19 @@
         if change:
             commit = settle(view, age >= change.deadline_ms)
             self._ended = view if commit else None
+        elif self._lacks_next_text(view):
+            self._at = now  # it is opened with its text, which is read first
         elif commit := open_first(view):
             pass
         elif trial and trial_id(trial) == self.change:
             commit, self._strikes = try_out(view, age, self._strikes)
         return self._begin(now, commit) if commit else None
 
+    def _lacks_next_text(self, view: View) -> bool:
+        """Whether the text of the first that waits was not asked for in the read that gave this view."""
+        asked, self._next_text = self._next_text, view.queue[0].digest if view.queue else ""
+        return self._next_text not in ("", asked)
+
     def _follow(self, now: float, ended: View, effect: Commit, done: Done) -> Commit | None:
         """The next in the queue is opened at once, by what was read before the end was committed."""
         in_force = InForce.of(ended)
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -47,6 +47,7 @@
         "_failed",
         "_floor",
         "_is_abstaining",
+        "_is_hinted",
         "_is_void",
         "_read_at",
         "_renew_at",
@@ -136,6 +137,7 @@
         self._floor = 0  # the revision that was known when the store's request under way was begun
         self._is_void = False  # the read under way began before the registration was lost: it proves nothing
         self._is_abstaining = False  # it would vote, if it did not abstain
+        self._is_hinted = False  # the next read was asked for by a hint
         self._stale = True
         self._unfit = judge(self.known.text) if self.known.version else ""
         self._texts = Texts(judged=self.known.digest, trouble=self._unfit)
@@ -207,7 +209,7 @@
 
     def hint(self) -> None:
         """Something changed in the store, or a watch was begun: it is read."""
-        self._stale = True
+        self._stale = self._is_hinted = True
 
     def judgement(self, digest: str) -> str | None:
         """What is wrong with that text, as far as it was judged here; None: it was not."""
@@ -286,6 +288,9 @@
         ]
         if self._texts.needed:
             names.append(self.keys.text(self._texts.needed))
+        if self._is_hinted and self.registered:
+            names.append(self.keys.opening)  # a change may have been opened: its text comes with it
+        self._is_hinted = False
         return Read(tuple(names))
 
     def _text_to_vote_on(self) -> str:
@@ -577,7 +582,8 @@
 
     def _take_policy(self, view: View) -> None:
         head = view.policy
-        for digest in filter(None, (self._texts.needed, head.digest if head else "")):
+        opened = self.seen.open.digest if self.seen and self.seen.open else ""
+        for digest in filter(None, (self._texts.needed, head.digest if head else "", opened)):
             if (text := view.text(digest)) is not None:
                 self._texts = self._texts.with_text(digest, text)
         if self._texts.needed not in (
--- a/otterrudder/fleet/queue.py
+++ b/otterrudder/fleet/queue.py
@@ -102,7 +102,10 @@
     change = Change(
         entry.id, version, entry.digest, entry.author, entry.note, entry.at, entry.deadline_ms, trial
     )
-    return Commit("open", compares, (Put(keys.change, encode(change)), Delete(key)), Lane.SETTLE)
+    writes: list[Write] = [Put(keys.change, encode(change)), Delete(key)]
+    if (text := view.text(entry.digest)) is not None:
+        writes.append(Put(keys.opening, text.encode()))
+    return Commit("open", compares, tuple(writes), Lane.SETTLE)
 
 
 def leave_queue(view: View, ident: str) -> Commit:
--- a/otterrudder/fleet/records.py
+++ b/otterrudder/fleet/records.py
@@ -6,6 +6,7 @@
     FLEET/head/trial          what the policy in force is on trial for; absent: it is for good
     FLEET/head/leader           the member that settles a change nobody else does; hangs on its lease
     FLEET/text/DIGEST         a policy's text, named by what it says
+    FLEET/opening             the open change's text once more: a read can name it before it knows the change
     FLEET/roster/NAME         who is of the fleet, whether up or not; a change needs its vote
     FLEET/live/NAME           the life that has the name now; hangs on its lease
     FLEET/joined              who registered last; watched by nobody
@@ -145,6 +146,7 @@
         "head",
         "joined",
         "lives",
+        "opening",
         "policy",
         "queue",
         "rosters",
@@ -155,7 +157,7 @@
 
     def __init__(self, fleet: str) -> None:
         self.fleet, self.joined = fleet, f"{fleet}/joined"
-        self.queue = f"{fleet}/queue/"
+        self.queue, self.opening = f"{fleet}/queue/", f"{fleet}/opening"
         self.rosters, self.lives, self.votes = (f"{fleet}/{what}/" for what in ("roster", "live", "vote"))
         self.head = head = f"{fleet}/head/"
         self.policy, self.change, self.settled = f"{head}policy", f"{head}change", f"{head}settled"
@@ -274,11 +276,9 @@
 
     def text(self, digest: str) -> str | None:
         """A text whose digest is not the one it is named by is none."""
-        entry = self.snapshot.entries.get(self.keys.text(digest))
-        if not entry:
-            return None
-        try:
-            text = entry.value.decode()
-        except UnicodeDecodeError:
-            return None
-        return text if digest_of(text) == digest else None
+        for key in (self.keys.text(digest), self.keys.opening):
+            entry = self.snapshot.entries.get(key)
+            text = entry.value.decode("utf-8", "replace") if entry else None
+            if text is not None and digest_of(text) == digest:
+                return text
+        return None
--- a/otterrudder/fleet/texts.py
+++ b/otterrudder/fleet/texts.py
@@ -23,7 +23,8 @@
 
     def with_text(self, digest: str, text: str) -> "Texts":
         others = tuple(kept for kept in self.held if kept[0] != digest)
-        return replace(self, held=(*others, (digest, text))[-KEPT_MOST:], needed="")
+        needed = "" if self.needed == digest else self.needed
+        return replace(self, held=(*others, (digest, text))[-KEPT_MOST:], needed=needed)
 
     def with_needed(self, digest: str) -> "Texts":
         return replace(self, needed=digest)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -22,6 +22,7 @@
 from otterrudder.fleet.policy import BadPolicy, Own, parse
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
 from otterrudder.fleet.state import Record, Rules, Standing
+from otterrudder.fleet.store import Delete
 from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.lab.fleet.simulation import play
 from otterrudder.lab.keyspace import KeySpace
@@ -539,7 +540,12 @@
     return [effect for effect in begun if not isinstance(effect, Save)]
 
 
-def test_a_read_that_is_due_anyway_brings_the_text_and_a_vote_goes_before_what_is_told() -> None:
+@pytest.mark.parametrize("is_opening_there", [True, False])
+def test_a_read_that_is_due_anyway_brings_the_text_and_a_vote_goes_before_what_is_told(
+    is_opening_there: bool,
+) -> None:
+    """The read that first sees a change brings its text; where the opener had none, the next read that is
+    due."""
     fleet = Fleet("a")
     fleet.turn()
     fleet.open("one", "first")
@@ -549,9 +555,13 @@
     (read,) = begun_and_saved(fleet, member)
     assert isinstance(read, Read)
     fleet.open("two", "second")  # while that read is under way, which is to see it
+    if not is_opening_there:
+        fleet.space.commit((), [Delete(KEYS.opening)])
     member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
+    assert KEYS.opening in read.names
     (read,) = begun_and_saved(fleet, member)
-    assert isinstance(read, Read) and KEYS.text(digest_of("second")) in read.names
+    assert isinstance(read, Read)
+    assert (KEYS.text(digest_of("second")) in read.names) is not is_opening_there
     fleet.now += 5000.0  # what it has to tell is long due
     member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
     begun = begun_and_saved(fleet, member)
