Participant: the first relay's address is tried the more rarely the more often it was in vain

Cause: while a standby leads, each of its servers tried the first address again every 15 to 45 s for as long as that went on, was refused and came back: two connections each time. Change: the wait doubles with each try in vain, to 8 minutes in the mean.

--- a/otterrudder/fleet/cell/participant.py
+++ b/otterrudder/fleet/cell/participant.py
@@ -44,6 +44,7 @@
 RETRY_MS = 200.0  # ms to the first further try when every relay has refused; doubled each time
 RETRY_MOST_MS = 2000.0  # ms between tries at most
 HOME_AGAIN_MS = 30_000.0  # ms on another relay after which the first address is tried again
+HOME_DOUBLINGS_MOST = 4  # of that, one for each try in vain: a standby may lead for days
 PENDING_MOST = 8  # requests without an answer that are remembered
 TEXTS_MOST = 2  # texts kept beside the one in force: of the open change, and of a newer version
 
@@ -100,6 +101,7 @@
         "_effects",
         "_failed",
         "_home_at",
+        "_home_tries",
         "_is_open",
         "_newer_until",
         "_newer_version",
@@ -142,6 +144,7 @@
         self._failed = 0  # relays in a row that granted nothing
         self._connect_at = now
         self._home_at = math.inf
+        self._home_tries = 0  # in a row that were in vain
         self._sequence = 0
         self._pending: dict[int, float] = {}  # sequence: sent
         self._renew_at = math.inf
@@ -273,8 +276,11 @@
         self._renew_at = sent + span * RENEW_SHARE * (0.9 + 0.2 * self._chance("renew"))
         self._silent_at = math.inf
         self._pending = {number: at for number, at in self._pending.items() if number > grant.sequence}
-        if self._at and self._home_at == math.inf:
-            self._home_at = now + HOME_AGAIN_MS * (0.5 + self._chance("home"))
+        if not self._at:
+            self._home_tries = 0
+        elif self._home_at == math.inf:
+            wait = HOME_AGAIN_MS * 2.0**self._home_tries
+            self._home_at = now + wait * (0.5 + self._chance("home"))
 
     def _extend(self, version: int, until: float) -> None:
         if version == self.known.version:
@@ -379,6 +385,7 @@
     def _go_home(self, now: float) -> None:
         """The first address again: if it grants nothing, the others follow, and the lease goes on
         meanwhile."""
+        self._home_tries = min(self._home_tries + 1, HOME_DOUBLINGS_MOST)
         self._effects.append(Disconnect(self.connection))
         self.connection, self._is_open = 0, False
         self._at, self._connect_at = 0, now
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -1,5 +1,6 @@
 """The pure parts of agreement by cells: a server's part, a relay's, the poll of kinds, consent, the queue."""
 
+import itertools
 import math
 from dataclasses import replace
 
@@ -29,6 +30,7 @@
 )
 from otterrudder.fleet.cell.participant import (
     HOME_AGAIN_MS,
+    HOME_DOUBLINGS_MOST,
     LEASE_SPAN_MS,
     PENDING_MOST,
     RETRY_MOST_MS,
@@ -249,6 +251,28 @@
     assert server.admits(now) == 0  # the lease goes on
 
 
+def test_the_first_address_is_tried_the_more_rarely_the_more_often_it_was_in_vain() -> None:
+    server, now, homeward = participant(), 0.0, [0.0]
+    while now < 64 * HOME_AGAIN_MS:
+        effects = server.effects(now)
+        for effect in effects:
+            if isinstance(effect, Connect):
+                homeward += [now] if effect.relay == "a" and now else []
+                server.connected(now, effect.connection)
+        for message in sent(effects):
+            if server.relay == "b":
+                grant(server, now, message.sequence)
+            else:
+                server.received(now, server.connection, Refuse(message.sequence, RefusalReason.NOT_LEADER))
+        assert not now or server.standing(now).admits
+        now = max(server.due(), now)
+    waits = [later - earlier for earlier, later in itertools.pairwise(homeward)]
+    assert len(waits) >= 5
+    for tries, wait in enumerate(waits):
+        expected = HOME_AGAIN_MS * 2 ** min(tries, HOME_DOUBLINGS_MOST)
+        assert expected * 0.5 <= wait <= expected * 1.5 + LEASE_SPAN_MS
+
+
 def test_a_server_keeps_no_more_than_it_may() -> None:
     server = participant()
     connect(server)
