--- a/otterrudder/cli/lab.py
+++ b/otterrudder/cli/lab.py
@@ -64,7 +64,7 @@
 
 
 @lab.command("fleet-simulation")
-@click.option("--servers", type=click.IntRange(2, 1000), default=200, show_default=True)
+@click.option("--servers", type=click.IntRange(2, 8200), default=200, show_default=True)
 @click.option("--plans", type=click.IntRange(1), default=100, show_default=True, help="Of faults, by rule.")
 @click.option("--workers", type=click.IntRange(1), default=None, help="Processes; else one a core.")
 def fleet_simulation(servers: int, plans: int, workers: int | None) -> None:
--- a/otterrudder/lab/scale/play.py
+++ b/otterrudder/lab/scale/play.py
@@ -228,6 +228,7 @@
     aside_s = servers.aside_at / 1000.0 - first_s
     return {
         "aside": servers.aside.total() / looks,
+        "aside_server_s": servers.aside.total() * simulation.setting.case.look_ms / 1000.0,
         "aside_until_s": max(aside_s, 0.0) if scripted else 0.0,  # from the first scripted fault on
         **figures,
     }
