Fleet: of relays the one nearest to the store takes the leadership, not the first to come

Cause: a relay took the leadership at once where it saw none, and did not know how far the store was before it had led. A leader far from the store makes every change wait for its round trips, for as long as it leads. Change: it comes forward after a wait by its distance, known from its own reads; a hint does not cut it short.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -276,6 +276,8 @@
                 self._effects.append(following)
         else:
             self.member.completed(now, effect, sent, outcome)
+            if effect.lane is Lane.STORE and outcome is not None:
+                self.settler.latency_ms = now - sent
         self._after_store(now)
 
     def leave(self, now: float) -> None:
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -264,6 +264,7 @@
         "_at",
         "_busy",
         "_ended",
+        "_forward_at",
         "_is_hinted",
         "_leads",
         "_seen_since",
@@ -289,6 +290,7 @@
         self._is_hinted = False
         self._leads = False
         self._sent = 0.0
+        self._forward_at = math.inf  # when it takes the leadership, if nobody has it by then
         self._ended: View | None = None  # of the change whose end is being committed
         self._strikes = 0  # counts in a row at which a figure on trial was too high
 
@@ -318,10 +320,9 @@
         if self._busy or now < self._at or not opened and not self.keeps_leadership:
             return None
         if self.needs_leadership and not is_leader:
-            self._at = now + LEADER_SPREAD_MS * (0.5 + self._chance())
-            if has_leader or not (lease and registered):
-                return None
-            return self._begin(now, self._lead(lease, registered))
+            may_lead = not has_leader and lease > 0 and registered > 0
+            return self._come_forward(now, may_lead, lease, registered)
+        self._forward_at = math.inf
         self._is_hinted = False
         return self._begin(now, Read(whole(self.keys), Lane.SETTLE))
 
@@ -394,6 +395,18 @@
         )
         return Commit("lead", compares, (Put(self.keys.leader, self.name.encode(), lease),), Lane.SETTLE)
 
+    def _come_forward(self, now: float, may_lead: bool, lease: int, registered: int) -> Commit | None:
+        """Takes the leadership where nobody has it. A relay, which keeps it, lets nearer ones go first."""
+        if may_lead and self.keeps_leadership:
+            if self._forward_at == math.inf:
+                self._forward_at = now + self._delay()
+            if now < self._forward_at:
+                self._at = self._forward_at
+                return None
+        self._forward_at = math.inf
+        self._at = now + LEADER_SPREAD_MS * (0.5 + self._chance())
+        return self._begin(now, self._lead(lease, registered)) if may_lead else None
+
     def _delay(self) -> float:
         """ms until it comes forward: less where the store is near."""
         if not self.keeps_leadership:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -587,3 +587,26 @@
     assert sum(result.committed for result in results) >= 6
     calm = play(40, 1, 0, absent)
     assert calm.committed and calm.last_switch_ms < 100.0 and calm.aside_share == 0.0
+
+
+@pytest.mark.parametrize(("latency_ms", "least", "most"), [(2.0, 10.0, 50.0), (400.0, 750.0, 1550.0)])
+def test_a_relay_near_the_store_takes_the_leadership_before_one_far_from_it(
+    latency_ms: float, least: float, most: float
+) -> None:
+    settler = Settler(KEYS, "a", keeps_leadership=True)
+    settler.latency_ms = latency_ms
+    assert settler.effects(0.0, "", False, False, 1, 1) is None
+    now = settler.due()
+    assert least <= now <= most
+    settler.hint(1.0)
+    assert settler.effects(1.0, "", False, False, 1, 1) is None, "a hint is no reason to come forward sooner"
+    assert settler.due() == now
+    taken = settler.effects(now, "", False, False, 1, 1)
+    assert isinstance(taken, Commit) and taken.what == "lead"
+
+
+def test_a_relay_that_waits_to_come_forward_does_not_where_another_has() -> None:
+    settler = Settler(KEYS, "a", keeps_leadership=True)
+    assert settler.effects(0.0, "", False, False, 1, 1) is None
+    assert settler.effects(settler.due(), "", False, True, 1, 1) is None
+    assert settler.effects(settler.due(), "", False, False, 1, 1) is None, "it waits anew"
