--- a/otterrudder/lab/scale/processes/bench.py
+++ b/otterrudder/lab/scale/processes/bench.py
@@ -270,8 +270,13 @@
         files = [member_file] * layout.processes
         if layout.cells:
             cells = [_plan_cell(layout, number) for number in range(layout.cells)]
-            for cell in cells:
-                bench.relays += await _start_relays(stack, folder, settings, port, cell)
+            for number in range(layout.relays_of_cell):
+                for cell in cells:
+                    child = await _start_relay(stack, folder, settings, port, cell, number)
+                    bench.relays.append(child)
+                if number == 0:
+                    for cell in cells:
+                        await _until_granting(folder / f"otterrudder-relay-{cell.relays[0]}.sock")
             bench.ports = tuple(int(relay.rpartition(":")[2]) for cell in cells for relay in cell.relays)
             files = [_write_server_file(folder, settings, port, cell) for cell in cells]
         await _start_servers(stack, folder, bench, files, layout.servers, prefix)
@@ -294,34 +299,32 @@
     return path
 
 
-async def _start_relays(
-    stack: contextlib.AsyncExitStack, folder: Path, settings: FleetSettings, store_port: int, cell: _Cell
-) -> list[Child]:
-    """The first one leads once this returns."""
-    children = []
-    for number, address in enumerate(cell.relays):
-        path = folder / f"relay-{cell.name}-{number}.toml"
-        path.write_text(settings.relay_text(store_port, cell.name, address, cell.relays))
-        words = ["otterrudder", "fleet", "relay", "--fleet", str(path)]
-        log = path.with_suffix(".log")
-        child = await stack.enter_async_context(running(words, log, folder=folder, ends_by_signal=True))
-        children.append(child)
-        if number == 0:
-            await _until_leading(folder / f"otterrudder-relay-{address}.sock")
-    return children
-
-
-async def _until_leading(control_path: Path) -> None:
-    """NotInTime: it does not lead."""
+async def _start_relay(
+    stack: contextlib.AsyncExitStack,
+    folder: Path,
+    settings: FleetSettings,
+    store_port: int,
+    cell: _Cell,
+    number: int,
+) -> Child:
+    path = folder / f"relay-{cell.name}-{number}.toml"
+    path.write_text(settings.relay_text(store_port, cell.name, cell.relays[number], cell.relays))
+    words = ["otterrudder", "fleet", "relay", "--fleet", str(path)]
+    log = path.with_suffix(".log")
+    return await stack.enter_async_context(running(words, log, folder=folder, ends_by_signal=True))
+
+
+async def _until_granting(control_path: Path) -> None:
+    """Until a relay leads its cell and may grant leases. NotInTime: it does not."""
     with anyio.move_on_after(RELAY_UP_S):
         while True:
             with contextlib.suppress(OSError, ValueError):
                 told = await anyio.to_thread.run_sync(control.ask_at, control_path, "relay")
                 relay = told["relay"]
-                if isinstance(relay, dict) and relay["leads"]:
+                if isinstance(relay, dict) and relay["leads"] and relay["authority_left_ms"]:
                     return
             await anyio.sleep(LOOK_S)
-    raise NotInTime(f"{control_path.name}: it does not lead")
+    raise NotInTime(f"{control_path.name}: it grants no leases")
 
 
 async def _start_servers(
