--- a/otterrudder/lab/scale/processes/report.py
+++ b/otterrudder/lab/scale/processes/report.py
@@ -51,7 +51,8 @@
 
 class RelayCost(msgspec.Struct, frozen=True):
     """What a relay spends, by the slopes over sessions. In a zone: the leading one, with the zone's servers
-    and the users' rate of changes."""
+    and the users' rate of changes. A change that adds nothing to the idle cost, for renewals that come
+    together cost less each, counts as none."""
 
     cpu_ms_of_renewal: float
     cpu_ms_of_session_change: float
@@ -140,7 +141,7 @@
         change.slope,
         memory.slope * KB_OF_MB,
         memory.start / relays,
-        (in_a_zone[0] + CHANGES_PER_S * in_a_zone[1]) / 1000,
+        (in_a_zone[0] + CHANGES_PER_S * max(in_a_zone[1], 0.0)) / 1000,
         in_a_zone[2],
     )
 
--- a/otterrudder/lab/scale/processes/rows.py
+++ b/otterrudder/lab/scale/processes/rows.py
@@ -90,6 +90,9 @@
     "servers: ms of CPU a change": _net(
         lambda change: change.servers_cpu_s * 1000, lambda idle: idle.servers_cpu * 1000
     ),
+    "servers: ms of CPU a second, with changes": _mean(
+        lambda change: change.servers_cpu_s / change.seconds * 1000
+    ),
     "servers: MB": lambda row: row.idle.servers_rss_mb,
     "ms from proposal to commit": _mean(lambda change: change.proposed_to_committed_ms),
     "ms from commit to half": _mean(lambda change: change.committed_to_half_ms),
@@ -100,6 +103,9 @@
     "relays: ms of CPU a change": _net(
         lambda change: change.relays_cpu_s * 1000, lambda idle: idle.relays_cpu * 1000
     ),
+    "relays: ms of CPU a second, with changes": _mean(
+        lambda change: change.relays_cpu_s / change.seconds * 1000
+    ),
     "relays: MB": lambda row: row.idle.relays_rss_mb,
 }
 FIGURES: Mapping[Kind, Mapping[str, Callable[[Row], float]]] = MappingProxyType(
