--- a/otterrudder/lab/processes/cell_faults.py
+++ b/otterrudder/lab/processes/cell_faults.py
@@ -169,7 +169,7 @@
         passed: list[tuple[str, str, str]] = []
         for _ in range(self.chance.choice((0, 1, 1, 1, 2, 2))):
             if not self.deck:
-                self.deck = list(DECK)
+                self.deck = [card for card in DECK if self._comes_about(card)]
                 self.chance.shuffle(self.deck)
             card = self.deck.pop()
             fault = self._fault(*card)
@@ -180,6 +180,10 @@
         self.deck[:0] = passed
         return tuple(kept)
 
+    def _comes_about(self, card: tuple[str, str, str]) -> bool:
+        """Nobody is asked for consent under leave-out."""
+        return self.absent == "wait" or card[2] not in CONSENT_POINTS
+
     def _fault(self, kind: str, role: str, point: str) -> CellFault:
         if kind in SERVER_FAULTS:
             return CellFault(kind, server=self.chance.randrange(self.servers))
