Cells: servers wait for their leader while it registers again

Cause: when the store came back, each leader had to register again, and refused all its servers until then. Change: while the other relays' consents hold, nobody else can take the cell, and the leader's requests wait for its registration. A test in tests/fleet/test_cell.py fails without it; tests/fleet/test_cell.py, test_cell_search.py and test_relay.py, 190 tests, passed.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -321,7 +321,7 @@
         elif len(self.sessions) >= self.limits.sessions_most and connection not in self.sessions:
             detail = f"{self.identity.address} has its {self.limits.sessions_most} sessions"
             self._refuse(connection, message.sequence, RefusalReason.FULL, detail)
-        elif not self.leads():
+        elif not self.leads() and not self._is_coming_back(now):
             self._refuse(connection, message.sequence, RefusalReason.NOT_LEADER)
         else:
             session = Session(
@@ -334,6 +334,9 @@
     def _answer(self, now: float, session: Session, sequence: int) -> None:
         """A lease, or why there is none."""
         span = min(self.limits.span_ms, self.authority_until(now) - now)
+        if self._is_coming_back(now):
+            session.held = sequence
+            return
         if span < GRANT_LEAST_MS:
             reason = RefusalReason.LEAVING if self._is_leaving else RefusalReason.NO_AUTHORITY
             self._refuse(session.connection, sequence, reason, self._why_no_authority(now))
@@ -351,6 +354,11 @@
         session.held, session.granted_until = 0, now + span
         self._send(session.connection, Grant(sequence, known.version, known.change, span))
 
+    def _is_coming_back(self, now: float) -> bool:
+        """Whether it has led until now, has lost its lease of the store, and nobody else may take the cell:
+        its servers wait for the moment until it is registered again, and do not try all relays in turn."""
+        return not self.leads() and not self._is_leaving and now < self.member.consent_until
+
     def _may_be_newer(self, session: Session) -> bool:
         """Whether the open change may have been committed before that server came. What runs may go by the
         version before for the bound; what starts after a commit may not."""
--- a/tests/fleet/test_cell.py
+++ b/tests/fleet/test_cell.py
@@ -50,6 +50,7 @@
 )
 from otterrudder.fleet.change import COUNT_MS, Settler, settle
 from otterrudder.fleet.effects import Commit, Lane, Lease, Read
+from otterrudder.fleet.effects import Renew as EffectOfLease
 from otterrudder.fleet.queue import InForce as PolicyInForce
 from otterrudder.fleet.queue import QueueRefused, enqueue, leave_queue, open_first, place
 from otterrudder.fleet.records import QUEUE_MOST, Queued, digest_of
@@ -738,6 +739,34 @@
         assert set(harness.admitted().values()) == {0}, harness.now
 
 
+def test_servers_wait_for_a_leader_that_registers_again() -> None:
+    """The store is back, and the lease has lapsed in it: they were refused, and tried all relays in turn."""
+    harness = at_work()
+    harness.is_store_away = True
+    harness.run(10_000.0)
+    relay = harness.leader("east")
+    streams = dict(harness.streams)
+    harness.refusals.clear()  # of their start
+    connection, session = next(iter(relay.sessions.items()))
+    member = relay.member
+    renewal = EffectOfLease(member.lease)
+    member.completed(harness.now, renewal, harness.now, harness.space.renew(harness.now, member.lease))
+    assert not relay.leads()
+    relay.received(harness.now, connection, Renew(99, 0))
+    assert session.held == 99
+    relay.received(harness.now, 99, registration(name="new"))
+    assert relay.sessions[99].held == 1
+    harness.is_store_away = False
+    harness.run(1000.0)
+    assert relay.leads() and not session.held and harness.streams == streams
+    assert session.granted_until > harness.now and not harness.refusals
+    member._lose_registration()
+    member.consent_until = harness.now
+    relay.received(harness.now, connection, Renew(100, 0))
+    (refused,) = [message for message in told(relay.effects(harness.now)) if isinstance(message, Refuse)]
+    assert refused.reason is RefusalReason.NO_AUTHORITY
+
+
 class LossyHarness(Harness):
     """The first consents that are given are lost on their way."""
 
