Fleet: a vote goes before the read that a hint asks for, and a text comes with any read that may show its change

Cause, by a trace of one change at a time: a far relay read without the text where no hint had come, read again though its vote was ready, and the settler opened the next of a queue without its text; its member read after each of its counts.

--- a/otterrudder/fleet/cell/relay.py
+++ b/otterrudder/fleet/cell/relay.py
@@ -287,7 +287,8 @@
         """How an effect of the store or the disk ended; `sent`: when it was begun."""
         self._is_changed = True
         if effect.lane is Lane.SETTLE:
-            self.member.hint()
+            if isinstance(effect, Commit):
+                self.member.hint()
             if following := self.settler.completed(now, effect, outcome):
                 self._effects.append(following)
         else:
--- a/otterrudder/fleet/change.py
+++ b/otterrudder/fleet/change.py
@@ -363,10 +363,11 @@
         if change and change.id != self.change:  # the member has not seen it yet
             self.change, self._seen_since, age = change.id, now, 0.0
             self._at = now if self._is_hinted else now + COUNT_MS
+        lacks_next_text = self._lacks_next_text(view)
         if change:
             commit = settle(view, age >= change.deadline_ms)
-            self._ended = view if commit else None
-        elif self._lacks_next_text(view):
+            self._ended = view if commit and not lacks_next_text else None
+        elif lacks_next_text:
             self._at = now  # it is opened with its text, which is read first
         elif commit := open_first(view):
             pass
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -37,6 +37,9 @@
 RETRY_MOST_MS = 2000.0  # ms; beyond that a store that is back would go unnoticed for too long
 # ms over which members tell that they have switched, so that a change is no burst of writes
 TELL_SPREAD_MS = 2000.0
+# ms after a read in which the vote that it leads to is prepared, and goes before the read that the next hint
+# asks for: where the store is far, all others would wait for that read as well
+VOTE_FIRST_MS = 150.0
 FIGURES_MS = 3000.0  # ms between figures that a member tells while a policy is on trial
 
 
@@ -47,7 +50,6 @@
         "_failed",
         "_floor",
         "_is_abstaining",
-        "_is_hinted",
         "_is_void",
         "_read_at",
         "_renew_at",
@@ -58,6 +60,7 @@
         "_texts",
         "_told",
         "_unfit",
+        "_vote_first_until",
         "abstains_until",
         "answered_at",
         "cluster",
@@ -137,7 +140,7 @@
         self._floor = 0  # the revision that was known when the store's request under way was begun
         self._is_void = False  # the read under way began before the registration was lost: it proves nothing
         self._is_abstaining = False  # it would vote, if it did not abstain
-        self._is_hinted = False  # the next read was asked for by a hint
+        self._vote_first_until = -math.inf  # a read that a hint asks for waits for the vote until then
         self._stale = True
         self._unfit = judge(self.known.text) if self.known.version else ""
         self._texts = Texts(judged=self.known.digest, trouble=self._unfit)
@@ -187,7 +190,8 @@
 
     def due(self) -> float:
         """When `effects` may next say something by itself; -inf: now."""
-        times = [self._retry_at if self._stale else self._next_read()] if Lane.STORE not in self._busy else []
+        hinted_at = max(self._retry_at, self._vote_first_until)
+        times = [hinted_at if self._stale else self._next_read()] if Lane.STORE not in self._busy else []
         times += [self._renew_at] if Lane.LEASE not in self._busy and self._may_lease() else []
         times += [-math.inf] if self._judge_effect() else []
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
@@ -209,7 +213,7 @@
 
     def hint(self) -> None:
         """Something changed in the store, or a watch was begun: it is read."""
-        self._stale = self._is_hinted = True
+        self._stale = True
 
     def judgement(self, digest: str) -> str | None:
         """What is wrong with that text, as far as it was judged here; None: it was not."""
@@ -261,7 +265,7 @@
     def _store_effect(self, now: float) -> Effect | None:
         if Lane.STORE in self._busy or now < self._retry_at:
             return None
-        if self._stale or now >= self._next_read():
+        if now >= self._next_read() or self._stale and now >= self._vote_first_until:
             return self._read(now)
         seen = self.seen
         if not seen or self._is_others(seen):  # not yet: no engine that is believed has answered
@@ -269,8 +273,9 @@
         if not self.registered:
             return self._register(seen) if self._may_register() and now >= self.holds_back_until else None
         if vote := self._vote(now, seen):
+            self._vote_first_until = -math.inf
             return vote
-        if self._stale:  # a text is wanted
+        if self._stale and now >= self._vote_first_until:  # a text is wanted
             return self._read(now)
         if now >= self._tell_at and self._may_tell():
             return self._tell(now)
@@ -288,11 +293,14 @@
         ]
         if self._texts.needed:
             names.append(self.keys.text(self._texts.needed))
-        if self._is_hinted and self.registered:
+        if self.registered and not self._has_text_to_vote_on():
             names.append(self.keys.opening)  # a change may have been opened: its text comes with it
-        self._is_hinted = False
         return Read(tuple(names))
 
+    def _has_text_to_vote_on(self) -> bool:
+        opened = self.seen.open if self.seen and self._owes_vote() else None
+        return opened is not None and self._texts.text(opened.digest) is not None
+
     def _text_to_vote_on(self) -> str:
         """The digest of the open change's text, where it is not here: a read that is due anyway brings it."""
         opened = self.seen.open if self.seen and self._owes_vote() else None
@@ -305,6 +313,14 @@
         seen = self.seen
         return self.registered > 0 and seen is not None and seen.open is not None and seen.voted is None
 
+    def _may_vote_next(self, now: float) -> bool:
+        """Whether nothing more has to be read for the vote that it owes."""
+        opened = self.seen.open if self.seen and self._owes_vote() else None
+        if not opened or self.head > self.known.version or now < self.abstains_until:
+            return False
+        is_judged = self._texts.verdict(opened.digest) is not None
+        return is_judged or self._texts.text(opened.digest) is not None
+
     def _may_tell(self) -> bool:
         """What it tells is for operators: a vote, for which all others wait, goes first."""
         return not self._owes_vote()
@@ -481,6 +497,7 @@
 
     def _lose_registration(self) -> None:
         self.registered, self.is_leader, self._stale = 0, False, True
+        self._vote_first_until = -math.inf
         # A read that was sent before, and comes late, would show the registration as it was.
         self._is_void = Lane.STORE in self._busy
         if self.rules.hangs_on_lease:
@@ -543,6 +560,7 @@
         if self.registered and seen.revision >= self.registered:
             self.sure = True
         self.is_leader = self.registered > 0 and view.leader == self.name
+        self._vote_first_until = now + VOTE_FIRST_MS if self._may_vote_next(now) else -math.inf
         is_news = self._to_tell(now) != self._told or seen.trial is not None
         if self.registered and is_news and self._tell_at == math.inf:
             self._tell_at = now + self._chance("tell") * TELL_SPREAD_MS
--- a/otterrudder/lab/fleet/model.py
+++ b/otterrudder/lab/fleet/model.py
@@ -369,6 +369,7 @@
     "fresh_at": -1,
     "lease_until": 1,
     "consent_until": 1,
+    "_vote_first_until": 1,
     "abstains_until": 1,
     "holds_back_until": 1,
     "_read_at": -1,
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -557,18 +557,22 @@
     fleet.open("two", "second")  # while that read is under way, which is to see it
     if not is_opening_there:
         fleet.space.commit((), [Delete(KEYS.opening)])
-    member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
     assert KEYS.opening in read.names
-    (read,) = begun_and_saved(fleet, member)
-    assert isinstance(read, Read)
-    assert (KEYS.text(digest_of("second")) in read.names) is not is_opening_there
-    fleet.now += 5000.0  # what it has to tell is long due
     member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
     begun = begun_and_saved(fleet, member)
-    assert not [effect for effect in begun if isinstance(effect, Commit)], "the vote was to be first"
-    (judge,) = (effect for effect in begun if isinstance(effect, Judge))
+    if not is_opening_there:
+        (read,) = begun
+        assert isinstance(read, Read) and KEYS.text(digest_of("second")) in read.names
+        fleet.now += 5000.0  # what it has to tell is long due
+        member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
+        begun = begun_and_saved(fleet, member)
+    (judge,) = begun  # and no further read, though a hint has come, nor what it tells
+    assert isinstance(judge, Judge)
     member.completed(fleet.now, judge, fleet.now, "")
-    fleet.turn()
+    commits = [effect for _ in range(2) for effect in begun_and_saved(fleet, member)]
+    assert [commit.what for commit in commits if isinstance(commit, Commit)] == ["vote"]
+    assert not [effect for effect in commits if isinstance(effect, Read)]
+    fleet.do(next(effect for effect in commits if isinstance(effect, Commit)))
     assert fleet.view.votes["a"].yes
 
 
