Fleet: what a member tells for operators has a lane of its own, and no vote waits for it

Cause: from a far region a 'tell' took the store's lane for 250 ms, and with six such relays hardly a change went without one. It also made the read after an own vote, which often meets the next change, go without that change's text.

--- a/otterrudder/fleet/commits.py
+++ b/otterrudder/fleet/commits.py
@@ -3,7 +3,7 @@
 Each compares what makes it void if it arrives late: a registration that no live key is there, a vote the
 creation of the change and of the member's registration."""
 
-from otterrudder.fleet.effects import Commit
+from otterrudder.fleet.effects import Commit, Lane
 from otterrudder.fleet.records import Keys, Live, Roster, Vote, encode
 from otterrudder.fleet.state import Open, Seen
 from otterrudder.fleet.store import Compare, Put
@@ -39,4 +39,5 @@
 
 def tell(keys: Keys, name: str, live: Live, registered: int, lease: int) -> Commit:
     key = keys.live(name)
-    return Commit("tell", (Compare(key, "created", registered),), (Put(key, encode(live), lease),))
+    compares = (Compare(key, "created", registered),)
+    return Commit("tell", compares, (Put(key, encode(live), lease),), Lane.TELL)
--- a/otterrudder/fleet/effects.py
+++ b/otterrudder/fleet/effects.py
@@ -16,6 +16,7 @@
     DISK = "disk"
     SETTLE = "settle"
     JUDGE = "judge"
+    TELL = "tell"  # what it tells for operators: nothing waits for it
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -190,18 +190,17 @@
 
     def due(self) -> float:
         """When `effects` may next say something by itself; -inf: now."""
-        hinted_at = max(self._retry_at, self._vote_first_until)
-        times = [hinted_at if self._stale else self._next_read()] if Lane.STORE not in self._busy else []
+        read_at = max(self._retry_at if self._stale else self._next_read(), self._vote_first_until)
+        times = [read_at] if Lane.STORE not in self._busy else []
         times += [self._renew_at] if Lane.LEASE not in self._busy and self._may_lease() else []
         times += [-math.inf] if self._judge_effect() else []
         times += [self._disk_at] if self._must_save() and Lane.DISK not in self._busy else []
         if Lane.STORE not in self._busy and not self.registered and self._may_register():
             times.append(max(self.holds_back_until, self._retry_at))
-        if Lane.STORE not in self._busy and self.registered:
-            if self._may_tell():
-                times.append(max(self._tell_at, self._retry_at))
-            if self._is_abstaining:
-                times.append(max(self.abstains_until, self._retry_at))
+        if Lane.TELL not in self._busy and self.registered and self._may_tell():
+            times.append(self._tell_at)
+        if Lane.STORE not in self._busy and self.registered and self._is_abstaining:
+            times.append(max(self.abstains_until, self._retry_at))
         return min(times, default=math.inf)
 
     @property
@@ -228,7 +227,7 @@
     def effects(self, now: float) -> list[Effect]:
         """What is to be begun now; each owes `completed` one outcome. A vote needs a judgement, a save."""
         store, disk = self._store_effect(now), self._disk_effect(now)
-        found = [store, self._judge_effect(), disk, self._lease_effect(now)]
+        found = [store, self._judge_effect(), disk, self._lease_effect(now), self._tell_effect(now)]
         begun = [effect for effect in found if effect]
         self._busy |= {effect.lane for effect in begun}
         if any(effect.lane is Lane.STORE for effect in begun):
@@ -238,6 +237,9 @@
     def completed(self, now: float, effect: Effect, sent: float, outcome: Outcome) -> None:
         """How an effect ended; `sent`: when it was begun."""
         self._busy -= {effect.lane}
+        if effect.lane is Lane.TELL:
+            self._told_tell(now, outcome)
+            return
         is_void = self._is_void and effect.lane is Lane.STORE
         self._is_void = self._is_void and not is_void
         if isinstance(outcome, Snapshot | Done | Leased):
@@ -265,7 +267,8 @@
     def _store_effect(self, now: float) -> Effect | None:
         if Lane.STORE in self._busy or now < self._retry_at:
             return None
-        if now >= self._next_read() or self._stale and now >= self._vote_first_until:
+        is_due = self._stale or now >= self._next_read()
+        if is_due and now >= self._vote_first_until:
             return self._read(now)
         seen = self.seen
         if not seen or self._is_others(seen):  # not yet: no engine that is believed has answered
@@ -277,8 +280,6 @@
             return vote
         if self._stale and now >= self._vote_first_until:  # a text is wanted
             return self._read(now)
-        if now >= self._tell_at and self._may_tell():
-            return self._tell(now)
         return None
 
     def _read(self, now: float) -> Read:
@@ -299,7 +300,8 @@
 
     def _has_text_to_vote_on(self) -> bool:
         opened = self.seen.open if self.seen and self._owes_vote() else None
-        return opened is not None and self._texts.text(opened.digest) is not None
+        has_voted = self.pledge is not None and self.vote_sent
+        return opened is not None and not has_voted and self._texts.text(opened.digest) is not None
 
     def _text_to_vote_on(self) -> str:
         """The digest of the open change's text, where it is not here: a read that is due anyway brings it."""
@@ -395,6 +397,18 @@
             self._texts, self._stale = self._texts.with_needed(change.digest), True
         return None
 
+    def _tell_effect(self, now: float) -> Commit | None:
+        if Lane.TELL in self._busy or not self.registered or now < self._tell_at or not self._may_tell():
+            return None
+        return self._tell(now)
+
+    def _told_tell(self, now: float, outcome: Outcome) -> None:
+        """What did not get through is told again, if the member is still registered then."""
+        if outcome is None:
+            self._tell_at = min(self._tell_at, now + RETRY_MOST_MS)
+        elif isinstance(outcome, Done) and not outcome.held:
+            self._stale = True
+
     def _tell(self, now: float) -> Commit:
         self._told = self._to_tell(now)
         is_on_trial = self.seen is not None and self.seen.trial is not None
