--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -22,6 +22,7 @@
 from otterrudder.fleet.policy import BadPolicy, Own, parse
 from otterrudder.fleet.records import Keys, Settled, View, digest_of
 from otterrudder.fleet.state import Record, Rules, Standing
+from otterrudder.fleet.store import Delete
 from otterrudder.interface import Effect, Limits, Product, Tenant
 from otterrudder.lab.fleet.simulation import play
 from otterrudder.lab.keyspace import KeySpace
@@ -539,7 +540,12 @@
     return [effect for effect in begun if not isinstance(effect, Save)]
 
 
-def test_a_read_that_is_due_anyway_brings_the_text_and_a_vote_goes_before_what_is_told() -> None:
+@pytest.mark.parametrize("is_opening_there", [True, False])
+def test_a_read_that_is_due_anyway_brings_the_text_and_a_vote_goes_before_what_is_told(
+    is_opening_there: bool,
+) -> None:
+    """The read that first sees a change brings its text; where the opener had none, the next read that is
+    due."""
     fleet = Fleet("a")
     fleet.turn()
     fleet.open("one", "first")
@@ -549,9 +555,13 @@
     (read,) = begun_and_saved(fleet, member)
     assert isinstance(read, Read)
     fleet.open("two", "second")  # while that read is under way, which is to see it
+    if not is_opening_there:
+        fleet.space.commit((), [Delete(KEYS.opening)])
     member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
+    assert KEYS.opening in read.names
     (read,) = begun_and_saved(fleet, member)
-    assert isinstance(read, Read) and KEYS.text(digest_of("second")) in read.names
+    assert isinstance(read, Read)
+    assert (KEYS.text(digest_of("second")) in read.names) is not is_opening_there
     fleet.now += 5000.0  # what it has to tell is long due
     member.completed(fleet.now, read, fleet.now, fleet.space.read(read.names))
     begun = begun_and_saved(fleet, member)
@@ -587,3 +597,26 @@
     assert sum(result.committed for result in results) >= 6
     calm = play(40, 1, 0, absent)
     assert calm.committed and calm.last_switch_ms < 100.0 and calm.aside_share == 0.0
+
+
+@pytest.mark.parametrize(("latency_ms", "least", "most"), [(2.0, 10.0, 50.0), (400.0, 750.0, 1550.0)])
+def test_a_relay_near_the_store_takes_the_leadership_before_one_far_from_it(
+    latency_ms: float, least: float, most: float
+) -> None:
+    settler = Settler(KEYS, "a", keeps_leadership=True)
+    settler.latency_ms = latency_ms
+    assert settler.effects(0.0, "", False, False, 1, 1) is None
+    now = settler.due()
+    assert least <= now <= most
+    settler.hint(1.0)
+    assert settler.effects(1.0, "", False, False, 1, 1) is None, "a hint is no reason to come forward sooner"
+    assert settler.due() == now
+    taken = settler.effects(now, "", False, False, 1, 1)
+    assert isinstance(taken, Commit) and taken.what == "lead"
+
+
+def test_a_relay_that_waits_to_come_forward_does_not_where_another_has() -> None:
+    settler = Settler(KEYS, "a", keeps_leadership=True)
+    assert settler.effects(0.0, "", False, False, 1, 1) is None
+    assert settler.effects(settler.due(), "", False, True, 1, 1) is None
+    assert settler.effects(settler.due(), "", False, False, 1, 1) is None, "it waits anew"
