--- a/otterrudder/lab/processes/cell_experiment.py
+++ b/otterrudder/lab/processes/cell_experiment.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from otterrudder.files import convert, load_toml
-from otterrudder.lab.processes.cell_books import Aside, asides, spread, switches
 from otterrudder.lab.processes.cell_faults import CellRound, draw
+from otterrudder.lab.processes.cell_ledger import Aside, asides, spread, switches
 from otterrudder.lab.processes.cell_play import CellPlayer, CellsPlayed
 from otterrudder.lab.processes.cell_rig import LinkedCellRig
 from otterrudder.lab.processes.cells import CellPlan
@@ -205,7 +205,7 @@
 
 
 def _concluded(rig: LinkedCellRig, name: str, seed: int, played: CellsPlayed) -> CellRun:
-    """What the books say of a run that is over."""
+    """What the ledger says of a run that is over."""
     verdict = judge(rig.wire, rig.versions, rig.bound_ms, rig.harmed(), rig.listed(), rig.drains, STOP_MS)
     return CellRun(
         name, seed, played, verdict, asides(rig), switches(rig), rig.marks, len(rig.quiet), _hollow(rig)
--- a/otterrudder/lab/processes/ledger.py
+++ b/otterrudder/lab/processes/ledger.py
@@ -1,4 +1,4 @@
-"""The checker's own books: what crossed the wire at gateways and runtimes, and when the store had which
+"""The checker's own ledger: what crossed the wire at gateways and runtimes, and when the store had which
 policy. It never asks a server.
 
 A policy shows in what is settled: each of the rig's policies declines one product for good, so a settled txn
--- a/otterrudder/lab/processes/plan.py
+++ b/otterrudder/lab/processes/plan.py
@@ -253,7 +253,7 @@
 
 
 def conclude(rig: Rig, played: Played) -> Played:
-    """The books of a run that is over."""
+    """What the ledger says of a run that is over."""
     played.verdict = judge(
         rig.wire, rig.versions, rig.bound_ms, rig.harmed(), rig.listed(), rig.drains, STOP_MS
     )
