Lab: a vote is held against the change that it names, not the one that is open as it is sent

Cause: since a vote may go before the read that a hint asks for, a relay that was cut off may vote on a change that has ended; the vote falls by its compare. Now each vote is held against its own change, ended or not.

--- a/otterrudder/lab/fleet/cell_ledger.py
+++ b/otterrudder/lab/fleet/cell_ledger.py
@@ -44,6 +44,7 @@
     bound_ms: float
     committed: dict[int, Committed] = field(default_factory=dict)
     texts: dict[int, str] = field(default_factory=dict)  # by version
+    changes: dict[int, str] = field(default_factory=dict)  # by the revision that made it: its text's digest
     bases: dict[str, str] = field(default_factory=dict)  # of queued changes: the digest each was made from
     registered: dict[str, float] = field(default_factory=dict)  # epoch: when its first live key was written
     consented: dict[str, float] = field(default_factory=dict)  # relay, whatever life: until when
@@ -62,6 +63,7 @@
             self.bound_ms,
             dict(self.committed),
             dict(self.texts),
+            dict(self.changes),
             dict(self.bases),
             dict(self.registered),
             dict(self.consented),
@@ -129,14 +131,16 @@
         life = self.lives[at]
         self.consented[life.name] = now + CONSENT_MS / life.rate
 
-    def votes(self, now: float, at: tuple[int, int], commit: Commit, digest: str, opened: int) -> None:
-        """A relay sends a vote on the change of that revision."""
+    def votes(self, now: float, at: tuple[int, int], commit: Commit) -> None:
+        """A relay sends a vote. It is held against the change that it names, open still or not."""
         life = self.lives[at]
         if now < self.consented.get(life.name, 0.0) - ROUNDING_MS:
             self._break(f"{life.name} votes though it has consented")
         if now < self.registered.get(life.epoch, -math.inf) + TAKEOVER_MS / life.rate - ROUNDING_MS:
             self._break(f"{life.name} votes as soon as it has taken its cell over")
-        if not _is_yes(commit):
+        opened = next(compare.equals for compare in commit.compares if compare.key == self.keys.change)
+        digest = self.changes.get(opened)
+        if not _is_yes(commit) or digest is None:  # of another engine's change: it counts nowhere
             return
         if (opened, digest) in life.noes:
             self._break(f"{life.name} votes yes though a kind has said no")
--- a/otterrudder/lab/fleet/cell_model.py
+++ b/otterrudder/lab/fleet/cell_model.py
@@ -313,9 +313,7 @@
             host.relay.completed(now, effect, now, self._exchange(host, effect))
         else:
             if isinstance(effect, Commit) and effect.what == "vote":
-                opened = self.view(True).change
-                digest, created = (opened.digest, self._change_created()) if opened else ("", 0)
-                self.ledger.votes(self.now, (n, host.life), effect, digest, created)
+                self.ledger.votes(self.now, (n, host.life), effect)
             self.flights.append(StoreFlight(n, host.life, effect, self.clock(host)))
 
     def _tell_server(self, n: int, host: RelayHost, effect: SendToServer) -> None:
@@ -398,6 +396,8 @@
         return done
 
     def _note_texts(self, commit: Commit) -> None:
+        if opened := self.view().change:
+            self.ledger.changes[self._change_created()] = opened.digest
         for write in commit.writes:
             if isinstance(write, Put) and write.key.startswith(KEYS.queue):
                 queued = decode(write.value, Queued)
