--- a/otterrudder/fleet/member.py
+++ b/otterrudder/fleet/member.py
@@ -299,25 +299,26 @@
         return Read(tuple(names))
 
     def _has_text_to_vote_on(self) -> bool:
-        opened = self.seen.open if self.seen and self._owes_vote() else None
+        opened = self._change_to_vote_on()
         has_voted = self.pledge is not None and self.vote_sent
         return opened is not None and not has_voted and self._texts.text(opened.digest) is not None
 
     def _text_to_vote_on(self) -> str:
         """The digest of the open change's text, where it is not here: a read that is due anyway brings it."""
-        opened = self.seen.open if self.seen and self._owes_vote() else None
+        opened = self._change_to_vote_on()
         if not opened or opened.digest == self._texts.judged or self._texts.text(opened.digest) is not None:
             return ""
         return opened.digest
 
-    def _owes_vote(self) -> bool:
-        """Whether it is registered and has not voted on the open change, as last seen."""
-        seen = self.seen
-        return self.registered > 0 and seen is not None and seen.open is not None and seen.voted is None
+    def _change_to_vote_on(self) -> Open | None:
+        """The open change, as last seen, where it is registered and has not voted on it."""
+        if not self.registered or not self.seen or self.seen.voted is not None:
+            return None
+        return self.seen.open
 
     def _may_vote_next(self, now: float) -> bool:
         """Whether nothing more has to be read for the vote that it owes."""
-        opened = self.seen.open if self.seen and self._owes_vote() else None
+        opened = self._change_to_vote_on()
         if not opened or self.head > self.known.version or now < self.abstains_until:
             return False
         is_judged = self._texts.verdict(opened.digest) is not None
@@ -325,7 +326,7 @@
 
     def _may_tell(self) -> bool:
         """What it tells is for operators: a vote, for which all others wait, goes first."""
-        return not self._owes_vote()
+        return self._change_to_vote_on() is None
 
     def _next_read(self) -> float:
         """When it reads without a hint."""
