Fleet: credentials of a channel are read in one place, for the store and for relays

cell/wire.py read the same files in the same way as the store's client, which a server of a cell does not import. Both call tls.py now.

--- a/otterrudder/fleet/cell/wire.py
+++ b/otterrudder/fleet/cell/wire.py
@@ -9,6 +9,7 @@
 from otterrudder.fleet.cell.configuration import RelayRole
 from otterrudder.fleet.configuration import Fleet
 from otterrudder.fleet.records import TEXT_MOST
+from otterrudder.fleet.tls import channel_credentials
 
 SERVICE = "otterrudder.fleet.Relay"
 SESSION = f"/{SERVICE}/Session"  # a stream both ways between a server and a relay
@@ -46,13 +47,9 @@
 
 def open_channel(fleet: Fleet, relay: str) -> Any:
     """A channel to a relay. Both sides show a certificate where the file has one."""
-    if fleet.ca is None:
+    credentials = channel_credentials(fleet.ca, fleet.cert, fleet.key)
+    if credentials is None:
         return grpc.aio.insecure_channel(relay, options=CHANNEL_OPTIONS)
-    credentials = grpc.ssl_channel_credentials(
-        fleet.ca.read_bytes(),
-        fleet.key.read_bytes() if fleet.key else None,
-        fleet.cert.read_bytes() if fleet.cert else None,
-    )
     return grpc.aio.secure_channel(relay, credentials, options=CHANNEL_OPTIONS)
 
 
--- a/otterrudder/fleet/client.py
+++ b/otterrudder/fleet/client.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Sequence
-from pathlib import Path
 from typing import Any
 
 import grpc
@@ -28,6 +27,7 @@
     StoreAway,
     Write,
 )
+from otterrudder.fleet.tls import channel_credentials
 
 # ms that an attempt to connect may take, the handshakes of TLS included; each request has its own deadline.
 # gRPC knows it as the least time between attempts, and waits less after a refusal.
@@ -51,7 +51,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._stores = fleet.stores
-        self._credentials = _credentials(fleet.ca, fleet.cert, fleet.key)
+        self._credentials = channel_credentials(fleet.ca, fleet.cert, fleet.key)
         self._at = 0
         self._silent = 0
         self._channel: Any = None
@@ -170,15 +170,6 @@
     """The engine has said that it did nothing."""
 
 
-def _credentials(ca: Path | None, cert: Path | None, key: Path | None) -> Any:
-    """What the files by path hold, for the channel; None without them. OSError names the file."""
-    if ca is None:
-        return None
-    return grpc.ssl_channel_credentials(
-        ca.read_bytes(), key.read_bytes() if key else None, cert.read_bytes() if cert else None
-    )
-
-
 def _leased(answer: Any) -> Leased:
     header = answer.header
     return Leased(answer.ID if answer.TTL > 0 else 0, header.revision, header.cluster_id)
