--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -26,6 +26,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2  # exit codes of a case
 MAX_RUN_S = 110.0  # a case ends by then
 SLACK_MS = 50.0  # the rules on sockets allow 50 ms more than the settings
+MAX_NACKS_RECORDED = 100  # refused commands; further ones are not written to the record
 GAUGES = ["core_use", "on_cores", "heap_share", "links"]
 
 
@@ -187,6 +188,7 @@
         self.running: dict[str, asyncio.Task[None]] = {}
         self.replies: dict[str, asyncio.Future[bytes]] = {}  # of the runs that wait for a call
         self.ended: set[str] = set()
+        self.nacks = 0
         self.writer: asyncio.StreamWriter | None = None
         self.is_linked = asyncio.Event()
 
@@ -230,7 +232,9 @@
         record = self.platform.record
         one = self.platform.tries.get(call)
         if not one or one.method != method or one.body != body:
-            record.write(f"runtime  nack start {call}")
+            self.nacks += 1
+            if self.nacks <= MAX_NACKS_RECORDED:
+                record.write(f"runtime  nack start {call}")
             self._send(f"nack start {call}\r\n".encode())
         elif call in self.running:
             record.write(f"runtime  start {call}: runs already")
@@ -407,6 +411,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.config = folder / "config.json"
         self.document: dict[str, Any] = {}
+        self.is_killed = False  # by the case, on purpose
 
     async def start(self, document: dict[str, Any], **environment: str) -> None:
         """Writes the configuration and starts the server."""
@@ -426,6 +431,14 @@
         self.record.write(f"platform sends {number.name}")
         self.process.send_signal(number)
 
+    async def kill(self, reason: str) -> None:
+        """Kills the server, and waits for its end."""
+        assert self.process
+        self.is_killed = True
+        self.record.write(f"platform kills the server, {reason}")
+        self.process.kill()
+        await self.process.wait()
+
     async def stop(self) -> None:
         """Kills the server, and copies its log to the record."""
         if self.process and self.process.returncode is None:
@@ -521,7 +534,7 @@
         has_trouble = os.environ.get("TROUBLE", "1") != "0"
         case = Case(record, platform, runtime, server, address, has_trouble)
         is_held = await asyncio.wait_for(play(case), MAX_RUN_S - 15)
-        if server.process and server.process.returncode is not None:
+        if server.process and server.process.returncode is not None and not server.is_killed:
             raise CannotRunError("the server has ended")
         result = HELD if is_held else BROKEN
     finally:
