--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -380,6 +380,7 @@
 
     def close(self) -> None:
         """Closes the connection."""
+        self._task.cancel()
         self.writer.close()
 
     async def _read(self) -> None:
@@ -508,6 +509,8 @@
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     server = Server(folder, record)
     loop = asyncio.get_running_loop()
+    if task := asyncio.current_task():  # a case that is ended from outside ends its processes
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     runtime_server = await asyncio.start_server(runtime.serve, "127.0.0.1", 0)
     records_server = await asyncio.start_server(Records(platform).serve, "127.0.0.1", 0)
     reports, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, ("127.0.0.1", 0))
@@ -533,7 +536,7 @@
         await asyncio.sleep(0.5)
         has_trouble = os.environ.get("TROUBLE", "1") != "0"
         case = Case(record, platform, runtime, server, address, has_trouble)
-        is_held = await asyncio.wait_for(play(case), MAX_RUN_S - 15)
+        is_held = await play(case)
         if server.process and server.process.returncode is not None and not server.is_killed:
             raise CannotRunError("the server has ended")
         result = HELD if is_held else BROKEN
@@ -555,8 +558,8 @@
 ) -> None:
     """Plays a case and exits with its result. `play` returns whether the rule held."""
     try:
-        code = asyncio.run(_play(case_folder, settings, work_ms, play))
-    except Exception as error:  # whatever it is, the case has shown nothing
+        code = asyncio.run(asyncio.wait_for(_play(case_folder, settings, work_ms, play), MAX_RUN_S))
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, the case has shown nothing
         print(f"could not run: {error!r}", file=sys.stderr)
         code = COULD_NOT_RUN
     print({HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "could not run"}[code])
