--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,7 @@
-"""Three tries of one keyed request on a busy server: the first one is taken back while it is queued."""
+"""Three tries of one keyed request on a busy server: the first one is taken back while it is queued.
+
+With TROUBLE=0 (`case.has_trouble` is false) the disruption is left out.
+"""
 
 import asyncio
 import sys
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,7 @@
-"""Bad clients send requests with a `ttl` that is out of range; the memory of the server is watched."""
+"""Bad clients send requests with a `ttl` that is out of range; the memory of the server is watched.
+
+With TROUBLE=0 (`case.has_trouble` is false) the disruption is left out.
+"""
 
 import asyncio
 import os
