--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,86 +1,104 @@
-"""Bad clients send requests with a `ttl` that is out of range; the memory of the server is watched.
-
-With TROUBLE=0 (`case.has_trouble` is false) the disruption is left out.
-"""
+"""Case 3: turned-away requests of another client, with a `ttl` out of range, fill the server's memory."""
 
 import asyncio
-import os
+import base64
+import json
 import sys
 import time
+from collections import Counter
 from pathlib import Path
+from secrets import token_hex
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+import rig
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
+WORK_MS = {"addr-lookup": 150.0, "form-check": 200.0, "form-submit": 150.0}
+PLAY_S = 80.0
+LONG_TTL_MS = 86_400_000  # a client of this class waits for 2,900 ms at most
+CLASS_TTL_MS = 2900
+CONNECTIONS = 3
+OPEN_AT_ONCE = 30  # requests open on a connection; 32 are allowed
+LOOK_EVERY_S = 0.25
 
-import rig  # noqa: E402
 
-WORK_MS = {"addr-lookup": 200.0, "form-check": 400.0, "form-submit": 300.0}
-TTL_MS = 80_000_000  # a caller of this site waits 2,900 ms for this class at most
-BAD_CLIENTS = 4
-RUN_S = 85.0
-QUIET_RUN_S = 20.0  # without the bad clients
+def resident_mb(pid: int) -> float:
+    """Returns the memory of a process in MiB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    raise rig.CannotRunError("the server's memory is not known")
 
 
-def resident_mb(pid: int) -> float:
-    """Returns the resident memory of a process."""
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+class BadClient:
+    """A client that sends requests which the runtime does not know, and sends each again as soon as it is
+    turned away. It reads what it is sent, and connects again when the server closes its connection."""
 
+    def __init__(self, case: rig.Case, ttl: int) -> None:
+        self.case = case
+        self.ttl = ttl
+        self.answers: Counter[str] = Counter()
 
-async def send_requests(case: rig.Case, tries: list[rig.Try]) -> None:
-    """Sends the ordinary requests of a gateway, which keep the cores busy."""
-    gateway = await case.gateway("gateway")
-    for number in range(10_000):
-        tries.append(gateway.new_try("addr-lookup", b"address %d" % number, 2500))
-        tries.append(gateway.new_try("form-check", b"draft %d" % number, 6000))
-        if number % 4 == 0:
-            tries.append(gateway.new_try("form-submit", b"return %d" % number, 4000, key=f"{number:032x}"))
-        gateway.flush()
-        await asyncio.sleep(0.2)
+    async def run(self) -> None:
+        """Runs until it is cancelled."""
+        while True:
+            try:
+                await self._serve_connection()
+            except ConnectionError:
+                self.answers["reset"] += 1
 
+    async def _serve_connection(self) -> None:
+        reader, writer = await asyncio.open_connection(*self.case.address)
+        try:
+            lines = {rpc_id: self._line(rpc_id) for rpc_id in range(1, OPEN_AT_ONCE + 1)}
+            writer.write(b"".join(lines.values()))
+            while text := await reader.readline():
+                answer = json.loads(text)
+                if rpc_id := answer.get("id"):
+                    self.answers[str(answer.get("error", {}).get("code", "served"))] += 1
+                    writer.write(lines[rpc_id])
+        finally:
+            writer.close()
 
-async def watch_memory(case: rig.Case, limit_mb: float, run_s: float) -> bool:
-    """Plays the platform, which kills a server that goes over its limit. Returns whether it stayed below."""
-    assert case.server.process
-    pid, end, next_line = case.server.process.pid, time.monotonic() + run_s, 0.0
-    while time.monotonic() < end:
-        used_mb = resident_mb(pid)
-        if time.monotonic() > next_line:
-            next_line = time.monotonic() + 2.0
-            case.record.write(f"platform the server uses {used_mb:.1f} MB of {limit_mb:g}")
-        if used_mb > limit_mb:
-            case.record.write(f"platform the server uses {used_mb:.1f} MB, over its limit of {limit_mb:g}")
-            return False
-        await asyncio.sleep(0.1)
-    return True
+    def _line(self, rpc_id: int) -> bytes:
+        now = int(time.time() * 1000)
+        params = dict(call=token_hex(8), recv=now, src=9, org=self.case.platform.tenant, ttl=self.ttl)
+        params |= dict(heap=0.5, crit=0.5, blob=base64.b64encode(b"x").decode())
+        message = dict(jsonrpc="2.0", id=rpc_id, method="addr-lookup", params=params)
+        return json.dumps(message).encode() + b"\n"
 
 
 async def play(case: rig.Case) -> bool:
-    """Returns whether the server stayed below its memory limit."""
-    run_s = RUN_S if case.has_trouble else QUIET_RUN_S
-    command = [sys.executable, str(FOLDER / "bad_client.py"), str(case.address[1]), str(TTL_MS), str(run_s)]
-    bad_clients = []
-    if case.has_trouble:
-        case.record.write(f"bad      {BAD_CLIENTS} bad clients begin, with ttl={TTL_MS}")
-        bad_clients = [
-            await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.DEVNULL)
-            for _ in range(BAD_CLIENTS)
-        ]
-    tries: list[rig.Try] = []
-    sender = asyncio.create_task(send_requests(case, tries))
+    """Plays a gateway's light traffic beside the bad client, and kills the server at its limit, as the
+    platform does."""
+    process = case.server.process
+    assert process
+    limit_mb: float = case.server.document["limits"]["memory_mb"]
+    gateway = await case.gateway("gateway")
+    bad_client = BadClient(case, LONG_TTL_MS if case.has_trouble else CLASS_TTL_MS)
+    tasks = [asyncio.create_task(bad_client.run()) for _ in range(CONNECTIONS)]
+    until = time.monotonic() + PLAY_S
+    most_mb = 0.0
+    number = 0
     try:
-        is_held = await watch_memory(case, case.server.document["limits"]["memory_mb"], run_s)
-        if not is_held:
-            await case.server.kill("as the platform does with a server over its memory limit")
-            await asyncio.sleep(0.5)
+        while time.monotonic() < until and most_mb <= limit_mb:
+            if number % 4 == 0:
+                gateway.new_try("form-check", b"form %d" % number, 6500)
+                gateway.flush()
+            await asyncio.sleep(LOOK_EVERY_S)
+            most_mb = max(most_mb, resident_mb(process.pid))
+            if number % 8 == 0:
+                answers = dict(bad_client.answers)
+                case.record.write(f"server   has {most_mb:.1f} of {limit_mb} MiB; answers: {answers}")
+            number += 1
     finally:
-        sender.cancel()
-        for bad_client in bad_clients:
-            if bad_client.returncode is None:
-                bad_client.kill()
-            await bad_client.wait()
-    lost = sum(not one.is_over for one in tries)
-    case.record.write(f"end      the gateway sent {len(tries)} requests; {lost} have no answer at the end")
-    return is_held
+        for task in tasks:
+            task.cancel()
+    case.record.write(f"the server took {most_mb:.1f} MiB; the limit is {limit_mb}")
+    if most_mb > limit_mb:
+        await case.server.kill("over its memory limit")
+        return False
+    return True
 
 
 if __name__ == "__main__":
