--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -502,6 +502,7 @@
     settings: dict[str, Any],
     work_ms: dict[str, float],
     play: Callable[[Case], Awaitable[bool]],
+    memory_mb: int,
 ) -> int:
     record = Record(case_folder)
     platform = Platform(record, settings)
@@ -524,7 +525,7 @@
             "registry": f"127.0.0.1:{reports.get_extra_info('sockname')[1]}",
             "seed": "8c1f30d27a5be964",
             "stop_ms": 3200,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 384},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 384},
             "settings": settings,
         }
         if not any(platform.calls.values()):
@@ -555,10 +556,13 @@
     settings: dict[str, Any],
     work_ms: dict[str, float],
     play: Callable[[Case], Awaitable[bool]],
+    memory_mb: int = 192,
 ) -> None:
     """Plays a case and exits with its result. `play` returns whether the rule held."""
     try:
-        code = asyncio.run(asyncio.wait_for(_play(case_folder, settings, work_ms, play), MAX_RUN_S))
+        code = asyncio.run(
+            asyncio.wait_for(_play(case_folder, settings, work_ms, play, memory_mb), MAX_RUN_S)
+        )
     except (Exception, asyncio.CancelledError) as error:  # whatever it is, the case has shown nothing
         print(f"could not run: {error!r}", file=sys.stderr)
         code = COULD_NOT_RUN
