A retry joins its key's record, whichever attempt the adapter names

What callers saw: a keyed request ran twice.

Cause: the adapter names the earlier attempt of an arrival by a table that RetainKey and EvictKey change at the end of a batch, while the controller's table changes at once.

Change: the attempts of a key share an IdempotencyRecord (holder, followers, retained id), found by the id of each of them, also of those that ended in the last two tick periods. The memory budget asks whether the key is retained already instead of popping the entry first.

--- a/otterrudder/admission/controller.py
+++ b/otterrudder/admission/controller.py
@@ -163,6 +163,7 @@
         request = Request(arrival, request_class, self.context.now - arrival.age_ms)
         self.context.requests[request.request_id] = request
         self.memory_budget.add(request)
+        self.deduplication.add(request)
         self.load_reporter.record_arrival(request.is_retry)
         self.deadlines.assign(request, arrival.time_left_ms, self.load_reporter.wait_share)
         self._admit(request, self._chain)
--- a/otterrudder/admission/deduplication.py
+++ b/otterrudder/admission/deduplication.py
@@ -2,88 +2,135 @@
 
 from otterrudder.admission.commands import EvictKey, RetainKey
 from otterrudder.admission.context import TICK_MS, AdmissionContext, Stage
-from otterrudder.admission.requests import Request, RequestState
+from otterrudder.admission.requests import IdempotencyRecord, Request, RequestState
 
 _UNFINISHED_STATES = (RequestState.QUEUED, RequestState.RUNNING, RequestState.CALLING)
 
 
 class Deduplication(Stage):
-    """The table of idempotency keys. A key is retained when its first attempt arrives.
+    """The records of the idempotency keys. A key is retained when its first attempt is admitted.
 
-    A later attempt waits while the earlier one is queued. If the earlier attempt is running or has run, the
-    later one is answered with its response."""
+    A later attempt waits while the holder of the record is queued. If the holder is running or has run, the
+    later attempt is answered with its response.
+
+    The adapter names an earlier attempt by its own table of keys, which the commands `RetainKey` and
+    `EvictKey` change only at the end of a batch. Within the batch it may name an attempt that is not the
+    holder any more, so the record is found by the id of each of its attempts."""
 
     def __init__(self, context: AdmissionContext) -> None:
         self._context = context
         self._flow = context.flow
         self._clock_tick_ms = context.settings.clock_tick_ms
-        self.entries: dict[int, Request] = {}  # by the id of the attempt that retained the key
-        # Ids of attempts that were answered before they ran, in the current and the previous tick period.
-        self._never_ran: set[int] = set()
-        self._never_ran_last_period: set[int] = set()
+        self.entry_count = 0  # number of keys that the adapter retains
+        self.records: dict[int, IdempotencyRecord] = {}  # by the id of each attempt that may be named
+        # Ids of ended attempts, in the current and the previous tick period. Their records are still found.
+        self._ended: list[int] = []
+        self._ended_last_period: list[int] = []
+
+    def add(self, request: Request) -> None:
+        """Adds a request that has just arrived to the record of its idempotency key."""
+        if not request.has_idempotency_key:
+            return
+        record = self.records.get(request.earlier_attempt_id)
+        if record is None and request.earlier_attempt_id:
+            return  # the record has expired, so the earlier attempt may have run
+        record = record or IdempotencyRecord()
+        request.idempotency_record = record
+        self.records[request.request_id] = record
 
     def admit(self, request: Request) -> bool:
-        """Passes on a new request. A repeat of an earlier attempt is replayed, held or failed."""
-        earlier = self.entries.get(request.earlier_attempt_id)
-        if earlier is None:
-            request.may_have_run &= not self._is_known_not_to_have_run(request.earlier_attempt_id)
+        """Passes on the first attempt that may run. Another attempt is replayed, held or failed."""
+        record = request.idempotency_record
+        if record is None:
             if not request.may_have_run:
                 return True
             self._flow.replay(request)
             return False
-        request.may_have_run &= earlier.may_have_run
+        holder = record.holder
+        request.may_have_run = holder is not None and holder.may_have_run
+        if holder is None:
+            record.holder = request
+            return True
         if not request.may_have_run:
             request.state = RequestState.FOLLOWING
-            earlier.followers.append(request)
+            record.followers.append(request)
             return False
-        if earlier.state is RequestState.FINISHED and not earlier.is_completed:
+        if holder.state is RequestState.FINISHED and not holder.is_completed:
             return self._flow.fail(request)
         self._flow.replay(request)
         return False
 
+    def is_retained(self, request: Request) -> bool:
+        """Returns whether the adapter retains the request's key already, for an earlier attempt."""
+        record = request.idempotency_record
+        return record is not None and record.retained_id != 0
+
     def retain(self, request: Request) -> None:
-        """Retains the key of a first attempt for as long as retries may arrive."""
+        """Retains the key of a holder for as long as retries may arrive."""
+        record = request.idempotency_record
+        assert record
         now = self._context.now
         left_ms = request.arrived_at + request.request_class.retention_ms - now
         retention_ms = max(left_ms + self._clock_tick_ms, self._clock_tick_ms)
-        self.entries[request.request_id] = request
+        if not record.retained_id:
+            self.entry_count += 1
+        record.retained_id = request.request_id
         self._context.commands.append(RetainKey(request.request_id, retention_ms))
         self._context.timers.schedule(now + retention_ms + self._clock_tick_ms, lambda: self._expire(request))
 
     def on_started(self, request: Request) -> None:
         """Replays the response of a started attempt to the later attempts that wait for it."""
-        for follower in request.followers:
+        record = request.idempotency_record
+        if record is None:
+            return
+        for follower in record.followers:
             if not follower.is_answered:
                 follower.may_have_run = True
                 self._flow.replay(follower)
-        request.followers = []
+        record.followers = []
 
     def on_answered(self, request: Request) -> None:
-        """Replaces an attempt that never ran by the next one that waits for it, or evicts its key."""
-        if request.may_have_run or not request.has_idempotency_key:
+        """Replaces a holder that never ran by the next attempt that waits for it, or evicts the key."""
+        record = request.idempotency_record
+        if record is None:
             return
-        self._never_ran.add(request.request_id)
-        followers = [follower for follower in request.followers if not follower.is_answered]
-        request.followers = []
-        was_retained = self.entries.pop(request.request_id, None) is not None
+        if record.holder is not request:
+            self._ended.append(request.request_id)
+        elif not request.may_have_run:
+            self._replace_holder(record, request)
+
+    def on_tick(self) -> None:
+        """Removes the ids of ended attempts. Each id is kept for one to two tick periods, and so for the rest
+        of its batch."""
+        for request_id in self._ended_last_period:
+            self.records.pop(request_id, None)
+        self._ended_last_period = self._ended
+        self._ended = []
+
+    def _replace_holder(self, record: IdempotencyRecord, request: Request) -> None:
+        record.holder = None
+        self._ended.append(request.request_id)
+        followers = [follower for follower in record.followers if not follower.is_answered]
+        record.followers = followers[1:]
         if followers:
             successor = followers[0]
-            successor.followers = followers[1:]
             successor.state = RequestState.QUEUED
+            record.holder = successor
             self._flow.forward(successor, after=self)
-        elif was_retained:
-            self._context.commands.append(EvictKey(request.request_id))
-
-    def on_tick(self) -> None:
-        """Drops the records of attempts that never ran. Each record is kept for one to two tick periods."""
-        self._never_ran_last_period = self._never_ran
-        self._never_ran = set()
-
-    def _is_known_not_to_have_run(self, request_id: int) -> bool:
-        return request_id in self._never_ran or request_id in self._never_ran_last_period
+        elif record.retained_id:
+            self._context.commands.append(EvictKey(record.retained_id))
+            self._forget_entry(record)
 
     def _expire(self, request: Request) -> None:
+        record = request.idempotency_record
+        if record is None or record.retained_id != request.request_id:
+            return  # a later attempt retains the key, or it was evicted
         if request.state in _UNFINISHED_STATES:  # the entry must outlive the request
             self._context.timers.schedule(self._context.now + TICK_MS, lambda: self._expire(request))
         else:
-            self.entries.pop(request.request_id, None)
+            self._forget_entry(record)
+            self.records.pop(request.request_id, None)
+
+    def _forget_entry(self, record: IdempotencyRecord) -> None:
+        record.retained_id = 0
+        self.entry_count -= 1
--- a/otterrudder/admission/memory_budget.py
+++ b/otterrudder/admission/memory_budget.py
@@ -29,7 +29,7 @@
     @property
     def used_kb(self) -> float:
         """The memory in use, by this count."""
-        return self.requests_kb + len(self._deduplication.entries) * self._entry_kb
+        return self.requests_kb + self._deduplication.entry_count * self._entry_kb
 
     @property
     def used_share(self) -> float:
@@ -43,8 +43,8 @@
     def admit(self, request: Request) -> bool:
         """Rejects a request that does not fit into the memory; retains the idempotency key of others."""
         needed_kb = 0.0
-        if request.has_idempotency_key:
-            if len(self._deduplication.entries) >= self._max_entries:
+        if request.has_idempotency_key and not self._deduplication.is_retained(request):
+            if self._deduplication.entry_count >= self._max_entries:
                 return self._flow.reject(request, RejectionReason.LOCAL)
             needed_kb = self._entry_kb
         if self.used_kb + needed_kb > self._queue_limit_kb:
--- a/otterrudder/admission/requests.py
+++ b/otterrudder/admission/requests.py
@@ -19,6 +19,17 @@
 IN_FLIGHT_STATES = (RequestState.RUNNING, RequestState.CALLING)
 
 
+class IdempotencyRecord:
+    """The attempts with one idempotency key."""
+
+    __slots__ = ("followers", "holder", "retained_id")
+
+    def __init__(self) -> None:
+        self.holder: Request | None = None  # the attempt that is queued, is running or ran
+        self.followers: list[Request] = []  # later attempts that wait for the holder
+        self.retained_id = 0  # id of the attempt for which the adapter retains the key; 0: it does not
+
+
 class Request:
     """A request and its state on this server. Times are milliseconds on the adapter's clock."""
 
@@ -30,9 +41,9 @@
         "criticality",
         "deadline",
         "earlier_attempt_id",
-        "followers",
         "has_side_effects",
         "has_idempotency_key",
+        "idempotency_record",
         "is_answered",
         "is_call_open",
         "is_completed",
@@ -74,7 +85,7 @@
         self.may_have_run = False  # this or an earlier attempt may have run, so it must not be rejected
         self.is_answered = False
         self.is_completed = False  # its run ended successfully
-        self.followers: list[Request] = []  # later attempts that wait for this attempt
+        self.idempotency_record: IdempotencyRecord | None = None  # None: no key, or its record has expired
 
         self.cost_ms = 0.0  # expected time on the cores, set when the request is queued
         self.started_at = 0.0
