Evict the key of an attempt that was released earlier in its batch

What callers saw: a keyed request that was interrupted or rejected in the queue could not run on this server while its key was kept: its next attempts waited for a run that never came and failed at their deadline.

Cause: EvictKey is executed at the end of the batch and was skipped, because the request had left the table of requests by then. The core's entry stayed, while the controller had forgotten the key and did not count it.

Change: a released request is found by its number until the commands of its batch are executed; commands on keys are executed in any case. Attempts that wait for an evicted entry fail at once.

Tests: three of test_core_batches.py failed on and pass now; a fourth holds the reuse of an id within the batch.

--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -114,6 +114,7 @@
                     self._log("admission command failed", {"command": command, "error": repr(error)})
                     if request := self.requests.by_number.get(getattr(command, "request_id", 0)):
                         self.requests.fail(request)
+        self.requests.remove_released()
         self.idempotency.batch_entries.clear()
         messages = self.outbox[:]
         self.outbox.clear()
@@ -329,11 +330,7 @@
 
     def _execute(self, command: Command) -> None:
         if commands.is_request_command(command):
-            if request := self.requests.by_number.get(command.request_id):
-                _REQUEST_COMMANDS[type(command)](self, request, command)
-            elif isinstance(command, commands.StartRequest):
-                # Its caller disconnected within this batch: the slot is released without a start.
-                self._admission.handle_finished(command.request_id, Outcome.NEVER_STARTED)
+            self._execute_on_request(command)
             return
         match command:
             case commands.ScheduleTick():
@@ -347,6 +344,17 @@
             case commands.SetIdleTimeout() | commands.CloseConnections():
                 self.outbox.append((Destination.GATEWAYS, command))
 
+    def _execute_on_request(self, command: commands.RequestCommand) -> None:
+        """Executes a command on a request, which may have been released earlier in the batch. Its key has
+        an entry of its own, so the commands on the key are executed in any case."""
+        request = self.requests.by_number.get(command.request_id)
+        if not request:
+            return
+        if not request.is_released or isinstance(command, commands.RetainKey | commands.EvictKey):
+            _REQUEST_COMMANDS[type(command)](self, request, command)
+        elif isinstance(command, commands.StartRequest):  # its slot is released without a start
+            self._admission.handle_finished(command.request_id, Outcome.NEVER_STARTED)
+
     def _start(self, request: PendingRequest, _: commands.StartRequest) -> None:
         self.delivery.start(request)
 
@@ -372,7 +380,7 @@
         )
 
     def _evict_key(self, request: PendingRequest, _: commands.EvictKey) -> None:
-        self.idempotency.evict(request.idempotency_key, request.number)
+        self.requests.evict_key(request)
 
     def _call_downstream(self, request: PendingRequest, command: commands.CallDownstream) -> None:
         self.calls.start(request, command.timeout_ms)
--- a/otterrudder/net/idempotency.py
+++ b/otterrudder/net/idempotency.py
@@ -67,10 +67,12 @@
         entry = self.entries.get(key) if key else None
         return entry if entry and entry.holder == number else None
 
-    def evict(self, key: str, number: int) -> None:
-        """Removes the entry of a request that never ran."""
-        if self.entry_held_by(key, number):
+    def evict(self, key: str, number: int) -> IdempotencyEntry | None:
+        """Removes and returns the entry of a request that never ran; None if the request holds no entry."""
+        entry = self.entry_held_by(key, number)
+        if entry:
             del self.entries[key]
+        return entry
 
     def expire(self, now: float, deadline_of: Callable[[int], float | None]) -> None:
         """Removes the entries that have expired. `deadline_of` returns the deadline in ms of a pending
--- a/otterrudder/net/request_table.py
+++ b/otterrudder/net/request_table.py
@@ -2,7 +2,8 @@
 
 A request is kept until it is answered (or its caller has disconnected) and its run is over. Its resources are
 released on every path: the run in `finish_run`, the downstream call in `finish_run` or `close`, the request
-itself in `release`."""
+itself in `release`. The admission controller's commands are executed at the end of the batch, so a released
+request is still found by its number until then; `remove_released` removes it."""
 
 from collections.abc import Hashable
 
@@ -35,6 +36,7 @@
         self.controller: AdmissionController  # set once the runtime is up; no request is kept before that
         self.by_number: dict[int, PendingRequest] = {}
         self.by_id: dict[str, PendingRequest] = {}
+        self._released: list[PendingRequest] = []  # requests released in the current batch
         self.arrival_count = 0
         self.advertised_load: float | None = None  # sent with each answer
 
@@ -144,11 +146,23 @@
         self.release(request)
 
     def release(self, request: PendingRequest) -> None:
-        """Removes the request if it is answered and its run is over."""
-        if not request.is_answered or request.is_running:
+        """Releases the request if it is answered and its run is over. Its id is free at once."""
+        if not request.is_answered or request.is_running or request.is_released:
             return
-        if self.by_number.pop(request.number, None):
-            del self.by_id[request.request_id]
+        request.is_released = True
+        del self.by_id[request.request_id]
+        self._released.append(request)
+
+    def remove_released(self) -> None:
+        """Removes the released requests at the end of the batch, once all commands on them are executed."""
+        for request in self._released:
+            del self.by_number[request.number]
+        self._released.clear()
+
+    def evict_key(self, request: PendingRequest) -> None:
+        """Evicts the key of a request that never ran, and fails the attempts that wait for its response."""
+        if entry := self._idempotency.evict(request.idempotency_key, request.number):
+            self._answer_waiting(entry)
 
     def _answer(self, request: PendingRequest, outcome: Outcome, body: bytes) -> None:
         if request.is_answered:
--- a/otterrudder/net/requests.py
+++ b/otterrudder/net/requests.py
@@ -40,6 +40,7 @@
     idempotency_key: str  # "": none
     digest: bytes  # digest of the request class and the body
     is_answered: bool = False  # the request was answered, or its caller has disconnected
+    is_released: bool = False  # it is answered and its run is over; commands of the batch may still name it
     is_running: bool = False  # the run was started, and the end of the run is not known yet
     is_calling: bool = False  # the downstream call was sent and has not ended
     # Tag of the gauges query whose answer confirms that the runtime has read the start or reply of the run,
--- a/tests/net/test_core_batches.py
+++ b/tests/net/test_core_batches.py
@@ -64,3 +64,58 @@
     assert [type(answer) for answer in bench.answers[1]] == [RequestRejected]
     assert finish_runs(bench) == [2]
     assert bench.answers[2] + bench.answers[3] == [RequestCompleted(n, b"r", bench.load) for n in (2, 3)]
+
+
+def queue_first_attempt(bench: CoreHarness) -> None:
+    """Queues attempt 1 with the key `m`, with time until the end of the runs."""
+    fill_cores(bench)
+    bench.arrive(1, PAY, "m")
+    assert bench.core.controller.queued_count > 0 and len(bench.core.idempotency) == 1
+
+
+def assert_retry_runs(bench: CoreHarness, number: int) -> None:
+    """Checks that nothing is kept of the key `m`, and that a retry on the idle server runs."""
+    assert not len(bench.core.idempotency)
+    finish_runs(bench)
+    bench.step(bench.core.tick, ms=300.0)
+    bench.arrive(number, PAY, "m")
+    assert finish_runs(bench)[-1] == number
+    assert bench.answers[number] == [RequestCompleted(number, b"r", bench.load)]
+
+
+def test_key_of_an_attempt_that_left_before_it_ran_is_evicted() -> None:
+    # The command to evict the key came after the attempt had left the table of requests, and was skipped.
+    bench = CoreHarness()
+    queue_first_attempt(bench)
+    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    assert_retry_runs(bench, 2)
+
+
+def test_key_of_an_attempt_that_was_rejected_in_the_queue_is_evicted() -> None:
+    bench = CoreHarness()
+    fill_cores(bench)
+    bench.arrive(1, PAY, "m", ttl=400.0)
+    assert len(bench.core.idempotency) == 1
+    bench.step(lambda: None, ms=500.0)
+    assert [type(answer) for answer in bench.answers[1]] == [RequestRejected]
+    assert_retry_runs(bench, 2)
+
+
+def test_key_is_evicted_if_attempt_and_successor_leave_in_one_batch() -> None:
+    bench = CoreHarness()
+    queue_first_attempt(bench)
+    bench.arrive(2, PAY, "m")
+    bench.core.handle_disconnect(f"{1:016x}")
+    bench.step(bench.core.handle_disconnect, f"{2:016x}")
+    assert_retry_runs(bench, 3)
+
+
+def test_id_is_free_again_in_the_batch_in_which_its_request_ended() -> None:
+    bench = CoreHarness()
+    queue_first_attempt(bench)
+    bench.core.handle_disconnect(f"{1:016x}")
+    arrive(bench, 1, "other")
+    bench.step(lambda: None)
+    finish_runs(bench)
+    assert bench.answers[1] == [RequestCompleted(1, b"r", bench.load)]
+    assert not bench.core.requests
