Release the key of a run that proves never to have started after its answer

What callers saw: after an attempt was answered (deadline, drain, interrupt) and its run then proved never to have started (a start lost with the runtime's link, or a caller that left in the batch of the start), the next attempt waited for the ended one and failed at its deadline.

Cause: the holder of a key was replaced in on_answered only, where its run still counted as possible. The later outcome NEVER_STARTED changed nothing, as the request was answered already.

Change: Deduplication.on_released replaces a holder that never ran, by the same step as on_answered.

--- a/otterrudder/admission/controller.py
+++ b/otterrudder/admission/controller.py
@@ -70,7 +70,7 @@
         )
         # Stages that implement a hook, in the reverse order of the chain.
         self._on_answered = (self.queues, self.sessions, self.deduplication)
-        self._on_released = (self.downstream_calls, self.limiter, self.memory_budget)
+        self._on_released = (self.downstream_calls, self.limiter, self.memory_budget, self.deduplication)
 
     def _create_stages(self) -> None:
         context = self.context
--- a/otterrudder/admission/deduplication.py
+++ b/otterrudder/admission/deduplication.py
@@ -99,6 +99,12 @@
         elif not request.may_have_run:
             self._replace_holder(record, request)
 
+    def on_released(self, request: Request) -> None:
+        """Replaces a holder that was answered earlier and whose run proves never to have started."""
+        record = request.idempotency_record
+        if record is not None and record.holder is request and not request.may_have_run:
+            self._replace_holder(record, request)
+
     def on_tick(self) -> None:
         """Removes the ids of ended attempts. Each id is kept for one to two tick periods, and so for the rest
         of its batch."""
--- a/tests/net/test_core_batches.py
+++ b/tests/net/test_core_batches.py
@@ -4,7 +4,7 @@
 from core_harness import CoreHarness, make_request_fields
 
 from otterrudder.admission.interface import Outcome
-from otterrudder.net.messages import RequestCompleted, RequestRejected, StartRun
+from otterrudder.net.messages import RequestCompleted, RequestFailed, RequestRejected, StartRun
 
 PAY = 1  # index of the class with idempotency keys
 
@@ -119,3 +119,31 @@
     finish_runs(bench)
     assert bench.answers[1] == [RequestCompleted(1, b"r", bench.load)]
     assert not bench.core.requests
+
+
+def test_attempt_that_waits_for_a_run_that_never_starts_fails_at_once() -> None:
+    # Attempt 1 is started in the batch in which its caller leaves, after attempt 2 was told to wait for it.
+    bench = CoreHarness()
+    queue_first_attempt(bench)
+    bench.arrive(2, PAY, "m")
+    for running in bench.core.requests.running():
+        bench.core.handle_run_ended(running.request_id, Outcome.OK, b"r")
+    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    assert [type(answer) for answer in bench.answers[2]] == [RequestFailed]
+    assert_retry_runs(bench, 3)
+
+
+def test_key_of_an_attempt_that_proves_never_started_after_its_answer_is_evicted() -> None:
+    # The start was lost with the link, and the attempt was answered before the next link. The retry waited
+    # for an attempt that had ended.
+    bench = CoreHarness()
+    bench.step(bench.core.handle_link_lost)
+    bench.arrive(1, PAY, "m", ttl=400.0)
+    bench.step(lambda: None, ms=500.0)
+    assert [type(answer) for answer in bench.answers[1]] == [RequestFailed]
+    bench.core.handle_link_established()
+    arrive(bench, 2, "m")
+    bench.step(lambda: None)
+    assert bench.core.controller.deduplication.entry_count == 1  # that of the retry
+    assert finish_runs(bench) == [2]
+    assert bench.answers[2] == [RequestCompleted(2, b"r", bench.load)]
