Keep no waiting attempt after its answer

What was seen: attempts with one key and a short ttl, sent while the first one is queued, were kept in the list of those that wait for it until it ended, although each was answered at its own deadline.

Change: the followers of a record are kept by id, and one is removed when it is answered.

Test: test_waiting_attempt_is_not_kept_after_its_answer failed before (48 kept) and passes now.

--- a/otterrudder/admission/deduplication.py
+++ b/otterrudder/admission/deduplication.py
@@ -53,7 +53,7 @@
             return True
         if not request.may_have_run:
             request.state = RequestState.FOLLOWING
-            record.followers.append(request)
+            record.followers[request.request_id] = request
             return False
         if holder.state is RequestState.FINISHED and not holder.is_completed:
             return self._flow.fail(request)
@@ -83,11 +83,11 @@
         record = request.idempotency_record
         if record is None:
             return
-        for follower in record.followers:
-            if not follower.is_answered:
-                follower.may_have_run = True
-                self._flow.replay(follower)
-        record.followers = []
+        followers = record.followers
+        record.followers = {}
+        for follower in followers.values():
+            follower.may_have_run = True
+            self._flow.replay(follower)
 
     def on_answered(self, request: Request) -> None:
         """Replaces a holder that never ran by the next attempt that waits for it, or evicts the key."""
@@ -95,6 +95,7 @@
         if record is None:
             return
         if record.holder is not request:
+            record.followers.pop(request.request_id, None)
             self._ended.append(request.request_id)
         elif not request.may_have_run:
             self._replace_holder(record, request)
@@ -116,10 +117,8 @@
     def _replace_holder(self, record: IdempotencyRecord, request: Request) -> None:
         record.holder = None
         self._ended.append(request.request_id)
-        followers = [follower for follower in record.followers if not follower.is_answered]
-        record.followers = followers[1:]
-        if followers:
-            successor = followers[0]
+        if record.followers:
+            successor = record.followers.pop(next(iter(record.followers)))
             successor.state = RequestState.QUEUED
             record.holder = successor
             self._flow.forward(successor, after=self)
--- a/otterrudder/admission/requests.py
+++ b/otterrudder/admission/requests.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.holder: Request | None = None  # the attempt that is queued, is running or ran
-        self.followers: list[Request] = []  # later attempts that wait for the holder
+        self.followers: dict[int, Request] = {}  # later attempts that wait for the holder, by id
         self.retained_id = 0  # id of the attempt for which the adapter retains the key; 0: it does not
 
 
--- a/tests/net/test_core_batches.py
+++ b/tests/net/test_core_batches.py
@@ -147,3 +147,14 @@
     assert bench.core.controller.deduplication.entry_count == 1  # that of the retry
     assert finish_runs(bench) == [2]
     assert bench.answers[2] == [RequestCompleted(2, b"r", bench.load)]
+
+
+def test_waiting_attempt_is_not_kept_after_its_answer() -> None:
+    bench = CoreHarness()
+    queue_first_attempt(bench)
+    record = next(iter(bench.core.controller.deduplication.records.values()))
+    for number in range(2, 50):
+        bench.arrive(number, PAY, "m", ttl=20.0)
+        bench.step(lambda: None, ms=21.0)
+        assert number in bench.answers
+    assert not record.followers
