Choose the next holder of a key in a loop, not by recursion

What was seen: some 500 attempts waited for a queued one with their key, it was interrupted while admission was suspended, and the batch failed with RecursionError: the attempts behind were not answered in it.

Cause: a rejected successor was replaced within the call that rejected it, several frames deeper each time.

Change: one loop forwards the followers in order until one is not answered at once.

Test: test_many_waiting_attempts_are_all_answered_if_none_may_run failed before and passes now.

--- a/otterrudder/admission/deduplication.py
+++ b/otterrudder/admission/deduplication.py
@@ -117,14 +117,24 @@
     def _replace_holder(self, record: IdempotencyRecord, request: Request) -> None:
         record.holder = None
         self._ended.append(request.request_id)
-        if record.followers:
+        if record.is_choosing_holder:  # the request was the last choice and is answered already
+            return
+        record.is_choosing_holder = True
+        try:
+            self._choose_holder(record)
+        finally:
+            record.is_choosing_holder = False
+        if record.holder is None and record.retained_id:
+            self._context.commands.append(EvictKey(record.retained_id))
+            self._forget_entry(record)
+
+    def _choose_holder(self, record: IdempotencyRecord) -> None:
+        """Forwards the followers in order until one is not answered at once."""
+        while record.holder is None and record.followers:
             successor = record.followers.pop(next(iter(record.followers)))
             successor.state = RequestState.QUEUED
             record.holder = successor
             self._flow.forward(successor, after=self)
-        elif record.retained_id:
-            self._context.commands.append(EvictKey(record.retained_id))
-            self._forget_entry(record)
 
     def _expire(self, request: Request) -> None:
         record = request.idempotency_record
--- a/tests/net/test_core_batches.py
+++ b/tests/net/test_core_batches.py
@@ -149,6 +149,19 @@
     assert bench.answers[2] == [RequestCompleted(2, b"r", bench.load)]
 
 
+def test_many_waiting_attempts_are_all_answered_if_none_may_run() -> None:
+    # Each rejected successor was replaced within the call that rejected it, until the stack was full.
+    bench = CoreHarness()
+    queue_first_attempt(bench)
+    numbers = range(2, 500)
+    for number in numbers:
+        bench.arrive(number, PAY, "m")
+    bench.core.set_suspended(True)
+    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    assert [type(bench.answers[number][0]) for number in numbers] == [RequestRejected] * len(numbers)
+    assert not len(bench.core.idempotency)
+
+
 def test_waiting_attempt_is_not_kept_after_its_answer() -> None:
     bench = CoreHarness()
     queue_first_attempt(bench)
