--- a/otterrudder/admission/admission_queues.py
+++ b/otterrudder/admission/admission_queues.py
@@ -89,7 +89,8 @@
             return self._flow.reject(request)
         self._enqueue(request)
         # A late answer has little weight, so the request is rejected once it can no longer be on time.
-        self._context.timers.schedule(
+        self._context.schedule_until_answered(
+            request,
             request.soft_deadline - expected_ms * MIN_EXPECTED_TIME_SHARE,
             lambda: self._reject_if_queued(request),
         )
--- a/otterrudder/admission/context.py
+++ b/otterrudder/admission/context.py
@@ -6,7 +6,7 @@
 from otterrudder.admission.commands import Command
 from otterrudder.admission.requests import Request
 from otterrudder.admission.settings import ControllerSettings
-from otterrudder.admission.timer_queue import TimerQueue
+from otterrudder.admission.timer_queue import Callback, TimerQueue
 
 TICK_MS = 40.0  # tick period: half of the 80 ms after a deadline within which a request must be answered
 RECENT_WEIGHT = 1 / 16  # weight of a new sample in a moving average
@@ -36,6 +36,10 @@
         self.timers = TimerQueue()
         self.commands: list[Command] = []
 
+    def schedule_until_answered(self, request: Request, due_at: float, callback: Callback) -> None:
+        """Schedules a call about a request, which is cancelled when the request is answered."""
+        request.timers.append(self.timers.schedule(due_at, callback))
+
 
 class RequestFlow(Protocol):
     """The operations by which a stage forwards or answers a request. The controller implements them.
--- a/otterrudder/admission/controller.py
+++ b/otterrudder/admission/controller.py
@@ -316,6 +316,7 @@
         if request.is_answered:
             return
         request.is_answered = True
+        request.cancel_timers()
         for stage in self._on_answered:
             stage.on_answered(request)
 
--- a/otterrudder/admission/deadlines.py
+++ b/otterrudder/admission/deadlines.py
@@ -40,5 +40,5 @@
         request.may_have_run = request.earlier_attempt_id != 0 and request.has_side_effects
         if request.deadline <= self._context.now + MIN_TIME_LEFT_MS:
             return self._flow.reject(request)
-        self._context.timers.schedule(request.deadline, lambda: self._flow.reject(request))
+        self._context.schedule_until_answered(request, request.deadline, lambda: self._flow.reject(request))
         return True
--- a/otterrudder/admission/request_starter.py
+++ b/otterrudder/admission/request_starter.py
@@ -35,7 +35,9 @@
         self._deduplication.on_started(request)
         self._quotas.on_started(request)
         if self._is_late_run_worthless(request):
-            self._context.timers.schedule(request.soft_deadline, lambda: self._abandon(request))
+            self._context.schedule_until_answered(
+                request, request.soft_deadline, lambda: self._abandon(request)
+            )
         return True
 
     def _is_late_run_worthless(self, request: Request) -> bool:
--- a/otterrudder/admission/requests.py
+++ b/otterrudder/admission/requests.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from otterrudder.admission.interface import Arrival, Idempotency, RequestClass
+from otterrudder.admission.timer_queue import Timer
 
 
 class RequestState(Enum):
@@ -62,6 +63,7 @@
         "started_at",
         "state",
         "tenant",
+        "timers",
     )
 
     def __init__(self, arrival: Arrival, request_class: RequestClass, arrived_at: float) -> None:
@@ -88,9 +90,17 @@
         self.is_completed = False  # its run ended successfully
         self.idempotency_record: IdempotencyRecord | None = None  # None: no key, or its record has expired
 
+        self.timers: list[Timer] = []  # cancelled when it is answered
+
         self.cost_ms = 0.0  # expected time on the cores, set when the request is queued
         self.started_at = 0.0
         self.left_cores_at = 0.0  # when it last left the cores for a call
         self.off_cores_ms = 0.0  # time spent at downstream calls
         self.is_call_open = False
         self.call_attempts = 0  # attempts of the current downstream call
+
+    def cancel_timers(self) -> None:
+        """Cancels the request's timers. A timer would keep the request until it is due."""
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
