--- a/otterrudder/admission/deadlines.py
+++ b/otterrudder/admission/deadlines.py
@@ -22,10 +22,9 @@
         other servers, so its soft deadline is earlier. Its deadline does not change, because many runs end
         shortly before it."""
         request_class = request.request_class
+        total_ms = request_class.deadline_ms  # no caller waits longer, whatever it states
         if time_left_ms:
-            total_ms = time_left_ms + self._context.now - request.arrived_at
-        else:
-            total_ms = request_class.deadline_ms
+            total_ms = min(time_left_ms + self._context.now - request.arrived_at, total_ms)
         spent_ms = 0.0
         if request.is_retry:
             spent_ms = RETRY_WAIT_FACTOR * wait_share * request_class.latency_objective_ms
