An interrupt closes only a request of its own connection

Cause: RequestCore.handle_disconnect looked the request up by its id alone.

Change: the request is closed only if the connection is the one on which it arrived.

--- a/otterrudder/lab/server.py
+++ b/otterrudder/lab/server.py
@@ -239,7 +239,7 @@
     def disconnected(self, attempt: Attempt) -> None:
         """The caller of the attempt has disconnected."""
         self.checker.disconnected(attempt.number)
-        self.post_arrival(self.core.handle_disconnect, f"{attempt.number:016x}")
+        self.post_arrival(self.core.handle_disconnect, attempt, f"{attempt.number:016x}")
 
     # The runtime and the downstream service.
 
--- a/otterrudder/net/core.py
+++ b/otterrudder/net/core.py
@@ -166,10 +166,11 @@
             )
         )
 
-    def handle_disconnect(self, request_id: str) -> None:
-        """Closes a request whose caller cancelled it or disconnected; no answer is sent."""
+    def handle_disconnect(self, connection: Hashable, request_id: str) -> None:
+        """Closes a request whose caller cancelled it or disconnected; no answer is sent. Ids are chosen by
+        the callers, so only the connection on which the request arrived may close it."""
         request = self.requests.by_id.get(request_id)
-        if request and not request.is_answered:
+        if request and request.connection is connection and not request.is_answered:
             self.requests.close(request)
             self._admission.handle_disconnect(request.number)
             self.requests.release(request)
--- a/otterrudder/net/gateway_connection.py
+++ b/otterrudder/net/gateway_connection.py
@@ -65,7 +65,7 @@
         finally:
             self._owner.remove(self)
             for request_id in self.open_requests.values():
-                self._post(self._dispatcher.core.handle_disconnect, request_id, request_id=request_id)
+                self._post(self._dispatcher.core.handle_disconnect, self, request_id, request_id=request_id)
 
     def send(self, message: ConnectionMessage) -> None:
         """Sends an answer of the core."""
@@ -156,7 +156,7 @@
         for rpc_id, request_id in self.open_requests.items():
             if request_id == interrupted:
                 del self.open_requests[rpc_id]
-                self._post(self._dispatcher.core.handle_disconnect, request_id, request_id=request_id)
+                self._post(self._dispatcher.core.handle_disconnect, self, request_id, request_id=request_id)
                 return
 
     def _post(self, handler: Any, *arguments: Any, request_id: str = "") -> None:
--- a/tests/net/test_core_batches.py
+++ b/tests/net/test_core_batches.py
@@ -29,7 +29,7 @@
 
 
 def end_by_disconnect(bench: CoreHarness) -> None:
-    bench.core.handle_disconnect(f"{1:016x}")
+    bench.core.handle_disconnect("connection", f"{1:016x}")
 
 
 def end_by_timer(bench: CoreHarness) -> None:
@@ -87,7 +87,7 @@
     # The command to evict the key came after the attempt had left the table of requests, and was skipped.
     bench = CoreHarness()
     queue_first_attempt(bench)
-    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    bench.step(bench.core.handle_disconnect, "connection", f"{1:016x}")
     assert_retry_runs(bench, 2)
 
 
@@ -105,15 +105,15 @@
     bench = CoreHarness()
     queue_first_attempt(bench)
     bench.arrive(2, PAY, "m")
-    bench.core.handle_disconnect(f"{1:016x}")
-    bench.step(bench.core.handle_disconnect, f"{2:016x}")
+    bench.core.handle_disconnect("connection", f"{1:016x}")
+    bench.step(bench.core.handle_disconnect, "connection", f"{2:016x}")
     assert_retry_runs(bench, 3)
 
 
 def test_id_is_free_again_in_the_batch_in_which_its_request_ended() -> None:
     bench = CoreHarness()
     queue_first_attempt(bench)
-    bench.core.handle_disconnect(f"{1:016x}")
+    bench.core.handle_disconnect("connection", f"{1:016x}")
     arrive(bench, 1, "other")
     bench.step(lambda: None)
     finish_runs(bench)
@@ -128,7 +128,7 @@
     bench.arrive(2, PAY, "m")
     for running in bench.core.requests.running():
         bench.core.handle_run_ended(running.request_id, Outcome.OK, b"r")
-    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    bench.step(bench.core.handle_disconnect, "connection", f"{1:016x}")
     assert [type(answer) for answer in bench.answers[2]] == [RequestFailed]
     assert_retry_runs(bench, 3)
 
@@ -157,7 +157,7 @@
     for number in numbers:
         bench.arrive(number, PAY, "m")
     bench.core.set_suspended(True)
-    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    bench.step(bench.core.handle_disconnect, "connection", f"{1:016x}")
     assert [type(bench.answers[number][0]) for number in numbers] == [RequestRejected] * len(numbers)
     assert not len(bench.core.idempotency)
 
--- a/tests/net/test_core_random.py
+++ b/tests/net/test_core_random.py
@@ -75,7 +75,9 @@
             return self._end_call()
         if event == 10:
             self.disconnected.add(self.rng.randrange(1, number + 1))
-            return self.bench.step(self.core.handle_disconnect, f"{max(self.disconnected):016x}")
+            return self.bench.step(
+                self.core.handle_disconnect, "connection", f"{max(self.disconnected):016x}"
+            )
         if event == 11:
             self.bench.step(self.core.handle_link_lost)
             return self.bench.step(self.core.handle_link_established, ms=self.rng.choice([1.0, 50.0]))
--- a/tests/net/test_request_core.py
+++ b/tests/net/test_request_core.py
@@ -57,7 +57,7 @@
     bench.core.handle_arrival(
         "connection", 1, product, make_request_fields("c", bench.now + 1e12, idempotency_key="m")
     )
-    bench.step(bench.core.handle_disconnect, "c")
+    bench.step(bench.core.handle_disconnect, "connection", "c")
     limiter = bench.core.controller.limiter
     assert (limiter.in_flight, limiter.running, bench.core.controller.memory_budget.requests_kb) == (
         0,
@@ -122,7 +122,7 @@
         bench.step(bench.core.handle_gauges, bench.core.delivery.last_query, [0.5, 1.0, 0.1, 5.0])
     assert len(bench.sent_messages(StartRun)) == 1
     bench.step(bench.core.handle_link_lost)
-    bench.step(bench.core.handle_disconnect, f"{1:016x}")
+    bench.step(bench.core.handle_disconnect, "connection", f"{1:016x}")
     bench.step(bench.core.handle_link_established)
     # The request is closed, so the start only queries the state of its run.
     assert len(bench.sent_messages(StartRun)) == 2
@@ -158,3 +158,14 @@
         assert "result" in await server.finish_request(gateway, A)
 
     run_in_process(scenario)
+
+
+def test_disconnect_from_another_connection_leaves_the_request_open() -> None:
+    # A client that named the open request of a gateway in an interrupt left the gateway without an answer.
+    bench = CoreHarness()
+    bench.arrive(1)
+    fields = make_request_fields(f"{1:016x}", bench.now + 1e12)
+    bench.core.handle_arrival("other connection", 5, 0, fields)
+    bench.step(bench.core.handle_disconnect, "other connection", f"{1:016x}")
+    bench.step(bench.core.handle_run_ended, f"{1:016x}", Outcome.OK, b"r")
+    assert bench.answers == {1: [RequestCompleted(1, b"r", bench.load)]}
