An expired key leaves no reference cycle

Seen by reading this change: the record of a key and its holder referred to each other after the expiry, so both waited for the garbage collector. The holder's reference is cleared at the expiry.

Test: test_expired_key_leaves_no_reference_cycle failed before and passes now.

--- a/otterrudder/admission/deduplication.py
+++ b/otterrudder/admission/deduplication.py
@@ -146,6 +146,7 @@
         else:
             self._forget_entry(record)
             self.records.pop(request.request_id, None)
+            request.idempotency_record = None  # breaks the reference cycle of record and holder
 
     def _forget_entry(self, record: IdempotencyRecord) -> None:
         record.retained_id = 0
--- a/tests/net/test_core_memory.py
+++ b/tests/net/test_core_memory.py
@@ -5,7 +5,8 @@
 import pytest
 from core_harness import CoreHarness, make_request_fields
 
-from otterrudder.admission.requests import Request
+from otterrudder.admission.interface import Outcome
+from otterrudder.admission.requests import IdempotencyRecord, Request
 from otterrudder.net.idempotency import IdempotencyEntry
 from otterrudder.net.messages import RequestRejected
 from otterrudder.net.requests import PendingRequest
@@ -46,3 +47,28 @@
     assert {kind: after[kind] - before[kind] for kind in after if after[kind] - before[kind] > max_kept} == {}
     assert len(bench.core.controller.context.timers) <= 4 * max_kept  # two for each open one, half cancelled
     assert len(bench.core.idempotency.expirations) <= 2 * max_kept
+
+
+def count_records() -> int:
+    """Returns the number of live requests and records of keys, without a collection."""
+    return sum(isinstance(found, Request | IdempotencyRecord) for found in gc.get_objects())
+
+
+def test_expired_key_leaves_no_reference_cycle() -> None:
+    # Cycles wait for the garbage collector, so memory would grow between its runs.
+    gc.collect()
+    before = count_records()
+    bench = CoreHarness()
+    for number in range(1, 100):
+        bench.arrive(number, KEYED, f"m{number}")
+        bench.step(bench.core.handle_run_ended, f"{number:016x}", Outcome.OK, b"r")
+    gc.collect()
+    gc.disable()
+    try:
+        bench.step(lambda: None, ms=60_000.0)
+        for _ in range(2):
+            bench.step(bench.core.tick, ms=40.0)
+        kept = count_records() - before
+    finally:
+        gc.enable()
+    assert kept == 0
