Tests: the gateway beside a reset and a slow reader has sent a message before

Traced: the test's gateway sends nothing until the slow reader's flood is over, and a connection without a message is closed after 1.5 s (connection_reaper, first_response_ms).

The check was wrong in its set-up: it is no fault that a silent connection is closed.

--- a/tests/net/test_gateway_connections.py
+++ b/tests/net/test_gateway_connections.py
@@ -106,6 +106,7 @@
 
 def test_reset_and_unread_answers_do_not_affect_other_connections(server: ServerProcess) -> None:
     runtime, gateway = server.connect_all()
+    complete_request(runtime, gateway, C)  # a connection without a message is closed after 1.5 s
     faulty = server.connect_gateway()
     faulty.send_request(A)
     runtime.expect_command("start", A)
