Show that kept results of keyed requests outgrow a server's memory

Entries live a deadline longer than their window, but are counted only until its end, and the allowance for that holds for an even rate.

--- a/review/common2/platform_stand_in.py
+++ b/review/common2/platform_stand_in.py
@@ -145,7 +145,13 @@
         self.is_closed = False
         self.task = asyncio.create_task(self._read())
 
-    def send(self, request: Request, is_retry: bool = False, recv_ms: float | None = None) -> None:
+    def send(
+        self,
+        request: Request,
+        is_retry: bool = False,
+        recv_ms: float | None = None,
+        names_ttl: bool = True,
+    ) -> None:
         """Writes a request."""
         number = next(self.numbers)
         request.recv_ms = unix_ms() if recv_ms is None else recv_ms
@@ -155,11 +161,12 @@
             "recv": round(request.recv_ms),
             "src": 4,
             "org": "north",
-            "ttl": request.ttl_ms,
             "heap": 30.0,
             "crit": 0.5,
             "blob": base64.b64encode(request.body).decode(),
         }
+        if names_ttl:
+            params["ttl"] = request.ttl_ms
         if is_retry:
             params["rep"] = 1
         if request.key:
@@ -237,6 +244,7 @@
         self.is_deaf = False  # commands stay unread
         self.hold_notices_ms = 0.0  # delay of notices on the way
         self.refuses_links = False
+        self.result_bytes = 0  # results are filled up to this length
         self.started_ms = unix_ms() - 60_000.0
         self.links = 0
 
@@ -331,7 +339,10 @@
 
     async def _run(self, request: Request) -> None:
         began = unix_ms()
-        outcome, result = "complete", f"r:{request.call}:{request.runs}".encode()
+        outcome, result = (
+            "complete",
+            f"r:{request.call}:{request.runs}".encode().ljust(self.result_bytes, b"."),
+        )
         for index, (step, span_ms) in enumerate(request.steps):
             if step == "work":
                 await asyncio.sleep(span_ms / 1000)
@@ -426,7 +437,14 @@
 class Platform:
     """Everything outside the server, and the server's process."""
 
-    def __init__(self, folder: Path, settings: dict | None = None, stop_ms: float = 3200.0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        settings: dict | None = None,
+        stop_ms: float = 3200.0,
+        memory_mb: int = 192,
+        sockets: int = 512,
+    ) -> None:
         self.folder = folder
         self.temporary = Path(tempfile.mkdtemp(prefix="case-"))
         self.settings = settings or SETTINGS
@@ -448,8 +466,8 @@
         self.is_stopping = False
         self.arguments = ""
         self.name = "n3"
-        self.memory_mb = 192
-        self.sockets = 512
+        self.memory_mb = memory_mb
+        self.sockets = sockets
 
     def log(self, text: str) -> None:
         """Adds a line to the record."""
@@ -590,6 +608,12 @@
     def violations(self) -> list[str]:
         """Returns the broken rules, in words."""
         found = [f"a body or class reached the other side changed: {call}" for call in self.changed]
+        self._by_key: dict[str, list[Request]] = {}
+        self._first_runs: dict[str, float] = {}
+        for request in self.requests.values():
+            self._by_key.setdefault(request.key, []).append(request)
+        for at, call in self.runs:
+            self._first_runs.setdefault(call, at)
         if self.unexpected_exit is not None:
             found.append(f"crash: the server exited with {self.unexpected_exit}")
         for request in self.requests.values():
@@ -628,20 +652,14 @@
         return found
 
     def _results_of(self, request: Request) -> list[bytes]:
-        tries = [
-            other
-            for other in self.requests.values()
-            if other is request or request.key and other.key == request.key
-        ]
-        return [result for other in tries for result in self.results.get(other.call, [])]
+        return [result for other in self._tries_of(request) for result in self.results.get(other.call, [])]
+
+    def _tries_of(self, request: Request) -> list[Request]:
+        return self._by_key[request.key] if request.key else [request]
 
     def _ran(self, request: Request, before_ms: float) -> bool:
-        same = [
-            other.call
-            for other in self.requests.values()
-            if other is request or request.key and other.key == request.key
-        ]
-        return any(call in same and at < before_ms - SAME_MOMENT_MS for at, call in self.runs)
+        latest = before_ms - SAME_MOMENT_MS
+        return any(self._first_runs.get(other.call, latest) < latest for other in self._tries_of(request))
 
     def _duplicates(self) -> list[str]:
         windows = {entry["name"]: entry.get("windowUs", 0) / 1000 for entry in self.settings["classes"]}
