--- a/review/common2/platform_stand_in.py
+++ b/review/common2/platform_stand_in.py
@@ -242,6 +242,7 @@
         self.writer: asyncio.StreamWriter | None = None
         self.ports: list[asyncio.Server] = []
         self.is_deaf = False  # commands stay unread
+        self.is_synced = False  # notices are sent on a link once `sync` was answered
         self.hold_notices_ms = 0.0  # delay of notices on the way
         self.refuses_links = False
         self.result_bytes = 0  # results are filled up to this length
@@ -278,6 +279,7 @@
             reset(writer)
             return
         previous, self.writer = self.writer, writer
+        self.is_synced = False
         self.links += 1
         if previous:
             previous.close()
@@ -304,6 +306,7 @@
         match words[0]:
             case "sync":
                 self._write(f"ready hot {unix_ms() - self.started_ms:.0f}\r\n".encode())
+                self.is_synced = True
                 for number, data in self.notices:
                     if number > int(words[1]):
                         self._write(data)
@@ -386,7 +389,7 @@
         if self.hold_notices_ms:
             loop, writer = asyncio.get_running_loop(), self.writer
             loop.call_later(self.hold_notices_ms / 1000, lambda: self.writer is writer and self._write(data))
-        else:
+        elif self.is_synced:
             self._write(data)
 
     def _write(self, data: bytes) -> None:
