Let the gateways of the cases heed the server's advice

A gateway stays away for the time that a refusal names and keeps to the free value, as most of the users' gateways do.

--- a/review/common2/platform_stand_in.py
+++ b/review/common2/platform_stand_in.py
@@ -27,6 +27,7 @@
 SAME_MOMENT_MS = 10.0  # a start and a refusal of one batch of the server may arrive in any order
 CANNOT_RUN = 2
 MAX_CASE_S = 110.0
+MAX_OPEN = 32.0  # requests on a connection
 
 SETTINGS = {
     "classes": [
@@ -143,6 +144,8 @@
         self.numbers = itertools.count(1)
         self.has_no_more = False
         self.is_closed = False
+        self.load = MAX_OPEN  # how many requests the server lets this gateway have open
+        self.stay_away_until = 0.0
         self.task = asyncio.create_task(self._read())
 
     def send(
@@ -178,6 +181,13 @@
             f"sent {request.call} {request.method} key={request.key or '-'} ttl={request.ttl_ms:g}"
         )
 
+    def may_send(self) -> bool:
+        """Whether a gateway that heeds the server sends a request now."""
+        limit = min(self.load, MAX_OPEN)
+        whole = int(limit)
+        whole += self.platform.random.random() < limit - whole
+        return unix_ms() >= self.stay_away_until and len(self.open) < whole
+
     def write(self, message: object) -> None:
         """Writes a message of any form."""
         self.writer.write(json.dumps(message).encode() + b"\n")
@@ -219,6 +229,9 @@
             self.platform.log(f"answer to no open request: {message}")
             return
         body = b""
+        told = message.get("result") or message.get("error", {}).get("data", {})
+        self.load = told.get("load", self.load)
+        self.stay_away_until = unix_ms() + told.get("pushback", 0.0)
         if "result" in message:
             kind = "served"
             body = base64.b64decode(message["result"].get("blob", ""))
